Owner: neutral to the edge's protocol; connections by customer

Cause: the owner sent PostgreSQL messages of its own and judged SQLSTATEs, and its pool lent any connection to any customer. The users' targets speak another protocol and tie a connection to the customer named at login.

Change: a target's answer carries an outcome class beside its own code; the dialer gives the probe and the rollback; the pool keeps connections by customer and closes another customer's oldest idle one when its limit is reached.

--- a/internal/filter/idempotency/database_test.go
+++ b/internal/filter/idempotency/database_test.go
@@ -85,7 +85,7 @@
 		out = append(out, answers...)
 		return state == ""
 	})
-	reply := target.Reply{SQLState: state, TxStatus: s.status(), Position: logpos.Position{Term: 1, Index: s.db.index}}
+	reply := target.Reply{Code: state, TxStatus: s.status(), Position: logpos.Position{Term: 1, Index: s.db.index}}
 	if state != "" {
 		out = append(out, &pgproto3.ErrorResponse{Code: state})
 	}
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -49,9 +49,9 @@
 		return Result{}, sent, err
 	}
 	switch {
-	case reply.SQLState == stateUnique:
+	case reply.Code == stateUnique:
 		result, err = run.repeat()
-	case reply.SQLState != "":
+	case reply.Code != "":
 		result.Reply, err = run.rollback(onlyError(reply))
 	default:
 		result.Reply, err = run.first()
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Result{}, sent, err
 	}
-	if begun.SQLState != "" || begun.TxStatus == idle {
+	if begun.Code != "" || begun.TxStatus == idle {
 		return Result{Reply: begun}, true, nil
 	}
 	begun.Messages = append([]byte(nil), begun.Messages...)
@@ -75,12 +75,12 @@
 	if err != nil {
 		return Result{}, true, unknown(err)
 	}
-	if recorded.SQLState == "" {
+	if recorded.Code == "" {
 		begun.Position = recorded.Position
 		return Result{Reply: begun}, true, nil
 	}
 	refused, err := run.rollback(onlyError(recorded))
-	if err == nil && recorded.SQLState == stateUnique {
+	if err == nil && recorded.Code == stateUnique {
 		err = request.Refuse(request.CodeAlreadyRun, step, "",
 			"a transaction with idempotency key %q has run before", req.IdempotencyKey)
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		return target.Reply{}, unknown(err)
 	}
-	if reply.SQLState != "" {
+	if reply.Code != "" {
 		return r.rollback(outside(reply))
 	}
 	if reply.TxStatus != 'T' {
@@ -131,7 +131,7 @@
 	if err != nil {
 		return target.Reply{}, unknown(err)
 	}
-	if reply.SQLState != "" {
+	if reply.Code != "" {
 		refused := onlyError(reply)
 		if reply.TxStatus == idle {
 			return refused, nil
@@ -169,8 +169,8 @@
 	if err != nil {
 		return Result{}, unknown(err)
 	}
-	if reply.SQLState != "" || reply.TxStatus != idle {
-		return Result{}, unknown(fmt.Errorf("the record cannot be read: %s", reply.SQLState))
+	if reply.Code != "" || reply.TxStatus != idle {
+		return Result{}, unknown(fmt.Errorf("the record cannot be read: %s", reply.Code))
 	}
 	row := firstRow(reply.Messages)
 	if len(row) != 2 {
--- a/internal/filter/idempotency/idempotency_test.go
+++ b/internal/filter/idempotency/idempotency_test.go
@@ -40,7 +40,7 @@
 	conn := &session{db: db}
 	result, _, err := Execute(context.Background(), conn, write("fail", "k"))
 	must.NoError(t, err)
-	must.Eq(t, "23514", result.Reply.SQLState)
+	must.Eq(t, "23514", result.Reply.Code)
 	must.Eq(t, byte('I'), result.Reply.TxStatus)
 	must.Eq(t, byte('I'), conn.status())
 	must.MapLen(t, 0, db.records)
@@ -50,7 +50,7 @@
 	db := newDatabase()
 	result, _, err := Execute(context.Background(), &session{db: db, rejectCommit: true}, write("effect a", "k"))
 	must.NoError(t, err)
-	must.Eq(t, "25006", result.Reply.SQLState)
+	must.Eq(t, "25006", result.Reply.Code)
 	must.MapLen(t, 0, db.effects)
 }
 
@@ -98,7 +98,7 @@
 			result, sent, err := Execute(context.Background(), conn, write("effect a", "k"))
 			var refusal *request.Refusal
 			switch {
-			case err == nil && result.Reply.SQLState == "":
+			case err == nil && result.Reply.Code == "":
 				answered = true
 			case err == nil, errors.As(err, &refusal) && refusal.Code.Fate == request.NotRun:
 				if db.effects["a"] != had {
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -8,24 +8,8 @@
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
-
-	"github.com/jackc/pgx/v5/pgproto3"
-)
-
-// Messages that the owner sends on its own, in wire format.
-var (
-	probeMessages    = simpleQuery("SELECT 1")
-	rollbackMessages = simpleQuery("ROLLBACK")
 )
 
-func simpleQuery(statement string) []byte {
-	messages, err := (&pgproto3.Query{String: statement}).Encode(nil)
-	if err != nil {
-		panic(err)
-	}
-	return messages
-}
-
 // outcome is what came of one exchange.
 type outcome struct {
 	reply    target.Reply
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -174,7 +174,8 @@
 }
 
 // Dial implements target.Dialer.
-func (g *fakeGroup) Dial(ctx context.Context, address, _ string) (target.Conn, error) {
+func (g *fakeGroup) Dial(ctx context.Context, login target.Login) (target.Conn, error) {
+	address := login.Address
 	f := g.at(address)
 	f.mu.Lock()
 	cut := f.cut
@@ -202,7 +203,23 @@
 }
 
 // Control implements target.Dialer.
-func (g *fakeGroup) Control(context.Context, string) (target.Control, error) {
+func (g *fakeGroup) Commands() target.Commands {
+	return target.Commands{Probe: simpleQuery("SELECT 1"), Rollback: simpleQuery("ROLLBACK")}
+}
+
+// outcomeOf maps the fake's codes as the PostgreSQL edge does.
+func outcomeOf(state string) target.Outcome {
+	switch state {
+	case "":
+		return target.Done
+	case "25006":
+		return target.ReadOnly
+	default:
+		return target.Failed
+	}
+}
+
+func (g *fakeGroup) Control(context.Context, target.Login) (target.Control, error) {
 	return nil, errFake
 }
 
@@ -229,7 +246,8 @@
 // controlled is a fakeGroup whose control connections work.
 type controlled struct{ *fakeGroup }
 
-func (c controlled) Control(_ context.Context, address string) (target.Control, error) {
+func (c controlled) Control(_ context.Context, login target.Login) (target.Control, error) {
+	address := login.Address
 	return &fakeControl{target: c.at(address)}, nil
 }
 
@@ -326,7 +344,7 @@
 	if status == 0 {
 		status = 'I'
 	}
-	return target.Reply{Messages: []byte(state), TxStatus: status, SQLState: state, Position: c.target.last()}
+	return target.Reply{Messages: []byte(state), TxStatus: status, Code: state, Outcome: outcomeOf(state), Position: c.target.last()}
 }
 
 func (c *fakeConn) run(text string) (target.Reply, chan struct{}) {
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 
@@ -84,3 +86,12 @@
 	must.Error(t, err)
 	must.Eq(t, code.Name, request.AsRefusal(err).Code.Name, must.Sprint(err))
 }
+
+// simpleQuery returns the exchange that the fake target runs text for.
+func simpleQuery(text string) []byte {
+	messages, err := (&pgproto3.Query{String: text}).Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return messages
+}
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -26,7 +26,9 @@
 	schedule *schedule.Scheduler
 	pool     *pool.Pool
 	kick     chan struct{}
-	stop     context.CancelFunc
+	// byCustomer is true where a connection serves one customer only.
+	byCustomer bool
+	stop       context.CancelFunc
 
 	lastSent  time.Time
 	failedAt  time.Time
@@ -41,8 +43,8 @@
 
 func newMember(g *group, t *fleet.Target) *member {
 	slots, limit := g.sizes(t)
-	address := t.Address
-	database := g.options.Database(g.name)
+	login := target.Login{Address: t.Address, Target: t.Name, Database: g.options.Database(g.name)}
+	commands := g.options.Dialer.Commands()
 	ctx, stop := context.WithCancel(g.ctx)
 	m := &member{
 		group:  g,
@@ -55,16 +57,23 @@
 		Slots:   slots,
 		MaxOpen: maxOpen(limit, slots),
 	})
+	m.byCustomer = commands.ByCustomer
+	spare := slots
+	if m.byCustomer {
+		spare = 0
+	}
 	m.pool = pool.New(pool.Options{
-		Dial: func(ctx context.Context) (target.Conn, error) {
-			return g.options.Dialer.Dial(ctx, address, database)
+		Dial: func(ctx context.Context, customer string) (target.Conn, error) {
+			as := login
+			as.Customer = customer
+			return g.options.Dialer.Dial(ctx, as)
 		},
-		Probe: probeMessages,
+		Probe: commands.Probe,
 		Clock: g.options.Clock,
 		Limit: limit,
-		Spare: slots,
+		Spare: spare,
 	})
-	go m.pollLoop(ctx, address)
+	go m.pollLoop(ctx, login)
 	return m
 }
 
@@ -201,12 +210,15 @@
 // is placed again.
 const connectPatience = 300 * time.Millisecond
 
-// connection lends a connection, within connectPatience.
-func (m *member) connection(ctx context.Context) (*pool.Conn, error) {
-	if conn := m.pool.TryGet(); conn != nil {
+// connection lends a connection that may serve customer, within connectPatience.
+func (m *member) connection(ctx context.Context, customer string) (*pool.Conn, error) {
+	if !m.byCustomer {
+		customer = ""
+	}
+	if conn := m.pool.TryGet(customer); conn != nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectPatience)
 	defer cancel()
-	return m.pool.Get(ctx)
+	return m.pool.Get(ctx, customer)
 }
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -13,7 +13,7 @@
 const sweepInterval = 250 * time.Millisecond
 
 // pollLoop asks m for its status until ctx ends. One question is outstanding at a time.
-func (m *member) pollLoop(ctx context.Context, address string) {
+func (m *member) pollLoop(ctx context.Context, login target.Login) {
 	var control target.Control
 	defer func() {
 		if control != nil {
@@ -21,7 +21,7 @@
 		}
 	}()
 	for m.awaitPoll(ctx) {
-		control = m.poll(ctx, address, control)
+		control = m.poll(ctx, login, control)
 		m.group.sweep()
 	}
 }
@@ -77,14 +77,14 @@
 }
 
 // poll asks once and returns the control connection to use next, nil after a failure.
-func (m *member) poll(ctx context.Context, address string, control target.Control) target.Control {
+func (m *member) poll(ctx context.Context, login target.Login, control target.Control) target.Control {
 	g := m.group
 	ctx, cancel := context.WithTimeout(ctx, target.ControlTimeout)
 	defer cancel()
 	var err error
 	sentAt := g.now()
 	if control == nil {
-		control, err = g.options.Dialer.Control(ctx, address)
+		control, err = g.options.Dialer.Control(ctx, login)
 	}
 	var status target.Status
 	if err == nil {
--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -10,24 +11,57 @@
 	if p.closed {
 		return
 	}
-	want := p.options.Spare + len(p.waiting) - len(p.idle) - p.opening
-	room := p.options.Limit - p.open - p.opening
-	if p.backoff > 0 {
-		// One trial at a time while openings fail.
-		room = min(room, 1-p.opening)
+	if p.options.Spare > 0 {
+		p.start("", p.options.Spare+len(p.waiting)-len(p.idle)-p.opening)
+		return
+	}
+	wanted := make(map[string]int, len(p.waiting))
+	for _, w := range p.waiting {
+		wanted[w.customer]++
+		p.start(w.customer, wanted[w.customer]-p.openingFor[w.customer])
 	}
-	for range min(want, room) {
+}
+
+// start opens up to want connections for customer. p.mu is held.
+func (p *Pool) start(customer string, want int) {
+	for range want {
+		if p.backoff > 0 && p.opening > 0 {
+			// One trial at a time while openings fail.
+			return
+		}
+		if p.open+p.opening >= p.options.Limit && !p.evict(customer) {
+			return
+		}
 		p.opening++
-		go p.openOne(p.retryAt)
+		p.openingFor[customer]++
+		go p.openOne(customer, p.retryAt)
 	}
 }
 
+// evict closes another customer's connection, the one idle for the longest. It reports
+// false without one, and where that would not make room below the limit. p.mu is held.
+func (p *Pool) evict(customer string) bool {
+	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.customer != customer })
+	if i < 0 || p.open+p.opening > p.options.Limit {
+		return false
+	}
+	oldest := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
+	go closeAll([]*Conn{oldest})
+	return true
+}
+
 // openOne opens one connection, not before notBefore, and hands it out.
-func (p *Pool) openOne(notBefore time.Time) {
-	conn, err := p.dial(notBefore)
+func (p *Pool) openOne(customer string, notBefore time.Time) {
+	conn, err := p.dial(customer, notBefore)
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	p.opening--
+	p.openingFor[customer]--
+	if p.openingFor[customer] == 0 {
+		delete(p.openingFor, customer)
+	}
 	if err != nil {
 		p.failed++
 		p.backoff = min(BackoffMax, max(BackoffMin, 2*p.backoff))
@@ -49,7 +83,7 @@
 	closeAll(surplus)
 }
 
-func (p *Pool) dial(notBefore time.Time) (*Conn, error) {
+func (p *Pool) dial(customer string, notBefore time.Time) (*Conn, error) {
 	if wait := notBefore.Sub(p.options.Clock.Now()); wait > 0 {
 		if err := p.options.Clock.Sleep(p.ctx, wait); err != nil {
 			return nil, err
@@ -57,11 +91,11 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, DialTimeout)
 	defer cancel()
-	conn, err := p.options.Dial(ctx)
+	conn, err := p.options.Dial(ctx, customer)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, pool: p}, nil
+	return &Conn{Conn: conn, pool: p, customer: customer}, nil
 }
 
 // mustProbe reports whether conn must be probed before use.
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -2,11 +2,14 @@
 //
 // Invariant: connections that are open or being opened never exceed the limit, which is
 // the part of the target's connections that this owner may use. A connection in doubt
-// is closed, never reused. Spare ones are opened ahead of need, in the background.
+// is closed, never reused; one that serves a single customer is never lent for another.
+// Spare ones are opened ahead of need, in the background. When the limit is reached the
+// connection idle for the longest makes room for another customer's.
 package pool
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,14 +42,15 @@
 
 // Options of a Pool.
 type Options struct {
-	// Dial opens one connection.
-	Dial func(ctx context.Context) (target.Conn, error)
+	// Dial opens one connection on behalf of customer, which is empty where connections
+	// serve every customer.
+	Dial func(ctx context.Context, customer string) (target.Conn, error)
 	// Probe is the exchange that proves a connection alive, in wire format.
 	Probe []byte
 	Clock clock.Clock
 	// Limit is the most connections.
 	Limit int
-	// Spare is the number of idle connections to keep ready.
+	// Spare is the number of idle connections to keep ready for every customer.
 	Spare int
 }
 
@@ -54,10 +58,17 @@
 type Conn struct {
 	target.Conn
 	pool     *Pool
+	customer string
 	lastUsed time.Time
 	opened   time.Time
 }
 
+// waiter is a request that waits for a connection on behalf of customer.
+type waiter struct {
+	customer string
+	conn     chan *Conn
+}
+
 // Stats counts a Pool's connections.
 type Stats struct {
 	Limit   int `json:"limit"`
@@ -78,8 +89,10 @@
 	idle    []*Conn
 	open    int
 	opening int
-	waiting []chan *Conn
-	closed  bool
+	// openingFor counts the connections being opened by customer.
+	openingFor map[string]int
+	waiting    []waiter
+	closed     bool
 	// doubtBefore is set when a silent connection was found: idle ones last used before
 	// then are probed before they are used.
 	doubtBefore time.Time
@@ -93,7 +106,7 @@
 // New returns a Pool and starts to open spare connections.
 func New(options Options) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{options: options, ctx: ctx, stop: stop}
+	p := &Pool{options: options, ctx: ctx, stop: stop, openingFor: make(map[string]int)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill()
@@ -101,20 +114,32 @@
 }
 
 // TryGet lends an idle connection that is in no doubt, or returns nil at once.
-func (p *Pool) TryGet() *Conn {
+func (p *Pool) TryGet(customer string) *Conn {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 || p.doubtful(p.idle[len(p.idle)-1], now) {
+	i := p.newest(customer)
+	if i < 0 || p.doubtful(p.idle[i], now) {
 		return nil
 	}
-	return p.lend()
+	return p.lend(i)
+}
+
+// newest returns the index of customer's idle connection that was used last, or -1. p.mu
+// is held.
+func (p *Pool) newest(customer string) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].customer == customer {
+			return i
+		}
+	}
+	return -1
 }
 
 // Get lends a connection. It waits for one to be opened or returned until ctx ends.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, customer string) (*Conn, error) {
 	for {
-		conn, err := p.take(ctx)
+		conn, err := p.take(ctx, customer)
 		if err != nil {
 			return nil, err
 		}
@@ -151,6 +176,7 @@
 	conn.lastUsed = now
 	p.give(conn)
 	surplus := append(p.surplus(), p.unused(now)...)
+	p.fill()
 	p.mu.Unlock()
 	closeAll(surplus)
 }
@@ -208,7 +234,7 @@
 	p.mu.Unlock()
 	closeAll(idle)
 	for _, w := range waiting {
-		close(w)
+		close(w.conn)
 	}
 }
 
@@ -224,19 +250,19 @@
 }
 
 // take lends the connection used last, or waits for one.
-func (p *Pool) take(ctx context.Context) (*Conn, error) {
+func (p *Pool) take(ctx context.Context, customer string) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if len(p.idle) > 0 {
-		conn := p.lend()
+	if i := p.newest(customer); i >= 0 {
+		conn := p.lend(i)
 		p.mu.Unlock()
 		return conn, nil
 	}
 	wait := make(chan *Conn, 1)
-	p.waiting = append(p.waiting, wait)
+	p.waiting = append(p.waiting, waiter{customer, wait})
 	p.fill()
 	p.mu.Unlock()
 	select {
@@ -251,12 +277,10 @@
 	}
 }
 
-// lend takes out the connection that was used last; there must be one. p.mu is held.
-func (p *Pool) lend() *Conn {
-	last := len(p.idle) - 1
-	conn := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
+// lend takes out the idle connection at i. p.mu is held.
+func (p *Pool) lend(i int) *Conn {
+	conn := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
 	p.fill()
 	return conn
 }
@@ -265,7 +289,7 @@
 func (p *Pool) abandon(wait chan *Conn) {
 	p.mu.Lock()
 	for i, w := range p.waiting {
-		if w == wait {
+		if w.conn == wait {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
 			p.mu.Unlock()
 			return
@@ -280,10 +304,14 @@
 // give hands conn to the first that waits, or makes it idle. p.mu is held.
 func (p *Pool) give(conn *Conn) {
 	over := p.closed || p.open > p.options.Limit
-	if !over && len(p.waiting) > 0 {
-		p.waiting[0] <- conn
-		p.waiting = p.waiting[1:]
-		return
+	if !over {
+		for i, w := range p.waiting {
+			if w.customer == conn.customer {
+				p.waiting = slices.Delete(p.waiting, i, i+1)
+				w.conn <- conn
+				return
+			}
+		}
 	}
 	p.idle = append(p.idle, conn)
 }
--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -33,7 +33,7 @@
 	probes int
 }
 
-func (s *server) dial(ctx context.Context) (target.Conn, error) {
+func (s *server) dial(ctx context.Context, _ string) (target.Conn, error) {
 	s.mu.Lock()
 	s.dials++
 	refuse := s.refuse
@@ -99,7 +99,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	conn, err := p.Get(ctx)
+	conn, err := p.Get(ctx, "")
 	must.NoError(t, err)
 	return conn
 }
@@ -131,7 +131,7 @@
 				time.Sleep(start)
 				ctx, cancel := context.WithTimeout(context.Background(), 20*hold)
 				defer cancel()
-				conn, err := p.Get(ctx)
+				conn, err := p.Get(ctx, "")
 				if err != nil {
 					return
 				}
@@ -173,16 +173,16 @@
 // Only a connection that needs no probe is lent without one.
 func TestTryGetLendsNoDoubtfulConnection(t *testing.T) {
 	withPool(t, 4, 2, func(t *testing.T, p *Pool, _ *server) {
-		first := p.TryGet()
+		first := p.TryGet("")
 		must.NotNil(t, first)
 		p.Put(first)
 		time.Sleep(2 * QuietLimit)
-		must.Nil(t, p.TryGet())
+		must.Nil(t, p.TryGet(""))
 		probed := get(t, p)
 		p.Put(probed)
-		must.True(t, p.TryGet() == probed)
+		must.True(t, p.TryGet("") == probed)
 		p.Discard(probed, true)
-		must.Nil(t, p.TryGet())
+		must.Nil(t, p.TryGet(""))
 	})
 }
 
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -11,11 +11,9 @@
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/request"
+	"crocusyoke/internal/target"
 )
 
-// sqlReadOnly is how a replica refuses a write.
-const sqlReadOnly = "25006"
-
 // maxRuns bounds how often a request is placed. Only what provably did not run, and
 // reads, are placed again.
 const maxRuns = 4
@@ -115,7 +113,7 @@
 	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
 		return nil, refusal
 	}
-	conn, err := r.member.connection(ctx)
+	conn, err := r.member.connection(ctx, r.req.Customer)
 	if err != nil {
 		g.freeSlot(r.member, r.slot, schedule.Unchanged)
 		return nil, g.noConnection(ctx, r, err)
@@ -227,7 +225,7 @@
 
 // accept passes the answer on if it may be.
 func (g *group) accept(ctx context.Context, r *run, o *outcome) (*request.Response, *request.Refusal) {
-	if o.reply.SQLState == sqlReadOnly && (r.replica || choose.Write(r.req.Kind)) {
+	if o.reply.Outcome == target.ReadOnly && (r.replica || choose.Write(r.req.Kind)) {
 		r.primaryOnly = true
 		refusal := request.Refuse(request.CodeReplicaWrite, "exchange", r.member.target.Name, "target is read-only")
 		if r.replica {
@@ -279,9 +277,9 @@
 	switch req.Kind {
 	case request.KindWrite, request.KindCommit:
 		claim.Majority = req.Profile.Confirm != fleet.ConfirmTerm
-		return claim, o.reply.SQLState == ""
+		return claim, o.reply.Outcome == target.Done
 	case request.KindInTransaction:
-		if o.reply.TxStatus == 'I' && o.reply.SQLState == "" {
+		if o.reply.TxStatus == 'I' && o.reply.Outcome == target.Done {
 			claim.Majority = req.Profile.Confirm != fleet.ConfirmTerm
 			return claim, true
 		}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -183,7 +183,7 @@
 	now := g.now()
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackWait)
 	defer cancel()
-	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback, Messages: rollbackMessages}
+	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback, Messages: g.options.Dialer.Commands().Rollback}
 	slot := g.newSlotWaiter(req, schedule.Finish, now.Add(rollbackWait))
 	g.mu.Lock()
 	deliver(m.schedule.Submit(now, &slot.item))
--- a/internal/pgfront/standin_test.go
+++ b/internal/pgfront/standin_test.go
@@ -31,7 +31,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns[session] == nil {
-		conn, err := pgtarget.New("system", "secret", "node-1").Dial(context.Background(), d.address, "ledger")
+		conn, err := pgtarget.New("system", "secret", "node-1").Dial(context.Background(), target.Login{Address: d.address, Database: "ledger"})
 		must.NoError(d.t, err)
 		d.conns[session] = conn
 	}
--- a/internal/run/promotion/orders.go
+++ b/internal/run/promotion/orders.go
@@ -65,7 +65,7 @@
 	count.Add(countOrders, 1)
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	control, err := r.options.Dialer.Control(ctx, r.address(g, name))
+	control, err := r.options.Dialer.Control(ctx, r.login(g, name))
 	if err != nil {
 		count.Add(countRefused, 1)
 		return target.Status{}, err
@@ -78,6 +78,11 @@
 	return status, err
 }
 
+// login says how to reach a member of the group.
+func (r *Runner) login(g *group, name string) target.Login {
+	return target.Login{Address: r.address(g, name), Target: name, Database: g.name}
+}
+
 func (r *Runner) address(g *group, name string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/run/promotion/runner_test.go
+++ b/internal/run/promotion/runner_test.go
@@ -54,7 +54,8 @@
 	return &fleet.Config{Groups: []fleet.Group{listed}}
 }
 
-func (g *targets) Control(_ context.Context, address string) (target.Control, error) {
+func (g *targets) Control(_ context.Context, login target.Login) (target.Control, error) {
+	address := login.Address
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.down[address] {
@@ -70,7 +71,7 @@
 }
 
 func (g *targets) poll(r *Runner, name string) {
-	c, err := g.Control(context.Background(), name)
+	c, err := g.Control(context.Background(), target.Login{Address: name})
 	if err != nil {
 		r.Unreachable("ledger-1", name, time.Now())
 		return
@@ -120,7 +121,7 @@
 type peers struct{ group *targets }
 
 func (p peers) Call(ctx context.Context, _ string, _ peer.Kind, request, reply any) error {
-	_, err := p.group.Control(ctx, request.(SuspectRequest).Address)
+	_, err := p.group.Control(ctx, target.Login{Address: request.(SuspectRequest).Address})
 	*reply.(*SuspectReply) = SuspectReply{Reachable: err == nil}
 	return nil
 }
--- a/internal/run/promotion/suspect.go
+++ b/internal/run/promotion/suspect.go
@@ -35,13 +35,17 @@
 	if err := cbor.Unmarshal(payload, &request); err != nil {
 		return nil, err
 	}
-	return SuspectReply{Reachable: r.reach(ctx, request.Address)}, nil
+	return SuspectReply{Reachable: r.reach(ctx, request.login())}, nil
 }
 
-func (r *Runner) reach(ctx context.Context, address string) bool {
+func (q SuspectRequest) login() target.Login {
+	return target.Login{Address: q.Address, Target: q.Target, Database: q.Group}
+}
+
+func (r *Runner) reach(ctx context.Context, login target.Login) bool {
 	ctx, cancel := context.WithTimeout(ctx, target.ControlTimeout)
 	defer cancel()
-	control, err := r.options.Dialer.Control(ctx, address)
+	control, err := r.options.Dialer.Control(ctx, login)
 	if err != nil {
 		return false
 	}
@@ -55,7 +59,7 @@
 	request := SuspectRequest{Group: g.name, Target: name, Address: r.address(g, name)}
 	voters, lone := r.voters()
 	if len(voters) == 0 {
-		r.answer(g, r.options.Self, "elsewhere", r.reach(ctx, request.Address))
+		r.answer(g, r.options.Self, "elsewhere", r.reach(ctx, request.login()))
 		return
 	}
 	for _, vm := range voters {
--- a/internal/standin/targetd/targetd_test.go
+++ b/internal/standin/targetd/targetd_test.go
@@ -98,7 +98,7 @@
 
 func (n *node) control() target.Control {
 	n.t.Helper()
-	control, err := pgtarget.New(user, password, "node-1").Control(n.t.Context(), n.address)
+	control, err := pgtarget.New(user, password, "node-1").Control(n.t.Context(), target.Login{Address: n.address})
 	must.NoError(n.t, err)
 	n.t.Cleanup(func() { _ = control.Close() })
 	return control
--- a/internal/target/pgtarget/conn.go
+++ b/internal/target/pgtarget/conn.go
@@ -145,8 +145,9 @@
 		switch {
 		case kind == kindParameterStatus && c.notePosition(body):
 			reply.Messages = reply.Messages[:start-headerSize]
-		case kind == kindError && reply.SQLState == "":
-			reply.SQLState = sqlState(body)
+		case kind == kindError && reply.Code == "":
+			reply.Code = sqlState(body)
+			reply.Outcome = outcomeOf(reply.Code)
 		case kind == kindCopyIn, kind == kindCopyOut, kind == kindCopyBoth:
 			return target.Reply{}, errCopy
 		case kind == kindReady:
--- a/internal/target/pgtarget/dialer.go
+++ b/internal/target/pgtarget/dialer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/target"
@@ -36,8 +37,9 @@
 }
 
 // Dial implements target.Dialer.
-func (d *Dialer) Dial(ctx context.Context, address, database string) (target.Conn, error) {
-	pc, err := d.connect(ctx, address, database)
+func (d *Dialer) Dial(ctx context.Context, login target.Login) (target.Conn, error) {
+	address := login.Address
+	pc, err := d.connect(ctx, address, login.Database)
 	if err != nil {
 		return nil, Error.New("dial %s: %w", address, err)
 	}
@@ -52,7 +54,8 @@
 }
 
 // Control implements target.Dialer.
-func (d *Dialer) Control(ctx context.Context, address string) (target.Control, error) {
+func (d *Dialer) Control(ctx context.Context, login target.Login) (target.Control, error) {
+	address := login.Address
 	pc, err := d.connect(ctx, address, ControlDatabase)
 	if err != nil {
 		return nil, Error.New("control %s: %w", address, err)
@@ -60,6 +63,29 @@
 	return &control{conn: pc, address: address}, nil
 }
 
+// Commands implements target.Dialer.
+func (d *Dialer) Commands() target.Commands {
+	return target.Commands{Probe: simpleQuery("SELECT 1"), Rollback: simpleQuery("ROLLBACK")}
+}
+
+func simpleQuery(statement string) []byte {
+	messages, err := (&pgproto3.Query{String: statement}).Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return messages
+}
+
+// codeReadOnly is the SQLSTATE with which a replica refuses a write.
+const codeReadOnly = "25006"
+
+func outcomeOf(code string) target.Outcome {
+	if code == codeReadOnly {
+		return target.ReadOnly
+	}
+	return target.Failed
+}
+
 func (d *Dialer) connect(ctx context.Context, address, database string) (*pgconn.PgConn, error) {
 	config, err := d.config(address, database)
 	if err != nil {
--- a/internal/target/pgtarget/pgtarget_test.go
+++ b/internal/target/pgtarget/pgtarget_test.go
@@ -44,7 +44,7 @@
 
 func dial(tb testing.TB, address string) target.Conn {
 	tb.Helper()
-	conn, err := pgtarget.New(user, password, "node-1").Dial(context.Background(), address, "ledger")
+	conn, err := pgtarget.New(user, password, "node-1").Dial(context.Background(), target.Login{Address: address, Database: "ledger"})
 	must.NoError(tb, err)
 	tb.Cleanup(func() { _ = conn.Close() })
 	return conn
@@ -71,7 +71,7 @@
 	must.EqOp(t, "INSERT 0 2", kinds(t, reply.Messages)[0])
 	reply, _, err = conn.Exchange(ctx, query("SELEC"))
 	must.NoError(t, err)
-	must.EqOp(t, "42601", reply.SQLState)
+	must.EqOp(t, "42601", reply.Code)
 	_, sent, err = conn.Exchange(ctx, append(query("SELECT 1"), query("SELECT 2")...))
 	must.Error(t, err)
 	must.False(t, sent)
@@ -195,5 +195,5 @@
 	}()
 	reply, _, err := conn.Exchange(t.Context(), query("SELECT 1"))
 	must.NoError(t, err)
-	must.EqOp(t, "57014", reply.SQLState)
+	must.EqOp(t, "57014", reply.Code)
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -57,14 +57,31 @@
 	Close() error
 }
 
+// Outcome classifies a target's answer, whatever its protocol.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Done means that the statement ran and succeeded.
+	Done Outcome = iota
+	// Failed means that the target answered with an error and may have run the statement.
+	Failed
+	// ReadOnly means that the target does not write: it is a replica. Nothing ran.
+	ReadOnly
+	// Declined means that the target ran nothing and another one may.
+	Declined
+)
+
 // Reply is a target's whole answer to one exchange.
 type Reply struct {
-	// Messages holds backend messages in wire format; the last is ReadyForQuery.
+	// Messages holds the answer in the wire format of the edge.
 	Messages []byte
-	// TxStatus is ReadyForQuery's status: 'I', 'T' or 'E'.
+	// TxStatus is the transaction's state after the answer: 'I', 'T' or 'E'.
 	TxStatus byte
-	// SQLState is the code of the first error response; empty without one.
-	SQLState string
+	// Code is the target's own code of the first error response; empty without one.
+	Code string
+	// Outcome says what the code means to the core.
+	Outcome Outcome
 	// Position is the target's last log position when the exchange ended. After a commit
 	// on a primary it is at or after the commit.
 	Position logpos.Position
@@ -73,7 +90,7 @@
 // Conn is one data connection to a target. It is used by one goroutine at a time, but
 // for Cancel. After any error from Exchange the connection is in doubt and must be closed.
 type Conn interface {
-	// Exchange sends frontend messages and reads until ReadyForQuery. sent is false if
+	// Exchange sends one request in the edge's wire format and reads its whole answer. sent is false if
 	// the error arose before anything was written to the connection.
 	Exchange(ctx context.Context, messages []byte) (reply Reply, sent bool, err error)
 	// Cancel asks the target to cancel the running statement.
@@ -82,12 +99,36 @@
 	Close() error
 }
 
+// Login says which target a connection is for.
+type Login struct {
+	// Address is the target's IP:port, Target its name.
+	Address string
+	Target  string
+	// Database is what the connection is for: the group's name by default.
+	Database string
+	// Customer is on whose behalf the connection is used; empty if that is not fixed at
+	// login.
+	Customer string
+}
+
+// Commands are the exchanges that the owner starts on its own, in the edge's format.
+type Commands struct {
+	// Probe proves a connection alive; empty if connections are not probed.
+	Probe []byte
+	// Rollback ends the open transaction.
+	Rollback []byte
+	// ByCustomer is true where a connection serves only the customer named at login.
+	ByCustomer bool
+}
+
 // Dialer opens connections with the system's own credentials.
 type Dialer interface {
-	// Dial opens a data connection to address for database.
-	Dial(ctx context.Context, address, database string) (Conn, error)
-	// Control opens a control connection to address.
-	Control(ctx context.Context, address string) (Control, error)
+	// Dial opens a data connection.
+	Dial(ctx context.Context, login Login) (Conn, error)
+	// Control opens a control connection.
+	Control(ctx context.Context, login Login) (Control, error)
+	// Commands returns what the owner sends on its own.
+	Commands() Commands
 }
 
 // Names of what targets report and offer over the protocol.
