--- a/cmd/crocusyoke/main.go
+++ b/cmd/crocusyoke/main.go
@@ -13,6 +13,7 @@
 	"crocusyoke/internal/cli"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/node"
+	"crocusyoke/platform"
 )
 
 // release is set by the build.
@@ -22,7 +23,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	hooks := cli.Hooks{
-		Serve:    node.Serve,
+		Serve: node.Serve,
+		ServeHosted: func(ctx context.Context, file string) error {
+			return platform.Serve(ctx, file, node.NewLogger(os.Stdout))
+		},
 		Platform: node.OpenPlatform,
 		Peers:    node.OpenPeers,
 		Clock:    clock.Wall{},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,6 +32,9 @@
 type Hooks struct {
 	// Serve runs a node until ctx ends.
 	Serve func(ctx context.Context, s *settings.Settings) error
+	// ServeHosted runs a node with the settings file that the users' platform gives it; nil
+	// if that is not built in.
+	ServeHosted func(ctx context.Context, file string) error
 	// Platform opens the platform's services.
 	Platform func(o Options) (platform.Platform, error)
 	// Peers opens the way to the nodes with the operator's certificate.
@@ -44,6 +47,10 @@
 	Release string
 }
 
+// HostedFileVariable names the environment's variable in which the users' platform gives
+// the path of its settings file. It is used where --settings names none.
+const HostedFileVariable = "CROCUSYOKE_NODE_FILE"
+
 // Main runs one command and returns its exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer, hooks Hooks) int {
 	root := newRoot(&app{hooks: hooks, stdout: stdout})
@@ -141,6 +148,9 @@
 		Short: "Run a node until it is told to stop",
 		Args:  exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if hosted := a.hooks.Getenv(HostedFileVariable); !cmd.Flags().Changed("settings") && hosted != "" && a.hooks.ServeHosted != nil {
+				return a.hooks.ServeHosted(cmd.Context(), hosted)
+			}
 			s, err := settings.Load(file)
 			if err != nil {
 				return err
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -11,7 +11,7 @@
 func (g *Group) start(now time.Time, reason Reason) []Action {
 	primary, _ := g.Primary()
 	g.count.Orders++
-	g.used = max(g.used, g.topTerm()) + 1
+	g.used = g.nextTerm()
 	g.order = order{
 		phase:   PhaseAdopt,
 		term:    g.used,
@@ -145,7 +145,7 @@
 	if g.order.phase != PhasePromote || term != g.order.term {
 		return nil
 	}
-	if err != nil || status.Term != term || status.Role != target.RolePrimary {
+	if err != nil || !g.leadsAfter(status, term) {
 		g.abandon(now)
 		return nil
 	}
@@ -163,8 +163,17 @@
 	return append(actions, g.follow(now, name, term)...)
 }
 
+// leadsAfter reports whether status is that of a target whose promotion took effect.
+func (g *Group) leadsAfter(status target.Status, term uint64) bool {
+	return status.Role == target.RolePrimary && (g.options.Held || status.Term == term)
+}
+
 func (g *Group) tickPromote(now time.Time) []Action {
-	if now.Sub(g.order.since) >= StepWait {
+	limit := StepWait
+	if g.options.Held {
+		limit = HeldStepWait
+	}
+	if now.Sub(g.order.since) >= limit {
 		g.abandon(now)
 	}
 	return nil
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -28,8 +28,10 @@
 	AdoptWait = 1500 * time.Millisecond
 	// CatchUpWait bounds the wait for a replica to reach a fenced, leaving primary.
 	CatchUpWait = 2 * time.Second
-	// StepWait bounds the wait for a promotion's answer.
-	StepWait = 1500 * time.Millisecond
+	// StepWait bounds the wait for a promotion's answer, HeldStepWait where the promotion
+	// takes effect some time after it was ordered.
+	StepWait     = 1500 * time.Millisecond
+	HeldStepWait = 5 * time.Second
 	// BackoffMin and BackoffMax bound the random pause after an order that failed.
 	BackoffMin = 200 * time.Millisecond
 	BackoffMax = 900 * time.Millisecond
@@ -55,6 +57,10 @@
 	// Settle is the time between adoption and promotion: the greatest age at which
 	// evidence of a term is still used to acknowledge.
 	Settle time.Duration
+	// Held is true for targets that adopt a term only until they restart or are let go,
+	// that find their primary by themselves, and of which a promoted one leads its own next
+	// term.
+	Held bool
 	// Rand draws the backoff.
 	Rand *rand.Rand
 }
@@ -208,7 +214,7 @@
 // reason returns why a new term is needed, if it is, and whether peers are to be asked.
 func (g *Group) reason(now time.Time, primary string, term uint64) (Reason, bool) {
 	top := g.topTerm()
-	if primary == "" || term < top {
+	if primary == "" || term < top && !g.leads(now, primary) {
 		if since(&g.orphan, now) >= OrphanAfter {
 			return ReasonOrphan, false
 		}
@@ -291,8 +297,56 @@
 	return false
 }
 
+// leads reports whether a primary below the highest term is to be kept: held targets were
+// left behind by an order that was given up, and it still leads its own term.
+func (g *Group) leads(now time.Time, primary string) bool {
+	return g.options.Held && g.heardLately(now, primary) && g.views[primary].status.Own >= g.topOwn()
+}
+
+// topOwn returns the highest term that a target is itself in.
+func (g *Group) topOwn() uint64 {
+	var top uint64
+	for _, v := range g.views {
+		if v.known {
+			top = max(top, v.status.Own)
+		}
+	}
+	return top
+}
+
+// nextTerm returns the term of a new order.
+func (g *Group) nextTerm() uint64 {
+	if g.options.Held {
+		return g.topOwn() + 1
+	}
+	return max(g.used, g.topTerm()) + 1
+}
+
+// letGo makes targets receive again that are held although a primary leads.
+func (g *Group) letGo(now time.Time, primary string) []Action {
+	if primary == "" || !g.leads(now, primary) {
+		return nil
+	}
+	var actions []Action
+	for _, m := range g.members {
+		v := g.views[m.Name]
+		if m.Name == primary || v == nil || !v.known || v.misses > 0 {
+			continue
+		}
+		if v.status.Term <= v.status.Own || now.Sub(v.followed) < FollowEvery {
+			continue
+		}
+		v.followed = now
+		actions = append(actions, Follow{Target: m.Name, Address: g.member(primary).Address, Term: g.views[primary].status.Own})
+	}
+	return actions
+}
+
 // follow makes the targets that stay behind follow the primary of the highest term.
 func (g *Group) follow(now time.Time, primary string, term uint64) []Action {
+	if g.options.Held {
+		return g.letGo(now, primary)
+	}
 	if primary == "" || term < g.topTerm() || !g.heardLately(now, primary) {
 		return nil
 	}
--- a/internal/filter/auth/auth.go
+++ b/internal/filter/auth/auth.go
@@ -92,6 +92,38 @@
 	return id, err
 }
 
+// LoginByKey is Login for callers that show a key and not the customer it belongs to.
+func (f *Filter) LoginByKey(key, service string) (Identity, error) {
+	id, err := f.loginByKey(key, service)
+	if err != nil {
+		f.Refused.Add(request.AsRefusal(err).Code.Name, 1)
+	}
+	return id, err
+}
+
+func (f *Filter) loginByKey(key, service string) (Identity, error) {
+	cfg := f.source.Current()
+	if cfg == nil {
+		return Identity{}, staleConfig()
+	}
+	s := cfg.Service(service)
+	if s == nil {
+		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %q is not known", service)
+	}
+	if s.OpenToAll {
+		return Anonymous, nil
+	}
+	if !f.fresh() {
+		return Identity{}, staleConfig()
+	}
+	sum := sha256.Sum256([]byte(key))
+	customer, found := cfg.KeyHolder(hex.EncodeToString(sum[:]))
+	if key == "" || customer == nil {
+		return Identity{}, request.Refuse(request.CodeBadKey, step, "", "the key belongs to no customer")
+	}
+	return Identity{Customer: customer.Name, KeyID: found.ID, hash: found.Hash}, nil
+}
+
 func (f *Filter) login(customer, key, service string) (Identity, error) {
 	cfg := f.source.Current()
 	if cfg == nil {
@@ -152,6 +184,10 @@
 	if cfg == nil {
 		return staleConfig()
 	}
+	if req.Kind == request.KindRollback {
+		// To drop what is open needs no right.
+		return nil
+	}
 	if !ok || id.Customer != req.Customer {
 		return request.Refuse(request.CodeBadKey, step, "", "the session has shown no key")
 	}
@@ -163,10 +199,13 @@
 		if refusal := f.checkKey(cfg, id); refusal != nil {
 			return refusal
 		}
-		if slices.Contains(s.Customers, id.Customer) {
+		if s.AllCustomers || slices.Contains(s.Customers, id.Customer) {
 			return nil
 		}
 	}
+	if s.OpenToAll {
+		return nil
+	}
 	if s.Open && openTo(req) {
 		return nil
 	}
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -31,7 +31,9 @@
 	// Local serves the groups that this node owns.
 	Local    request.Handler
 	Sessions peer.Sessions
-	Owners   route.Owners
+	// Plain is true where a session is one connection and needs to see its own writes only.
+	Plain  bool
+	Owners route.Owners
 }
 
 // Chain is an entry node's filters, first to last. Its Handler is the first.
@@ -50,6 +52,9 @@
 	c.Route = route.New(o.Local, o.Sessions, o.Owners)
 	c.Retry = retry.New(c.Route, o.Clock, o.Random)
 	c.Session = session.New(c.Retry, o.Config)
+	if o.Plain {
+		c.Session = session.NewPlain(c.Retry, o.Config)
+	}
 	c.Limit = limit.New(c.Session, o.Quota)
 	c.Auth = auth.New(c.Limit, o.Config, o.Fresh)
 	c.Handler = c.Auth
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -43,7 +43,7 @@
 	if !ok {
 		f.Refused.Add(req.Customer, 1)
 		return nil, request.Refuse(request.CodeOverRate, step, "",
-			"customer %s is over its rate, retry after %s", req.Customer, wait)
+			"customer %s is over its rate, retry after %s", req.Customer, wait).After(wait)
 	}
 	return f.next.Serve(ctx, req)
 }
--- a/internal/filter/session/session.go
+++ b/internal/filter/session/session.go
@@ -21,6 +21,8 @@
 type Filter struct {
 	next   request.Handler
 	source fleet.Source
+	// plain is true where a session is one connection and needs to see its own writes only.
+	plain bool
 
 	// states holds a *core.State by session.
 	states sync.Map
@@ -39,6 +41,14 @@
 	return &Filter{next: next, source: source}
 }
 
+// NewPlain returns a Filter for sessions that begin with their connection, roam nowhere and
+// need to see nothing but their own writes.
+func NewPlain(next request.Handler, source fleet.Source) *Filter {
+	f := New(next, source)
+	f.plain = true
+	return f
+}
+
 // Merge adds a token that the caller showed to the session's state. It fails with
 // CodeBadToken if the token is not authentic.
 func (f *Filter) Merge(session, token string) error {
@@ -82,6 +92,9 @@
 // Serve implements request.Handler.
 func (f *Filter) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
 	state := f.state(req.ID.Session)
+	if f.plain {
+		state.Begin(req.Group)
+	}
 	req.Token, req.TokenKnown = state.Position(req.Group)
 	group := req.Group
 	resp, err := f.next.Serve(ctx, req)
@@ -91,12 +104,27 @@
 		}
 		return nil, err
 	}
-	if req.Kind != request.KindRollback {
+	if f.sees(req, resp) {
 		state.Saw(group, resp.Position, resp.Replica)
 	}
 	return resp, nil
 }
 
+// sees reports whether the session must see the answer's position from now on.
+func (f *Filter) sees(req *request.Request, resp *request.Response) bool {
+	if !f.plain {
+		return req.Kind != request.KindRollback
+	}
+	switch req.Kind {
+	case request.KindWrite:
+		return true
+	case request.KindCommit:
+		return !resp.Replica
+	default:
+		return false
+	}
+}
+
 // End implements request.Handler.
 func (f *Filter) End(session string) {
 	f.states.Delete(session)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,10 @@
 	Customers []string `toml:"customers" json:"customers"`
 	// Open lets every caller, with or without a key, run reads that accept any age.
 	Open bool `toml:"open" json:"open"`
+	// AllCustomers lets every customer use the service.
+	AllCustomers bool `toml:"-" json:"all_customers,omitempty"`
+	// OpenToAll lets every caller use the service, with or without a key, for anything.
+	OpenToAll bool `toml:"-" json:"open_to_all,omitempty"`
 }
 
 // Group is one replicated database.
@@ -141,6 +145,19 @@
 	return find(c.Customers, func(v *Customer) bool { return v.Name == name })
 }
 
+// KeyHolder returns the customer whose key has the hash, and the key; nil if there is
+// none.
+func (c *Config) KeyHolder(hash string) (*Customer, Key) {
+	for i := range c.Customers {
+		for _, k := range c.Customers[i].Keys {
+			if k.Hash == hash {
+				return &c.Customers[i], k
+			}
+		}
+	}
+	return nil, Key{}
+}
+
 // Service returns the service called name, or nil.
 func (c *Config) Service(name string) *Service {
 	return find(c.Services, func(v *Service) bool { return v.Name == name })
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -10,6 +10,7 @@
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
+	"crocusyoke/internal/run/configuration"
 )
 
 const (
@@ -22,27 +23,33 @@
 // handleCalls ties the kinds of control message to the parts that answer them.
 func (n *Node) handleCalls() {
 	n.server.Handle(peer.KindProbe, false, n.membership.HandleProbe)
-	n.server.Handle(peer.KindConfig, false, n.config.HandleFetch)
+	n.server.Handle(peer.KindConfig, false, n.exchange.fetch)
 	n.server.Handle(peer.KindShare, false, n.quota.HandleShare)
 	n.server.Handle(peer.KindSuspect, false, n.promotion.HandleSuspect)
-	n.server.Handle(peer.KindCancel, false, n.handleCancel)
-	n.server.Handle(peer.KindStatus, true, n.handleStatus)
-}
-
-// attachReport returns what this node tells peers about its configuration.
-func (n *Node) attachReport() []byte {
-	body, err := cbor.Marshal(n.config.Report())
-	if err != nil {
-		return nil
+	if n.cancel != nil {
+		n.server.Handle(peer.KindCancel, false, n.handleCancel)
 	}
-	return body
+	n.server.Handle(peer.KindStatus, true, n.handleStatus)
 }
 
-// heardReport takes a peer's answer to attachReport.
-func (n *Node) heardReport(name string, attached []byte, sentAt time.Time) {
-	var report controller.Report
-	if cbor.Unmarshal(attached, &report) == nil {
-		n.config.Heard(name, report, sentAt)
+// reportExchange tells peers which configuration is in force here, for its acceptance by
+// a majority.
+func reportExchange(config *configuration.Runner) exchange {
+	return exchange{
+		attach: func() []byte {
+			body, err := cbor.Marshal(config.Report())
+			if err != nil {
+				return nil
+			}
+			return body
+		},
+		heard: func(name string, attached []byte, sentAt time.Time) {
+			var report controller.Report
+			if cbor.Unmarshal(attached, &report) == nil {
+				config.Heard(name, report, sentAt)
+			}
+		},
+		fetch: config.HandleFetch,
 	}
 }
 
@@ -92,7 +99,7 @@
 	if err := cbor.Unmarshal(payload, &request); err != nil {
 		return nil, err
 	}
-	return cancelReply{Found: n.front.Cancel(request.PID, request.Secret)}, nil
+	return cancelReply{Found: n.cancel(request.PID, request.Secret)}, nil
 }
 
 // forwardCancel asks the other nodes whose session a cancel request means.
--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -38,7 +38,7 @@
 		config = &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
 	}
 	n.chain = n.newChain()
-	n.front = pgfront.New(pgfront.Options{
+	server := pgfront.New(pgfront.Options{
 		Node:           n.settings.Node.Name + "." + n.run,
 		Config:         n.config,
 		Chain:          n.chain,
@@ -52,6 +52,7 @@
 		MaxMessage:     s.MaxMessage,
 		ForwardCancel:  n.forwardCancel,
 	})
+	n.front, n.cancel = server, server.Cancel
 	return nil
 }
 
--- a/internal/node/hooks.go
+++ b/internal/node/hooks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 
@@ -18,11 +19,15 @@
 
 // Serve runs a node with logs on standard error; it is the serve command.
 func Serve(ctx context.Context, s *settings.Settings) error {
+	logger := log.With(NewLogger(os.Stderr), "ts", log.DefaultTimestampUTC, "node", s.Node.Name)
+	return Run(ctx, s, logger)
+}
+
+// NewLogger returns the logger of a node.
+func NewLogger(w io.Writer) log.Logger {
 	// Small receive buffers cost throughput only; the log is for changes of state.
 	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-	logger = log.With(logger, "ts", log.DefaultTimestampUTC, "node", s.Node.Name)
-	return Run(ctx, s, logger)
+	return log.NewLogfmtLogger(log.NewSyncWriter(w))
 }
 
 // OpenPlatform opens the platform's services for an operator's command.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"expvar"
 	mathrand "math/rand/v2"
 	"net"
 	"time"
@@ -22,15 +23,17 @@
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/schedule"
+	"crocusyoke/internal/peer"
 	"crocusyoke/internal/peer/quicpeer"
-	"crocusyoke/internal/pgfront"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/httpclient"
 	"crocusyoke/internal/run/configuration"
+	"crocusyoke/internal/run/lease"
 	"crocusyoke/internal/run/membership"
 	"crocusyoke/internal/run/promotion"
 	"crocusyoke/internal/run/quota"
 	"crocusyoke/internal/settings"
+	"crocusyoke/internal/target"
 	"crocusyoke/internal/target/pgtarget"
 )
 
@@ -47,15 +50,56 @@
 
 	peers      *quicpeer.Client
 	membership *membership.Runner
-	config     *configuration.Runner
+	config     configSource
+	exchange   exchange
 	quota      *quota.Runner
 	promotion  *promotion.Runner
 	owner      *owner.Manager
 	owners     *owners
 	chain      *filter.Chain
-	front      *pgfront.Server
-	server     *quicpeer.Server
-	drained    chan struct{}
+	front      callersPort
+	dialer     target.Dialer
+	// leases are held for the groups that this node owns; nil where promotions need none.
+	leases *lease.Keeper
+	// heldTerms is true for targets of which evidence.Rules.Held is true.
+	heldTerms bool
+	// cancel cancels a session's statement; nil where the protocol has no cancellation.
+	cancel  func(pid, secret uint32) bool
+	server  *quicpeer.Server
+	drained chan struct{}
+}
+
+// configSource is where the live configuration comes from.
+type configSource interface {
+	fleet.Source
+	// Version is 0 before the first configuration arrived.
+	Version() uint64
+	// Fresh reports whether the configuration may be relied on.
+	Fresh() bool
+	Subscribe(func(*fleet.Config))
+	Run(ctx context.Context) error
+	Vars() expvar.Var
+}
+
+// exchange is how nodes tell each other of configurations.
+type exchange struct {
+	// attach returns what answers to probes carry, heard takes it in.
+	attach func() []byte
+	heard  func(node string, attached []byte, sentAt time.Time)
+	// fetch answers peer.KindConfig.
+	fetch peer.ServeFunc
+}
+
+// callersPort is where callers connect.
+type callersPort interface {
+	Serve(ctx context.Context, listener net.Listener) error
+	// Drain ends the sessions in an orderly way.
+	Drain(ctx context.Context) error
+	// Sweep ends the sessions of withdrawn keys.
+	Sweep()
+	Vars() *expvar.Map
+	// Refusals counts refusals by code.
+	Refusals() *expvar.Map
 }
 
 // Run runs a node until ctx ends and its graceful stop is done.
@@ -115,6 +159,7 @@
 	}
 	n.peers = quicpeer.NewClient(tlsPeers, sockets.calls, n.clock, n.delayTo)
 	store := httpclient.New(s.Platform.URL, nil)
+	n.dialer = pgtarget.New(s.Targets.User, s.Targets.Password, s.Node.Name)
 	n.assembleState(store)
 	n.assembleOwner(store)
 	if err := n.assembleFront(); err != nil {
@@ -137,17 +182,8 @@
 // assembleState builds membership, configuration and quota.
 func (n *Node) assembleState(store platform.Platform) {
 	s := n.settings
-	n.membership = membership.New(membership.Options{
-		Self:          n.self(),
-		Platform:      store,
-		Peers:         n.peers,
-		Clock:         n.clock,
-		Logger:        n.logger,
-		ConfigVersion: func() uint64 { return n.config.Version() },
-		Attach:        n.attachReport,
-		HeardAttached: n.heardReport,
-	})
-	n.config = configuration.New(configuration.Options{
+	n.assembleMembership(store, 0)
+	config := configuration.New(configuration.Options{
 		Platform:   store,
 		Peers:      n.peers,
 		Nodes:      n.listedNodes,
@@ -157,6 +193,29 @@
 		Logger:     n.logger,
 		Random:     mathrand.New(mathrand.NewPCG(seed(), seed())),
 	})
+	n.config = config
+	n.exchange = reportExchange(config)
+	n.assembleQuota(store)
+}
+
+func (n *Node) assembleMembership(list platform.VMs, listEvery time.Duration) {
+	n.membership = membership.New(membership.Options{
+		Self:          n.self(),
+		Platform:      list,
+		Peers:         n.peers,
+		Clock:         n.clock,
+		Logger:        n.logger,
+		ListEvery:     listEvery,
+		ConfigVersion: func() uint64 { return n.config.Version() },
+		Attach:        func() []byte { return n.exchange.attach() },
+		HeardAttached: func(node string, attached []byte, sentAt time.Time) {
+			n.exchange.heard(node, attached, sentAt)
+		},
+	})
+}
+
+func (n *Node) assembleQuota(store platform.Table) {
+	s := n.settings
 	n.quota = quota.New(quota.Options{
 		Self:       s.Node.Name,
 		Deployment: s.Node.Deployment,
@@ -170,16 +229,16 @@
 }
 
 // assembleOwner builds the owner of groups and what orders promotions.
-func (n *Node) assembleOwner(store platform.Platform) {
+func (n *Node) assembleOwner(store promotion.Store) {
 	s := n.settings
-	dialer := pgtarget.New(s.Targets.User, s.Targets.Password, s.Node.Name)
 	n.promotion = promotion.New(promotion.Options{
 		Self:        s.Node.Name,
 		Domain:      s.Node.Domain,
 		Incarnation: n.run,
 		Deployment:  s.Node.Deployment,
 		Settle:      evidence.Bound,
-		Dialer:      dialer,
+		Held:        n.heldTerms,
+		Dialer:      n.dialer,
 		Peers:       n.peers,
 		Nodes:       n.otherNodes,
 		Table:       store,
@@ -191,13 +250,15 @@
 	n.owner = owner.New(owner.Options{
 		Self:            s.Node.Name,
 		Domain:          s.Node.Domain,
-		Dialer:          dialer,
+		Dialer:          n.dialer,
 		Clock:           n.clock,
 		Config:          n.config,
 		Logger:          n.logger,
 		Scheduling:      schedule.Policy(s.Policy.Scheduling),
 		Reads:           choose.Policy(s.Policy.Reads),
 		Split:           s.Policy.Split,
+		HeldTerms:       n.heldTerms,
+		AllConnections:  n.heldTerms,
 		Idempotent:      runIdempotent,
 		IdempotentBegin: runIdempotentBegin,
 		Observe:         n.promotion.Observe,
@@ -210,7 +271,7 @@
 func seed() uint64 { return mathrand.Uint64() }
 
 // serve runs every part until ctx ends, then stops gracefully.
-func (n *Node) serve(ctx context.Context, sockets *sockets) error {
+func (n *Node) serve(ctx context.Context, sockets *sockets, parts ...part) error {
 	// The parts outlive ctx: they serve what is under way during the stop.
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -223,6 +284,9 @@
 	group.Go(func() error { return n.server.Serve(run, sockets.peers) })
 	group.Go(func() error { return n.serveOps(run, sockets.ops) })
 	group.Go(func() error { return n.serveCallers(run) })
+	for _, p := range parts {
+		group.Go(func() error { return p(run) })
+	}
 	n.config.Subscribe(func(*fleet.Config) { n.front.Sweep() })
 	group.Go(func() error {
 		defer cancel()
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -114,6 +114,7 @@
 	delete(o.lost, group)
 	o.node.owner.SetOwned(group, true)
 	o.node.promotion.SetOwned(group, true)
+	o.node.followLeases(group, true)
 	_ = o.node.logger.Log("msg", "owner gained", "group", group)
 }
 
@@ -121,6 +122,7 @@
 	o.lost[group] = o.node.clock.Now()
 	o.node.owner.SetOwned(group, false)
 	o.node.promotion.SetOwned(group, false)
+	o.node.followLeases(group, false)
 	_ = o.node.logger.Log("msg", "owner lost", "group", group, "to", to)
 }
 
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -12,7 +12,7 @@
 // serveCallers opens the callers' port once the node is ready, so that the platform's
 // balancer sends it nobody whom it would have to refuse.
 func (n *Node) serveCallers(ctx context.Context) error {
-	for !n.ready() {
+	for !n.ready() && !n.hosted() {
 		if n.clock.Sleep(ctx, readyEvery) != nil {
 			return nil
 		}
@@ -25,6 +25,10 @@
 	return n.front.Serve(ctx, n.delayed(listener))
 }
 
+// hosted reports whether the platform asks for readiness itself: the callers' port is then
+// open from the start.
+func (n *Node) hosted() bool { return n.leases != nil }
+
 // ready reports whether the node can serve callers: it has a fresh configuration, the
 // platform lists it, and it may spend its parts of the customers' rates.
 func (n *Node) ready() bool {
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -117,7 +117,7 @@
 
 func (n *Node) refusalReports() []status.Refusal {
 	var all []status.Refusal
-	n.front.Refused.Do(func(kv expvar.KeyValue) {
+	n.front.Refusals().Do(func(kv expvar.KeyValue) {
 		if count, ok := kv.Value.(*expvar.Int); ok {
 			all = append(all, status.Refusal{Code: kv.Key, Count: uint64(count.Value())})
 		}
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -75,6 +75,9 @@
 	Primary int
 	// Term is the highest term seen.
 	Term uint64
+	// HeldTerms is true for targets whose log keeps its last position through a promotion
+	// until the next write.
+	HeldTerms bool
 	// Patience is the time left of the profile's ReplicaWait.
 	Patience time.Duration
 }
@@ -157,7 +160,7 @@
 	if q.Primary < 0 {
 		return true
 	}
-	return c.Term == q.Term && c.Last.Term == q.Term
+	return c.Term == q.Term && (q.HeldTerms || c.Last.Term == q.Term)
 }
 
 // almost reports whether a replica is likely to cover the token within the patience.
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -10,6 +10,11 @@
 //
 // Evidence older than Bound is worthless: a paused process that wakes asks again.
 //
+// Where targets hold a term back only until a restart (Rules.Held), the orderer waits
+// Bound between holding a majority and promoting, and looks again that the holds stand.
+// A majority that was found unheld at most Bound ago then proves that no promotion has
+// been ordered yet, also for an answer that came after it was asked.
+//
 // The package holds no goroutine, lock or clock.
 package evidence
 
@@ -65,8 +70,16 @@
 	status target.Status
 }
 
+// Rules say what the group's targets are like.
+type Rules struct {
+	// Held is true for targets that adopt a term only until they restart or are let go,
+	// and that tell no orderer from another.
+	Held bool
+}
+
 // Group holds what was observed of one group's targets.
 type Group struct {
+	rules        Rules
 	observations []observation
 	highest      uint64
 	history      history
@@ -74,8 +87,8 @@
 }
 
 // New returns a Group of the named targets with nothing observed.
-func New(targets []string) *Group {
-	g := &Group{}
+func New(targets []string, rules Rules) *Group {
+	g := &Group{rules: rules}
 	g.SetTargets(targets)
 	return g
 }
@@ -97,14 +110,19 @@
 // Observe records a status that was asked for at sentAt. A status asked for earlier than
 // one already known only counts for its term.
 func (g *Group) Observe(sentAt, now time.Time, status target.Status) {
-	g.highest = max(g.highest, status.Term)
+	if !g.rules.Held {
+		g.highest = max(g.highest, status.Term)
+	}
 	o := g.find(status.Target)
 	if o == nil || sentAt.Before(o.sentAt) || sentAt.After(now) {
 		return
 	}
 	o.sentAt = sentAt
 	o.status = status
-	if status.Role == target.RolePrimary && status.Last.Term == status.Term {
+	if g.rules.Held {
+		g.highest = g.present()
+	}
+	if status.Role == target.RolePrimary && (g.rules.Held || status.Last.Term == status.Term) {
 		g.history.add(sentAt, status.Last)
 	}
 	if since, ok := g.MajoritySince(g.highest); ok {
@@ -112,6 +130,15 @@
 	}
 }
 
+// present returns the highest term among the newest observations.
+func (g *Group) present() uint64 {
+	var term uint64
+	for i := range g.observations {
+		term = max(term, g.observations[i].status.Term)
+	}
+	return term
+}
+
 // Status returns the newest status of the target called name and when it was asked for.
 func (g *Group) Status(name string) (target.Status, time.Time, bool) {
 	o := g.find(name)
@@ -191,7 +218,10 @@
 		}
 	}
 	since, ok := g.majority(claim.Term, position)
-	if !ok || since.Before(claim.Since) || now.Sub(since) > Bound {
+	if !ok || now.Sub(since) > Bound {
+		return Wait
+	}
+	if since.Before(claim.Since) && (claim.Majority || !g.rules.Held) {
 		return Wait
 	}
 	return Confirmed
--- a/internal/owner/evidence/evidence_test.go
+++ b/internal/owner/evidence/evidence_test.go
@@ -80,7 +80,7 @@
 	}
 	m.targets[0].role = target.RolePrimary
 	m.targets[0].append()
-	m.group = New(names)
+	m.group = New(names, Rules{})
 	return m
 }
 
@@ -288,7 +288,7 @@
 }
 
 func TestEvidenceGrowsStale(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	p := logpos.Position{Term: 1, Index: 7}
 	g.Observe(epoch, epoch, status("a", target.RolePrimary, 1, p))
 	g.Observe(epoch, epoch, status("b", target.RoleReplica, 1, p))
@@ -302,7 +302,7 @@
 }
 
 func TestEarlierQuestionsDontHideLaterOnes(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	newer := logpos.Position{Term: 1, Index: 2}
 	g.Observe(epoch.Add(1), epoch.Add(2), status("b", target.RoleReplica, 1, newer))
 	g.Observe(epoch, epoch.Add(2), status("b", target.RoleReplica, 1, logpos.Position{Term: 1, Index: 1}))
@@ -313,7 +313,7 @@
 }
 
 func TestOldTermsLogDoesNotConfirm(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	p := logpos.Position{Term: 2, Index: 7}
 	g.Observe(epoch, epoch, status("a", target.RolePrimary, 2, p))
 	g.Observe(epoch, epoch, status("b", target.RoleReplica, 2, logpos.Position{Term: 1, Index: 9}))
@@ -324,7 +324,7 @@
 }
 
 func TestLowerTermDoesNotCount(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	p := logpos.Position{Term: 2, Index: 7}
 	g.Observe(epoch, epoch, status("a", target.RolePrimary, 2, p))
 	g.Observe(epoch, epoch, status("b", target.RoleReplica, 1, p))
@@ -336,7 +336,7 @@
 // TestAnswerOfNewerTermIsNotConfirmed has a primary that followed another one between its
 // commit and the end of its answer.
 func TestAnswerOfNewerTermIsNotConfirmed(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	p := logpos.Position{Term: 1, Index: 7}
 	g.Observe(epoch, epoch, status("b", target.RoleReplica, 1, p))
 	g.Observe(epoch, epoch, status("c", target.RoleReplica, 1, p))
@@ -345,7 +345,7 @@
 }
 
 func TestUnknownPositionNeedsThePrimaryAsked(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	p := logpos.Position{Term: 1, Index: 7}
 	g.Observe(epoch, epoch, status("b", target.RoleReplica, 1, p))
 	g.Observe(epoch, epoch, status("c", target.RoleReplica, 1, p))
@@ -360,7 +360,7 @@
 // TestAgeCountsFromTheQuestion checks that a cut replica ages by itself, and that a cut
 // primary's positions make nothing young.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
-	g := New([]string{"a", "b", "c"})
+	g := New([]string{"a", "b", "c"}, Rules{})
 	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 	first := logpos.Position{Term: 1, Index: 1}
 	g.Observe(at(0), at(30), status("a", target.RolePrimary, 1, first))
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -52,7 +52,7 @@
 		options:  &m.options,
 		ctx:      ctx,
 		stop:     stop,
-		evidence: evidence.New(nil),
+		evidence: evidence.New(nil, evidence.Rules{Held: m.options.HeldTerms}),
 		changed:  make(chan struct{}),
 		sessions: make(map[string]*transaction),
 		lastUsed: m.options.Clock.Now(),
@@ -135,7 +135,7 @@
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	return t.Slots, share(t.Connections, g.full)
+	return t.Slots, share(t.Connections, g.full || g.options.AllConnections)
 }
 
 // controlConnections is how many of a target's connections are kept for control: one
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -67,6 +67,12 @@
 	// Scheduling and Reads default to schedule.Fair and choose.Replicas.
 	Scheduling schedule.Policy
 	Reads      choose.Policy
+	// HeldTerms is true for targets that adopt a term only until they restart or are let
+	// go (evidence.Rules).
+	HeldTerms bool
+	// AllConnections lets an owner use all of a target's connections at once, where the
+	// target itself refuses one too many and says so.
+	AllConnections bool
 	// Split is the number of nodes that each talk to every target with an even part of
 	// its slots and connections, for the baseline without owners; 0 for owners.
 	Split int
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -52,6 +52,7 @@
 		TokenKnown: r.req.TokenKnown,
 		Domain:     g.options.Domain,
 		Primary:    -1,
+		HeldTerms:  g.options.HeldTerms,
 		Term:       g.evidence.Highest(),
 		Patience:   r.req.Profile.ReplicaWait.Std() - now.Sub(r.began),
 	}
--- /dev/null
+++ b/internal/peer/quicpeer/ephemeral.go
@@ -0,0 +1,44 @@
+package quicpeer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+)
+
+// ephemeralLife is how long a certificate made at start is valid.
+const ephemeralLife = 10 * 365 * 24 * time.Hour
+
+// EphemeralTLS makes a key and a certificate for a node that has no certificate files.
+// Links are encrypted; who is at the other end is decided by Server.Allow and by the
+// address that a Client was told.
+func EphemeralTLS(node string) (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// The time of day may jump: the certificate must not depend on it.
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: node, OrganizationalUnit: []string{RoleNode}},
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Now().Add(ephemeralLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &tls.Config{
+		Certificates:       []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true,
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         []string{protocol},
+	}, nil
+}
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -192,6 +192,8 @@
 	Peer     string       `cbor:"6,keyasint"`
 	Detail   string       `cbor:"7,keyasint"`
 	Cause    string       `cbor:"8,keyasint"`
+	// RetryAfter is in nanoseconds.
+	RetryAfter time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 func toFrame(r *request.Refusal, self string) *refusalFrame {
@@ -203,6 +205,8 @@
 		Step:     r.Step,
 		Peer:     r.Peer,
 		Detail:   r.Detail,
+
+		RetryAfter: r.RetryAfter,
 	}
 	if f.Peer == "" {
 		f.Peer = self
@@ -215,7 +219,7 @@
 
 func (f *refusalFrame) refusal() *request.Refusal {
 	code := request.Code{SQLState: f.SQLState, Name: f.Name, Fate: f.Fate, Retry: f.Retry}
-	r := request.Refuse(code, f.Step, f.Peer, "%s", f.Detail)
+	r := request.Refuse(code, f.Step, f.Peer, "%s", f.Detail).After(f.RetryAfter)
 	if f.Cause != "" {
 		r.Cause = errs.New("%s", f.Cause)
 	}
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -46,7 +46,10 @@
 
 // Server hears other nodes and operators.
 type Server struct {
-	self     string
+	self string
+	// Allow reports whether the node called name may connect from an IP address; nil means
+	// always. Set it before Serve where certificates prove nothing.
+	Allow    func(name, ip string) bool
 	tls      *tls.Config
 	clock    clock.Clock
 	sessions request.Handler
@@ -108,6 +111,10 @@
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
 	defer conn.CloseWithError(0, "done")
 	id := identify(conn.ConnectionState().TLS)
+	if !s.allowed(id, conn.RemoteAddr()) {
+		count.Add(countForbidden, 1)
+		return
+	}
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -117,6 +124,14 @@
 	}
 }
 
+func (s *Server) allowed(id identity, remote net.Addr) bool {
+	if s.Allow == nil {
+		return true
+	}
+	ip, _, err := net.SplitHostPort(remote.String())
+	return err == nil && s.Allow(id.name, ip)
+}
+
 func (s *Server) serveStream(ctx context.Context, id identity, stream *quic.Stream) {
 	defer stream.Close()
 	defer stream.CancelRead(0)
--- a/internal/pgfront/counters.go
+++ b/internal/pgfront/counters.go
@@ -20,6 +20,9 @@
 	IdleInTransaction expvar.Int
 }
 
+// Refusals counts refusals by code.
+func (c *Counters) Refusals() *expvar.Map { return &c.Refused }
+
 // Vars returns the counters for publication.
 func (c *Counters) Vars() *expvar.Map {
 	all := new(expvar.Map)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,6 +15,8 @@
 	ErrConflict = errs.Class("conflict")
 	ErrUnknown  = errs.Class("outcome unknown")
 	ErrOutage   = errs.Class("platform outage")
+	// ErrHistory: the changes asked for are no longer kept; read the table again.
+	ErrHistory = errs.Class("history is gone")
 )
 
 // Row is one row of the table service.
@@ -36,6 +38,32 @@
 	Put(ctx context.Context, key string, version uint64, value []byte) (Row, error)
 }
 
+// Tables that a Feed may follow.
+const (
+	// TableConfiguration holds the operator's configuration.
+	TableConfiguration = "configuration"
+	// TableTargets holds the list of targets.
+	TableTargets = "targets"
+	// TableNodes holds the rows of the system's nodes.
+	TableNodes = "nodes"
+)
+
+// Change is a row as it became; Value is empty if it was deleted.
+type Change struct {
+	Row
+	Deleted bool
+}
+
+// Feed follows whole tables. Versions are of one sequence over all tables.
+type Feed interface {
+	// Read returns a table's rows and the version at which they stood. It may be older
+	// than what an earlier call returned.
+	Read(ctx context.Context, table string) ([]Row, uint64, error)
+	// Follow returns what changed after a version, in order, and the version to go on
+	// from. It waits up to wait for a first change. ErrHistory: read the table again.
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
 // Objects is the object store.
 type Objects interface {
 	// PutObject stores body under name; storing it again is harmless.
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Fate says what is known of a refused request's effect.
@@ -58,6 +59,7 @@
 	CodeAlreadyRun       = Code{"23505", "already_run", NotRun, false}
 	CodeTransactionLost  = Code{"40001", "transaction_lost", NotRun, false}
 	CodeReplicaWrite     = Code{"25006", "read_only_target", NotRun, true}
+	CodeUnprepared       = Code{"26000", "unprepared", NotRun, false}
 	CodeOutcomeUnknown   = Code{"08007", "outcome_unknown", Unknown, false}
 )
 
@@ -66,7 +68,7 @@
 	CodeBadKey, CodeForbidden, CodeUnknownService, CodeUnknownProfile, CodeInvalidParameter,
 	CodeBadToken, CodeProtocol, CodeUnsupported, CodeTooLarge, CodeOverRate, CodeOverloaded,
 	CodeTimeout, CodeNoTarget, CodeNoOwner, CodeShutdown, CodeStaleConfig, CodeKeyReused,
-	CodeAlreadyRun, CodeTransactionLost, CodeReplicaWrite, CodeOutcomeUnknown,
+	CodeAlreadyRun, CodeTransactionLost, CodeReplicaWrite, CodeUnprepared, CodeOutcomeUnknown,
 }
 
 // Refusal is the error that ends a request without an answer from a target.
@@ -78,6 +80,9 @@
 	Peer string
 	// Detail is for people.
 	Detail string
+	// RetryAfter is how long the caller should wait before it asks again; 0 if that is not
+	// known.
+	RetryAfter time.Duration
 	// Cause is the underlying error, or nil.
 	Cause error
 }
@@ -87,6 +92,12 @@
 	return &Refusal{Code: code, Step: step, Peer: peer, Detail: fmt.Sprintf(format, args...)}
 }
 
+// After sets how long the caller should wait and returns the Refusal.
+func (r *Refusal) After(wait time.Duration) *Refusal {
+	r.RetryAfter = wait
+	return r
+}
+
 // Because sets the cause and returns the Refusal.
 func (r *Refusal) Because(err error) *Refusal {
 	r.Cause = err
--- /dev/null
+++ b/internal/run/lease/lease.go
@@ -0,0 +1,254 @@
+// Package lease keeps leases in the platform's table: at most one node holds a lease, and
+// each holder has a fence, a number higher than that of every holder before.
+//
+// Invariant: a holder acts only while its lease is valid by a clock that counts the time
+// that its VM was suspended, counted from before the call that renewed it was sent. Another
+// node takes a lease over only after it has seen its row unchanged for longer than the
+// lease lasts, or once the holder gave it up.
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
+
+	"crocusyoke/internal/clock"
+	"crocusyoke/internal/platform"
+)
+
+// Error is the class of this package's errors. ErrNotHeld: this node does not hold the
+// lease at present.
+var (
+	Error      = errs.Class("lease")
+	ErrNotHeld = errs.Class("lease not held")
+)
+
+// Times of a lease.
+const (
+	// Length is how long a lease lasts without a renewal.
+	Length = 8 * time.Second
+	// renewEvery is the pause between two renewals.
+	renewEvery = 3 * time.Second
+	// margin is how much earlier than its end the holder stops acting, and how much later
+	// another node takes the lease over.
+	margin = 500 * time.Millisecond
+	// retryEvery is the pause after a call that failed.
+	retryEvery = 500 * time.Millisecond
+)
+
+// keyPrefix begins the keys of leases' rows.
+const keyPrefix = "lease/"
+
+// record is the value of a lease's row.
+type record struct {
+	// Holder is the node; empty once it gave the lease up.
+	Holder string `cbor:"1,keyasint"`
+	// Run tells the starts of the holder's process apart.
+	Run string `cbor:"2,keyasint"`
+	// Fence grows with each holder.
+	Fence uint64 `cbor:"3,keyasint"`
+}
+
+// Options of a Keeper.
+type Options struct {
+	Self string
+	// Run differs between two starts of this node.
+	Run   string
+	Table platform.Table
+	Clock clock.Clock
+	// Suspended returns for how long in all the VM was suspended since some moment; Clock
+	// does not count that time.
+	Suspended func() time.Duration
+	Logger    log.Logger
+}
+
+// Keeper holds this node's leases. Its methods are safe for concurrent use.
+type Keeper struct {
+	o Options
+
+	mu     sync.Mutex
+	leases map[string]*lease
+}
+
+// lease is one lease as this node sees it.
+type lease struct {
+	wanted bool
+	// busy is true while a call is under way.
+	busy   bool
+	nextAt time.Time
+	// until is the end of this node's lease; zero if it holds none.
+	until time.Time
+	fence uint64
+	// version and seenAt are the row as last seen of another holder, and when it was first
+	// seen so.
+	version uint64
+	seenAt  time.Time
+}
+
+// New returns a Keeper without leases.
+func New(o Options) *Keeper {
+	return &Keeper{o: o, leases: make(map[string]*lease)}
+}
+
+// now returns the time including that of suspensions.
+func (k *Keeper) now() time.Time { return k.o.Clock.Now().Add(k.o.Suspended()) }
+
+// Want says whether this node should hold the lease. One that is no longer wanted is given
+// up.
+func (k *Keeper) Want(name string, wanted bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.leases[name]
+	if l == nil {
+		l = &lease{}
+		k.leases[name] = l
+	}
+	if l.wanted != wanted {
+		l.wanted = wanted
+		l.nextAt = time.Time{}
+	}
+}
+
+// Fence returns the fence of a lease that this node holds now. Call it right before the
+// act that it guards.
+func (k *Keeper) Fence(name string) (uint64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.leases[name]
+	if l == nil || !k.now().Add(margin).Before(l.until) {
+		return 0, ErrNotHeld.New("%s", name)
+	}
+	return l.fence, nil
+}
+
+// tickEvery is the pause between two looks for what is due.
+const tickEvery = 100 * time.Millisecond
+
+// Run takes, renews and gives up leases until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for k.o.Clock.Sleep(ctx, tickEvery) == nil {
+		for name, l := range k.due() {
+			wait.Go(func() { k.attend(ctx, name, l) })
+		}
+	}
+	return nil
+}
+
+// due returns the leases that need a call, and marks them busy.
+func (k *Keeper) due() map[string]*lease {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	out := make(map[string]*lease)
+	for name, l := range k.leases {
+		if l.busy || now.Before(l.nextAt) || !l.wanted && l.until.IsZero() {
+			continue
+		}
+		l.busy = true
+		out[name] = l
+	}
+	return out
+}
+
+// attend makes one call for a lease.
+func (k *Keeper) attend(ctx context.Context, name string, l *lease) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	next, err := k.step(ctx, name, l)
+	if err != nil {
+		next = retryEvery
+		if !platform.ErrOutage.Has(err) {
+			_ = k.o.Logger.Log("event", "lease", "name", name, "err", err)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.busy = false
+	l.nextAt = k.now().Add(next)
+}
+
+// step reads the row and takes, renews or gives up the lease. It returns the time until
+// the next step.
+func (k *Keeper) step(ctx context.Context, name string, l *lease) (time.Duration, error) {
+	row, current, err := k.read(ctx, name)
+	if err != nil {
+		return 0, err
+	}
+	began := k.now()
+	mine := current.Holder == k.o.Self && current.Run == k.o.Run
+	k.mu.Lock()
+	wanted := l.wanted
+	free := current.Holder == "" || current.Holder == k.o.Self || l.lapsed(row.Version, began)
+	k.mu.Unlock()
+	switch {
+	case !wanted && !mine:
+		k.settle(l, time.Time{}, 0)
+		return renewEvery, nil
+	case !wanted:
+		k.settle(l, time.Time{}, 0)
+		return renewEvery, k.write(ctx, name, row.Version, record{Fence: current.Fence})
+	case !mine && !free:
+		return k.waitFor(l, began), nil
+	}
+	next := record{Holder: k.o.Self, Run: k.o.Run, Fence: current.Fence}
+	if !mine {
+		next.Fence++
+	}
+	if err := k.write(ctx, name, row.Version, next); err != nil {
+		return 0, err
+	}
+	k.settle(l, began.Add(Length), next.Fence)
+	if !mine {
+		_ = k.o.Logger.Log("event", "lease taken", "name", name, "fence", next.Fence, "former", current.Holder)
+	}
+	return renewEvery, nil
+}
+
+// lapsed notes the row of another holder and reports whether it has been unchanged for
+// longer than a lease lasts.
+func (l *lease) lapsed(version uint64, now time.Time) bool {
+	if version != l.version || l.seenAt.IsZero() {
+		l.version, l.seenAt = version, now
+	}
+	return now.Sub(l.seenAt) > Length+margin
+}
+
+// waitFor returns the time until another holder's lease may have lapsed.
+func (k *Keeper) waitFor(l *lease, now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(retryEvery, l.seenAt.Add(Length+2*margin).Sub(now))
+}
+
+func (k *Keeper) settle(l *lease, until time.Time, fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.until, l.fence = until, fence
+}
+
+func (k *Keeper) read(ctx context.Context, name string) (platform.Row, record, error) {
+	var r record
+	row, err := k.o.Table.Get(ctx, keyPrefix+name)
+	if platform.ErrNotFound.Has(err) {
+		return platform.Row{}, r, nil
+	}
+	if err != nil {
+		return row, r, err
+	}
+	return row, r, Error.Wrap(cbor.Unmarshal(row.Value, &r))
+}
+
+func (k *Keeper) write(ctx context.Context, name string, version uint64, r record) error {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = k.o.Table.Put(ctx, keyPrefix+name, version, value)
+	return err
+}
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -42,6 +42,9 @@
 	Peers    peer.Caller
 	Clock    clock.Clock
 	Logger   log.Logger
+	// ListEvery is the time between two reads of the list; zero takes the default. It is
+	// longer where changes of the list come through Listed.
+	ListEvery time.Duration
 	// ConfigVersion returns the configuration version in force; may be nil.
 	ConfigVersion func() uint64
 	// Attach returns what is sent back with each answer to a probe; may be nil.
@@ -113,14 +116,18 @@
 func (r *Runner) pollList(ctx context.Context) {
 	for {
 		r.readList(ctx)
-		if r.o.Clock.Sleep(ctx, listPeriod(r.View())) != nil {
+		if r.o.Clock.Sleep(ctx, r.listPeriod()) != nil {
 			return
 		}
 	}
 }
 
 // listPeriod is the time between two reads of the list by this node.
-func listPeriod(view *View) time.Duration {
+func (r *Runner) listPeriod() time.Duration {
+	if r.o.ListEvery > 0 {
+		return r.o.ListEvery
+	}
+	view := r.View()
 	for _, m := range view.Relays() {
 		if m.Name == view.Self {
 			return listEvery
@@ -144,6 +151,14 @@
 	r.publish()
 }
 
+// Listed takes over a list that stood at a time, from whoever follows it.
+func (r *Runner) Listed(vms []platform.VM, at time.Time) {
+	r.mu.Lock()
+	r.core.SetListed(vms, at)
+	r.mu.Unlock()
+	r.publish()
+}
+
 // call sends one probe and takes in its answer.
 func (r *Runner) call(ctx context.Context, s membership.Send, timeout time.Duration) (membership.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/run/promotion/orders.go
+++ b/internal/run/promotion/orders.go
@@ -35,6 +35,7 @@
 	status, err := r.order(ctx, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
 		return c.Adopt(ctx, a.Term, r.orderer())
 	})
+	_ = r.options.Logger.Log("event", "adopt", "group", g.name, "target", a.Target, "term", a.Term, "position", status.Last, "err", err)
 	g.mu.Lock()
 	g.core.Adopted(r.options.Clock.Now(), a.Target, a.Term, status, err)
 	g.mu.Unlock()
@@ -42,7 +43,9 @@
 }
 
 func (r *Runner) promote(ctx context.Context, g *group, a promotion.Promote) {
-	status, err := r.order(ctx, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
+	bounded, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	status, err := r.orderWithin(bounded, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
 		return c.Promote(ctx, a.Term, r.orderer())
 	})
 	g.mu.Lock()
@@ -61,10 +64,18 @@
 
 // order sends one order over a connection of its own, so that a connection that has
 // gone silent cannot swallow it.
-func (r *Runner) order(ctx context.Context, g *group, name string, send func(context.Context, target.Control) (target.Status, error)) (target.Status, error) {
-	count.Add(countOrders, 1)
+func (r *Runner) order(ctx context.Context, g *group, name string, send sendFunc) (target.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	return r.orderWithin(ctx, g, name, send)
+}
+
+// sendFunc sends one order.
+type sendFunc func(context.Context, target.Control) (target.Status, error)
+
+// orderWithin is order within the time that ctx leaves.
+func (r *Runner) orderWithin(ctx context.Context, g *group, name string, send sendFunc) (target.Status, error) {
+	count.Add(countOrders, 1)
 	control, err := r.options.Dialer.Control(ctx, r.login(g, name))
 	if err != nil {
 		count.Add(countRefused, 1)
@@ -74,6 +85,7 @@
 	status, err := send(ctx, control)
 	if err != nil {
 		count.Add(countRefused, 1)
+		_ = r.options.Logger.Log("event", "order failed", "group", g.name, "target", name, "err", err)
 	}
 	return status, err
 }
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -27,8 +27,9 @@
 const (
 	// tickEvery is the pause between two decisions without input.
 	tickEvery = 50 * time.Millisecond
-	// orderTimeout bounds one order to a target.
-	orderTimeout = time.Second
+	// orderTimeout bounds one order to a target, promoteTimeout a promotion.
+	orderTimeout   = time.Second
+	promoteTimeout = promotion.HeldStepWait
 )
 
 // count holds the counters of all groups, published as "promotion".
@@ -50,8 +51,9 @@
 	// Incarnation differs between two starts of the same node.
 	Incarnation string
 	Deployment  string
-	// Settle is passed to the controller.
+	// Settle and Held are passed to the controller.
 	Settle time.Duration
+	Held   bool
 	Dialer target.Dialer
 	Peers  peer.Caller
 	// Nodes returns the other nodes that are not known to be dead.
@@ -162,6 +164,7 @@
 		Self:   r.options.Self + "#" + r.options.Incarnation,
 		Domain: r.options.Domain,
 		Settle: r.options.Settle,
+		Held:   r.options.Held,
 		Rand:   rand.New(rand.NewPCG(r.options.Seed, stream)),
 	})
 }
--- a/internal/session/state.go
+++ b/internal/session/state.go
@@ -25,6 +25,14 @@
 	return v.position, true
 }
 
+// Begin makes the position known of a group that the session has not used: a session that
+// begins here has written nothing.
+func (s *State) Begin(group string) {
+	if _, used := s.views[group]; !used {
+		s.set(group, view{known: true})
+	}
+}
+
 // Merge adds a token that the caller showed. Positions only grow.
 func (s *State) Merge(t Token) {
 	for group, position := range t.Positions {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -39,6 +39,12 @@
 	// LinkAge is how long ago a replica last heard from that primary, in nanoseconds; it
 	// is zero for a primary and for a target that does not report it.
 	LinkAge time.Duration `json:"link_age"`
+	// Own is the term that the target itself is in; Term is higher while the target only
+	// holds back for an orderer. Zero for a target that does not tell them apart.
+	Own uint64 `json:"own"`
+	// Busy is the number of statements that the target runs or queues; zero for a target
+	// that does not report it.
+	Busy int `json:"busy"`
 }
 
 // Control orders one target. Every method may fail with an error of unknown effect; all
