--- /dev/null
+++ b/internal/front/log.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"time"
+
+	"crocusyoke/internal/request"
+	"crocusyoke/internal/requestlog"
+)
+
+// logServed notes a statement that a target answered; few of them are written.
+func (s *session) logServed(st *Statement, req *request.Request, resp *request.Response, began time.Time) {
+	now := s.server.options.Clock.Now()
+	if !s.server.options.Log.Wants(requestlog.OutcomeOK, now) {
+		return
+	}
+	s.server.options.Log.Write(requestlog.Entry{ID: st.ID, Session: s.id, Outcome: requestlog.OutcomeOK, Fields: []any{
+		"customer", s.customer, "service", s.service, "group", req.Group, "kind", req.Kind,
+		"target", resp.Target, "replica", resp.Replica, "position", resp.Position, "took", now.Sub(began),
+		"config", req.ConfigVersion,
+	}})
+}
+
+// logRefused notes a statement that got no answer from a target.
+func (s *session) logRefused(st *Statement, refusal *request.Refusal) {
+	outcome := refusal.Code.Name
+	if !s.server.options.Log.Wants(outcome, s.server.options.Clock.Now()) {
+		return
+	}
+	var config uint64
+	if c := s.server.options.Config.Current(); c != nil {
+		config = c.Version
+	}
+	s.server.options.Log.Write(requestlog.Entry{ID: st.ID, Session: s.id, Outcome: outcome, Fields: []any{
+		"fate", refusal.Code.Fate, "customer", s.customer, "service", s.service,
+		"step", refusal.Step, "peer", refusal.Peer, "detail", refusal.Detail, "cause", refusal.Cause,
+		"retry_after", refusal.RetryAfter, "config", config,
+	}})
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -129,7 +129,7 @@
 	case done:
 		s.codec.Done(s.state.tx)
 	case refuse:
-		s.refuse(refusal)
+		s.refuse(st, refusal)
 	case forward:
 		s.forward(ctx, st, kind)
 	case abandon:
@@ -141,16 +141,18 @@
 func (s *session) forward(ctx context.Context, st *Statement, kind request.Kind) {
 	req, refusal := s.request(s.state.call(st), kind)
 	if refusal != nil {
-		s.fail(refusal)
+		s.fail(st, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	began := s.server.options.Clock.Now()
 	resp, err := s.server.options.Chain.Serve(ctx, req)
 	if err != nil {
 		s.ended(st, request.AsRefusal(err))
 		return
 	}
+	s.logServed(st, req, resp, began)
 	s.state.tx = resp.TxStatus
 	s.codec.Answer(resp.Messages, resp.TxStatus, resp.Position)
 }
@@ -171,7 +173,7 @@
 		s.codec.Done(s.state.tx)
 		return
 	}
-	s.refuse(request.Refuse(request.CodeTransactionLost, step, "", "the transaction had failed and was rolled back"))
+	s.refuse(st, request.Refuse(request.CodeTransactionLost, step, "", "the transaction had failed and was rolled back"))
 }
 
 // ended answers a statement that got no answer from a target.
@@ -182,22 +184,23 @@
 		s.codec.Done(s.state.tx)
 	case VerbCommit:
 		s.state.tx = stateIdle
-		s.refuse(refusal)
+		s.refuse(st, refusal)
 	default:
-		s.fail(refusal)
+		s.fail(st, refusal)
 	}
 }
 
 // fail refuses a statement. Inside a transaction the transaction has failed with it.
-func (s *session) fail(refusal *request.Refusal) {
+func (s *session) fail(st *Statement, refusal *request.Refusal) {
 	if s.state.tx != stateIdle {
 		s.state.tx = stateFailed
 	}
-	s.refuse(refusal)
+	s.refuse(st, refusal)
 }
 
-func (s *session) refuse(refusal *request.Refusal) {
+func (s *session) refuse(st *Statement, refusal *request.Refusal) {
 	s.server.Refused.Add(refusal.Code.Name, 1)
+	s.logRefused(st, refusal)
 	s.codec.Refuse(refusal, s.state.tx)
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,12 +7,11 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
+	"crocusyoke/internal/requestlog"
 )
 
 // Bounds in time.
@@ -33,7 +32,7 @@
 	Chain  request.Handler
 	Auth   *auth.Filter
 	Clock  clock.Clock
-	Logger log.Logger
+	Log    *requestlog.Log
 	// NewCodec speaks the callers' protocol on a connection.
 	NewCodec func(net.Conn) Codec
 	// Rollback is the text that ends a transaction without effect.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -20,6 +20,7 @@
 	"crocusyoke/internal/ownership"
 	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
+	"crocusyoke/internal/requestlog"
 	runcatalog "crocusyoke/internal/run/catalog"
 	"crocusyoke/internal/run/lease"
 	"crocusyoke/internal/run/register"
@@ -114,6 +115,7 @@
 	n.dialer = h.Targets(n.leases)
 	n.heldTerms = true
 	n.assembleOwner(h.Store)
+	n.requests = requestlog.New(n.logger)
 	n.assembleHostedFront(h)
 	n.server = quicpeer.NewServer(n.settings.Node.Name, tls, n.clock, n.owner)
 	n.server.Allow = n.isListed
@@ -121,6 +123,7 @@
 	return []part{
 		func(ctx context.Context) error { return nodes.Run(ctx, n.selfListed) },
 		n.leases.Run,
+		n.requests.Run,
 	}, nil
 }
 
@@ -196,7 +199,7 @@
 		Chain:          n.chain,
 		Auth:           n.chain.Auth,
 		Clock:          n.clock,
-		Logger:         n.logger,
+		Log:            n.requests,
 		NewCodec:       h.NewCodec,
 		Rollback:       h.Rollback,
 		MaxConnections: n.settings.Callers.MaxConnections,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/httpclient"
+	"crocusyoke/internal/requestlog"
 	"crocusyoke/internal/run/configuration"
 	"crocusyoke/internal/run/lease"
 	"crocusyoke/internal/run/membership"
@@ -61,6 +62,8 @@
 	dialer     target.Dialer
 	// leases are held for the groups that this node owns; nil where promotions need none.
 	leases *lease.Keeper
+	// requests is the log of decisions on requests; nil where the front keeps none.
+	requests *requestlog.Log
 	// heldTerms is true for targets of which evidence.Rules.Held is true.
 	heldTerms bool
 	// cancel cancels a session's statement; nil where the protocol has no cancellation.
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -44,6 +44,9 @@
 	expvar.Publish("configuration", n.config.Vars())
 	expvar.Publish("owner", n.owner.Vars())
 	expvar.Publish("callers", n.front.Vars())
+	if n.requests != nil {
+		expvar.Publish("request_log", &n.requests.Counts)
+	}
 	expvar.Publish("membership", membership.Counters)
 	expvar.Publish("quota", quota.Counters)
 	expvar.Publish("filters", n.chain.Vars())
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -90,7 +90,7 @@
 	m.status = status
 	m.seenAt = sentAt
 	m.failures = 0
-	m.last = status.Last
+	m.last = status.Readable()
 	m.errors *= pollForgives
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -101,3 +101,8 @@
 	// End releases what is held for a session: its open transaction is rolled back.
 	End(session string)
 }
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	return [...]string{"write", "read", "begin", "begin read", "in transaction", "commit", "rollback"}[k]
+}
--- /dev/null
+++ b/internal/requestlog/log_test.go
@@ -0,0 +1,59 @@
+package requestlog
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+)
+
+// TestVolumeIsBounded: a storm of refusals writes a bounded number of lines, and the next
+// line says how many were left out.
+func TestVolumeIsBounded(t *testing.T) {
+	l := New(log.NewNopLogger())
+	now := time.Unix(100, 0)
+	written := 0
+	for range 10_000 {
+		if l.Wants("busy", now) {
+			written++
+			l.Write(Entry{ID: "a", Outcome: "busy"})
+		}
+	}
+	must.Eq(t, refusalBurst, written)
+	must.True(t, l.Wants("busy", now.Add(time.Second)))
+	l.Write(Entry{ID: "b", Outcome: "busy"})
+	var last []any
+	for len(l.queue) > 0 {
+		last = <-l.queue
+	}
+	must.Eq(t, []any{"left_out", 10_000 - refusalBurst}, last[len(last)-2:])
+}
+
+// TestWriterBehind: without a writer the log drops and counts, and does not block.
+func TestWriterBehind(t *testing.T) {
+	l := New(log.NewNopLogger())
+	for range queueLength + 7 {
+		l.Write(Entry{ID: "a", Outcome: "busy"})
+	}
+	must.Eq(t, "7", l.Counts.Get("dropped").String())
+}
+
+// TestLines: a written line names the request.
+func TestLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		l := New(log.NewLogfmtLogger(&out))
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- l.Run(ctx) }()
+		l.Write(Entry{ID: "7f", Session: "n.1", Outcome: "late", Fields: []any{"took", time.Second}})
+		synctest.Wait()
+		stop()
+		must.NoError(t, <-ended)
+		must.Eq(t, "event=request id=7f session=n.1 outcome=late took=1s\n", out.String())
+	})
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -34,6 +34,9 @@
 	Orderer string `json:"orderer"`
 	// Last is the position of the last entry of the target's log.
 	Last logpos.Position `json:"last"`
+	// Applied is how far reads see the log; it is Last for a target that does not tell the
+	// two apart. It may be behind Last at a replica.
+	Applied logpos.Position `json:"applied"`
 	// Following is the address of the primary that a replica pulls from.
 	Following string `json:"following"`
 	// LinkAge is how long ago a replica last heard from that primary, in nanoseconds; it
@@ -47,6 +50,14 @@
 	Busy int `json:"busy"`
 }
 
+// Readable returns the position that reads at the target reflect.
+func (s *Status) Readable() logpos.Position {
+	if s.Applied.IsZero() {
+		return s.Last
+	}
+	return s.Applied
+}
+
 // Control orders one target. Every method may fail with an error of unknown effect; all
 // of them are idempotent.
 type Control interface {
