--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -5,107 +5,125 @@
 	"time"
 )
 
-// Account is this node's part of one customer's rate and burst. It is not safe for
-// concurrent use.
-type Account struct {
-	customer string
-	self     Identity
-	// rate is in requests per second, burst in requests, both fleet-wide.
-	rate, burst float64
-
-	epoch Epoch
-	units uint32
-	// carried is units as the node entered epoch.
-	carried uint32
-	// granted is true once the author has taken what it recovered for epoch.
-	granted  bool
-	sequence uint64
-	received map[Identity]*replayWindow
+// Times of lending.
+const (
+	// LoanTerm is how long a coordinator counts a share after a report that lends it.
+	LoanTerm = 600 * time.Millisecond
+	// LoanSlack is how much later than LoanTerm after it sent the report the lender uses
+	// its share again: a report may take that long to arrive.
+	LoanSlack = 300 * time.Millisecond
+	// maxHorizon is the longest time for which a node holds tokens ahead of demand.
+	maxHorizon = time.Second
+	// demandMemory is the time constant of the measure of demand.
+	demandMemory = 400 * time.Millisecond
+	// doubtAfter is the number of reports in a row without an answer after which a node
+	// lends no more.
+	doubtAfter = 1
+)
 
-	tokens float64
-	// filledAt is when tokens were last brought up to date.
-	filledAt time.Time
-
-	demand demand
-	hint   Hint
-	planAt time.Time
-	// fruitless counts the asks in a row that brought nothing.
-	fruitless int
-}
-
-// NewAccount returns an account without units.
-func NewAccount(customer string, self Identity, now time.Time) *Account {
-	return &Account{
-		customer: customer,
-		self:     self,
-		received: map[Identity]*replayWindow{},
-		filledAt: now,
-		demand:   demand{updatedAt: now},
-	}
+const (
+	// spareTokens are held beside the demand's; spareShare is the most of a share's burst
+	// that they may be.
+	spareTokens = 2.0
+	spareShare  = 0.25
+	// heldShare is the part of the burst that all nodes together hold at full demand: the
+	// rest is left to the bucket, so that it can grant where demand moves to.
+	heldShare = 0.6
+	// returnAbove is how many times the wanted tokens a node holds before it returns some.
+	returnAbove = 1.25
+)
+
+// Limit is a customer's limit over the whole fleet.
+type Limit struct {
+	// Rate is in requests per second.
+	Rate float64
+	// Burst is the number of requests that may exceed the rate at once.
+	Burst float64
 }
 
-// Configure sets the fleet-wide rate, in requests per second, and burst, in requests.
-func (a *Account) Configure(rate, burst float64, now time.Time) {
-	if rate == a.rate && burst == a.burst {
-		return
-	}
-	a.fill(now)
-	a.rate, a.burst = max(rate, 0), max(burst, 0)
-	a.tokens = min(a.tokens, a.limit())
+// Report is what a node tells the coordinator of one customer.
+type Report struct {
+	Customer string `cbor:"1,keyasint"`
+	// Held is the number of tokens that the node holds, Wanted how many it would like to.
+	Held   float64 `cbor:"2,keyasint"`
+	Wanted float64 `cbor:"3,keyasint"`
+	// Returned is the number of tokens that the node gives back with this report.
+	Returned float64 `cbor:"4,keyasint,omitempty"`
+	// Lent is true if the node lends its share for LoanTerm.
+	Lent bool `cbor:"5,keyasint,omitempty"`
 }
 
-// Units returns the units held.
-func (a *Account) Units() uint32 { return a.units }
+// Account is one customer's tokens on one node.
+type Account struct {
+	limit Limit
+	// tokens are held; they were granted, or filled from the node's own share.
+	tokens float64
+	// share is the node's right, 0 to 1; own is true while the node uses it.
+	share  float64
+	own    bool
+	filled time.Time
+
+	coordinator string
+	// lentUntil is the end of the last loan, as the lender must see it.
+	lentUntil time.Time
+	unheard   int
+
+	// demand is in requests per second, as of demandAt.
+	demand   float64
+	demandAt time.Time
+}
 
-// Epoch returns the epoch that the units belong to.
-func (a *Account) Epoch() Epoch { return a.epoch }
+// NewAccount returns an Account without tokens.
+func NewAccount(now time.Time) *Account {
+	return &Account{demandAt: now, filled: now}
+}
 
-// Tokens returns the requests that could be admitted at now.
-func (a *Account) Tokens(now time.Time) float64 {
+// Configure changes the limit. A lower one takes tokens away in proportion.
+func (a *Account) Configure(limit Limit, now time.Time) {
 	a.fill(now)
-	return a.tokens
+	if a.limit.Burst > 0 && limit.Burst < a.limit.Burst {
+		a.tokens *= limit.Burst / a.limit.Burst
+	}
+	a.limit = limit
 }
 
-// limit is the most tokens that the units allow.
-func (a *Account) limit() float64 { return a.burst * part(a.units) }
+// SetShare sets the node's right to a part of the whole, 0 to 1.
+func (a *Account) SetShare(share float64, now time.Time) {
+	a.fill(now)
+	a.share = share
+}
 
-func part(units uint32) float64 { return float64(units) / Whole }
+// SetCoordinator changes the node that the account reports to.
+func (a *Account) SetCoordinator(name string) {
+	if name != a.coordinator {
+		a.coordinator = name
+		a.unheard = 0
+	}
+}
 
-// fill brings tokens up to date. It must run before units, rate or burst change.
+// fill adds what the node's own share brought since the last call.
 func (a *Account) fill(now time.Time) {
-	elapsed := now.Sub(a.filledAt)
-	if elapsed <= 0 {
+	passed := now.Sub(a.filled).Seconds()
+	a.filled = now
+	if !a.own || passed <= 0 {
 		return
 	}
-	a.filledAt = now
-	a.tokens = min(a.tokens+a.rate*part(a.units)*elapsed.Seconds(), a.limit())
+	most := a.limit.Burst * a.share
+	if a.tokens < most {
+		a.tokens = min(most, a.tokens+passed*a.limit.Rate*a.share)
+	}
 }
 
-// Bounds of the wait that Take proposes.
-const (
-	// moveTime is about how long it takes to get units from another node.
-	moveTime = 5 * time.Millisecond
-	// unconfirmedWait is proposed while the node may not spend.
-	unconfirmedWait = 250 * time.Millisecond
-	maxRetryAfter   = 5 * time.Second
-	// stormFactor times the rate is the demand from which on no units are expected from
-	// other nodes. Demand that has just moved counts twice for a moment.
-	stormFactor = 2
-)
-
-// Take admits one request at now, if the node may spend until after now and holds a
-// token. Otherwise retryAfter is about how long it takes until that may change.
-func (a *Account) Take(now, leaseUntil time.Time) (ok bool, retryAfter time.Duration) {
-	a.demand.count++
-	return a.Retake(now, leaseUntil)
+// Take spends a token if there is one. Else wait is about how long it takes until there
+// may be one.
+func (a *Account) Take(now time.Time) (ok bool, wait time.Duration) {
+	a.note(now)
+	return a.Retake(now)
 }
 
-// Retake is Take for a request that was counted as demand already.
-func (a *Account) Retake(now, leaseUntil time.Time) (ok bool, retryAfter time.Duration) {
-	if !now.Before(leaseUntil) {
-		return false, unconfirmedWait
-	}
-	a.fill(now)
+// Retake is Take for a request that has been counted as demand before.
+func (a *Account) Retake(now time.Time) (ok bool, wait time.Duration) {
+	a.tick(now)
 	if a.tokens >= 1 {
 		a.tokens--
 		return true, 0
@@ -113,92 +131,115 @@
 	return false, a.wait()
 }
 
-// wait returns the time until the next token, from units held or from other nodes.
+// wait estimates the time until a token, from the customer's rate and this node's part of
+// the demand.
 func (a *Account) wait() time.Duration {
-	if a.rate <= 0 {
-		return maxRetryAfter
-	}
-	own := maxRetryAfter
-	if a.units > 0 && a.limit() >= 1 {
-		seconds := (1 - a.tokens) / (a.rate * part(a.units))
-		own = time.Duration(math.Ceil(seconds * float64(time.Second)))
+	if a.limit.Rate <= 0 {
+		return time.Minute
 	}
-	if float64(a.hint.Total) > stormFactor*a.rate {
-		return min(own, maxRetryAfter)
+	perToken := time.Duration(float64(time.Second) / a.limit.Rate)
+	if a.own && a.share > 0 {
+		perToken = time.Duration(float64(perToken) / a.share)
 	}
-	return min(own, max(moveTime, time.Duration(float64(time.Second)/a.rate)), maxRetryAfter)
+	return max(perToken, minWait)
 }
 
-// Hungry reports whether the tokens are so few that units should be asked for at once.
-func (a *Account) Hungry(now time.Time) bool {
-	wait := min(hungryEvery<<min(a.fruitless, 8), maxHungryWait)
-	return now.Sub(a.planAt) >= wait && (a.tokens < 1 || a.tokens < a.limit()/2)
-}
+// minWait is the least time that a refused caller is told to wait.
+const minWait = 20 * time.Millisecond
 
-// give takes up to units away, with their tokens, and returns them as a transfer.
-func (a *Account) give(units uint32, now time.Time) Transfer {
+// tick decides whether the node uses its own share.
+func (a *Account) tick(now time.Time) {
 	a.fill(now)
-	units = min(units, a.units)
-	if units == 0 {
-		return Transfer{}
+	a.own = !now.Before(a.lentUntil) && a.share > 0
+}
+
+// note counts one request as demand.
+func (a *Account) note(now time.Time) {
+	a.decay(now)
+	a.demand += 1 / demandMemory.Seconds()
+}
+
+func (a *Account) decay(now time.Time) {
+	if passed := now.Sub(a.demandAt); passed > 0 {
+		a.demand *= math.Exp(-passed.Seconds() / demandMemory.Seconds())
+		a.demandAt = now
 	}
-	tokens := a.tokens * float64(units) / float64(a.units)
-	a.units -= units
-	a.tokens = max(min(a.tokens-tokens, a.limit()), 0)
-	a.sequence++
-	return Transfer{
-		Customer: a.customer,
-		Epoch:    a.epoch,
-		From:     a.self,
-		Sequence: a.sequence,
-		Units:    units,
-		Tokens:   tokens,
+}
+
+// Wanted returns how many tokens the node would like to hold.
+func (a *Account) Wanted(now time.Time) float64 {
+	a.decay(now)
+	spare := min(spareTokens, max(1, spareShare*a.limit.Burst*a.share))
+	return min(a.limit.Burst, spare+a.demand*a.horizon())
+}
+
+// horizon returns for how many seconds of demand the node holds tokens.
+func (a *Account) horizon() float64 {
+	if a.limit.Rate <= 0 {
+		return 0
 	}
+	return min(maxHorizon.Seconds(), heldShare*a.limit.Burst/a.limit.Rate)
 }
 
-// GiveAll takes all units away and returns them as a transfer.
-func (a *Account) GiveAll(now time.Time) Transfer { return a.give(a.units, now) }
+// Hungry reports whether the node should ask for tokens without delay.
+func (a *Account) Hungry(now time.Time) bool {
+	return a.tokens < 1 || a.tokens < a.Wanted(now)/3
+}
 
-// OnTransfer takes units in. It returns false if they belong to another epoch or were
-// taken in already; they are then not added.
-func (a *Account) OnTransfer(t Transfer, now time.Time) bool {
-	a.fill(now)
-	a.Hear(t.Epoch)
-	if t.Epoch != a.epoch || t.Units == 0 || t.Units > Whole-a.units {
-		return false
+// Tokens returns the tokens held now.
+func (a *Account) Tokens(now time.Time) float64 {
+	a.tick(now)
+	return a.tokens
+}
+
+// Demand returns the requests per second asked for of late.
+func (a *Account) Demand(now time.Time) float64 {
+	a.decay(now)
+	return a.demand
+}
+
+// Own reports whether the node uses its own share now.
+func (a *Account) Own(now time.Time) bool {
+	a.tick(now)
+	return a.own
+}
+
+// Report returns the report to send to the coordinator now. A node whose share is lent to
+// a former coordinator, or whose reports bring no answer, lends nothing. leaving returns
+// all tokens.
+func (a *Account) Report(customer string, lender string, leaving bool, now time.Time) Report {
+	a.tick(now)
+	r := Report{Customer: customer, Wanted: a.Wanted(now)}
+	if leaving {
+		r.Wanted = 0
 	}
-	window := a.received[t.From]
-	if window == nil {
-		window = &replayWindow{}
-		a.received[t.From] = window
+	if keep := r.Wanted * returnAbove; a.tokens > keep {
+		r.Returned = math.Floor(a.tokens - r.Wanted)
+		a.tokens -= r.Returned
 	}
-	if !window.first(t.Sequence) {
-		return false
+	r.Held = a.tokens
+	if a.mayLend(lender, now) {
+		r.Lent = true
+		a.lentUntil = now.Add(LoanTerm + LoanSlack)
+		a.own = false
 	}
-	a.units += t.Units
-	a.tokens = min(a.tokens+max(t.Tokens, 0), a.limit())
-	return true
-}
-
-// replayWindow recognises repeats among the sequence numbers of one giver.
-type replayWindow struct {
-	high uint64
-	// seen has bit i set if high-i was received.
-	seen uint64
+	return r
 }
 
-// first reports whether sequence is new. One that is too old to tell is not.
-func (w *replayWindow) first(sequence uint64) bool {
-	switch {
-	case sequence == 0:
-		return false
-	case sequence > w.high:
-		w.seen = w.seen<<min(sequence-w.high, 64) | 1
-		w.high = sequence
-		return true
-	case w.high-sequence >= 64 || w.seen&(1<<(w.high-sequence)) != 0:
+// mayLend reports whether the share is free to be lent: it was last lent to the same
+// coordinator, or to none that still counts it.
+func (a *Account) mayLend(lender string, now time.Time) bool {
+	if a.share <= 0 || a.unheard >= doubtAfter {
 		return false
 	}
-	w.seen |= 1 << (w.high - sequence)
-	return true
+	return lender == a.coordinator || !now.Before(a.lentUntil)
 }
+
+// Granted takes the coordinator's answer to a report.
+func (a *Account) Granted(tokens float64) {
+	a.unheard = 0
+	a.tokens += tokens
+}
+
+// Unheard notes that a report brought no answer.
+func (a *Account) Unheard() { a.unheard++ }
--- a/internal/controller/quota/pool.go
+++ b/internal/controller/quota/pool.go
@@ -1,98 +1,109 @@
 package quota
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// lostUnits is the smallest number of missing units worth a new epoch.
-const lostUnits = Whole / 256
-
-type pooled struct {
-	Report
-	at time.Time
+// Pool is one customer's bucket at its coordinator.
+type Pool struct {
+	limit Limit
+	// share is each trustee's right to a part of the whole, 0 to 1.
+	share  float64
+	tokens float64
+	filled time.Time
+	nodes  map[string]*holder
 }
 
-// Pool is what a customer's coordinator knows of all nodes' parts. It is not safe for
-// concurrent use.
-type Pool struct {
-	reports map[string]pooled
-	// completeAt is when units were last not missing.
-	completeAt time.Time
+// holder is what the coordinator knows of one node.
+type holder struct {
+	// held is the number of tokens that the node may hold.
+	held float64
+	// lentUntil is the end of its loan.
+	lentUntil time.Time
+	heardAt   time.Time
 }
 
-// NewPool returns an empty pool.
+// forgetAfter is how long a node's tokens count after its last report. It holds more than
+// it ever would of a dead one, so that the bucket stays within the burst.
+const forgetAfter = 10 * time.Second
+
+// NewPool returns an empty Pool.
 func NewPool(now time.Time) *Pool {
-	return &Pool{reports: map[string]pooled{}, completeAt: now}
+	return &Pool{filled: now, nodes: make(map[string]*holder)}
 }
 
-// OnReport takes in a node's report.
-func (p *Pool) OnReport(from string, r Report, now time.Time) {
-	p.reports[from] = pooled{Report: r, at: now}
+// Configure changes the limit.
+func (p *Pool) Configure(limit Limit, now time.Time) {
+	p.fill(now)
+	p.limit = limit
 }
 
-// Keep forgets the nodes that are not in names.
-func (p *Pool) Keep(names []string) {
-	listed := make(map[string]bool, len(names))
-	for _, name := range names {
-		listed[name] = true
-	}
-	for name := range p.reports {
-		if !listed[name] {
-			delete(p.reports, name)
-		}
-	}
+// SetShare sets each trustee's right, 0 to 1.
+func (p *Pool) SetShare(share float64, now time.Time) {
+	p.fill(now)
+	p.share = share
 }
 
-// Hint answers the report of the node called from, for a customer whose fleet-wide rate
-// is rate.
-func (p *Pool) Hint(from string, rate float64) Hint {
-	asked := p.reports[from]
-	h := Hint{Customer: asked.Customer, Nodes: len(p.reports)}
-	newest := asked.Epoch
-	for _, r := range p.reports {
-		h.Total += r.Demand
-		if r.Epoch.Compare(newest) > 0 {
-			newest, h.Epoch = r.Epoch, r.Epoch
+// fill adds what the lent shares brought since the last call, up to their part of the
+// burst: what is lent to another coordinator, or used by its owner, counts there.
+func (p *Pool) fill(now time.Time) {
+	from := p.filled
+	p.filled = now
+	held := 0.0
+	brought := 0.0
+	for name, h := range p.nodes {
+		if now.Sub(h.heardAt) > forgetAfter {
+			delete(p.nodes, name)
+			continue
+		}
+		held += h.held
+		if until := earlier(now, h.lentUntil); until.After(from) {
+			brought += until.Sub(from).Seconds() * p.share
 		}
 	}
-	if asked.Units < p.target(asked.Report, h, rate) {
-		h.Rich = p.rich(h, rate)
-	}
-	return h
+	p.tokens += brought * p.limit.Rate
+	p.tokens = max(0, min(p.tokens, p.limit.Burst*p.Lent(now)-held))
 }
 
-func (p *Pool) target(r Report, h Hint, rate float64) uint32 {
-	return target(float64(r.Demand), float64(h.Total), rate, h.Nodes)
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
-// rich returns the nodes with most units to spare.
-func (p *Pool) rich(h Hint, rate float64) []Spare {
-	var rich []Spare
-	for name, r := range p.reports {
-		keep := p.target(r.Report, h, rate)
-		if r.Units > keep+minMove {
-			rich = append(rich, Spare{Name: name, Units: r.Units - keep})
-		}
+// Report takes a node's report, received at now, and returns the tokens granted to it.
+func (p *Pool) Report(node string, r Report, now time.Time) float64 {
+	p.fill(now)
+	h := p.nodes[node]
+	if h == nil {
+		h = &holder{}
+		p.nodes[node] = h
+	}
+	h.held = r.Held
+	h.heardAt = now
+	if r.Lent {
+		h.lentUntil = now.Add(LoanTerm)
 	}
-	slices.SortFunc(rich, func(a, b Spare) int { return int(b.Units) - int(a.Units) })
-	return rich[:min(len(rich), maxRich)]
+	p.tokens += r.Returned
+	p.fill(now)
+	granted := max(0, min(r.Wanted-r.Held, p.tokens))
+	p.tokens -= granted
+	h.held += granted
+	return granted
 }
 
-// Lost reports whether units have been missing long enough to recover them: every one
-// of names has reported within fresh, and the sum fell short for missing. Reports are not
-// taken at one time, so missing must be longer than a few of them are apart.
-func (p *Pool) Lost(names []string, fresh, missing time.Duration, now time.Time) bool {
-	sum := uint64(0)
-	for _, name := range names {
-		r, ok := p.reports[name]
-		if !ok || now.Sub(r.at) > fresh {
-			return false
+// Lent returns the part of the whole that is lent at now.
+func (p *Pool) Lent(now time.Time) float64 {
+	part := 0.0
+	for _, h := range p.nodes {
+		if now.Before(h.lentUntil) {
+			part += p.share
 		}
-		sum += uint64(r.Units)
 	}
-	if sum+lostUnits >= Whole {
-		p.completeAt = now
-	}
-	return now.Sub(p.completeAt) >= missing
+	return part
+}
+
+// Tokens returns the tokens in the bucket.
+func (p *Pool) Tokens(now time.Time) float64 {
+	p.fill(now)
+	return p.tokens
 }
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -6,6 +6,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -52,9 +53,17 @@
 	// ReadyAddress and ReadyPath are where the platform asks whether the node is ready.
 	ReadyAddress string
 	ReadyPath    string
-	Logger       log.Logger
+	// Reload reads the settings again; it is called on each value of Reloads and whenever
+	// Changed reports that they have changed.
+	Reload  func() (*settings.Settings, error)
+	Reloads <-chan os.Signal
+	Changed func() bool
+	Logger  log.Logger
 }
 
+// changedEvery is the pause between two looks whether the settings have changed.
+const changedEvery = 2 * time.Second
+
 // listEvery is the time between two reads of the nodes' rows beside their feed.
 const listEvery = 10 * time.Second
 
@@ -80,7 +89,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	parts = append(parts, func(ctx context.Context) error { return n.serveReady(ctx, ready, h.ReadyPath) })
+	parts = append(parts,
+		func(ctx context.Context) error { return n.serveReady(ctx, ready, h.ReadyPath) },
+		func(ctx context.Context) error { return n.followSettings(ctx, h) })
 	_ = n.logger.Log("event", "started", "node", n.settings.Node.Name, "run", n.run, "domain", n.settings.Node.Domain)
 	err = n.serve(ctx, sockets, parts...)
 	_ = n.logger.Log("event", "stopped", "node", n.settings.Node.Name, "err", err)
@@ -111,7 +122,7 @@
 	config := n.newCatalog(h)
 	n.config = config
 	n.exchange = copyExchange(n, config)
-	n.assembleQuota(h.Store)
+	n.assembleQuota()
 	n.dialer = h.Targets(n.leases)
 	n.heldTerms = true
 	n.assembleOwner(h.Store)
@@ -249,6 +260,30 @@
 	return nil
 }
 
+// followSettings reads the settings again when it is told to, and when they have changed.
+// Of what may change while a node runs only the time for a graceful stop is taken over;
+// settings that can't be read change nothing.
+func (n *Node) followSettings(ctx context.Context, h *Hosted) error {
+	ticker := time.NewTicker(changedEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-h.Reloads:
+		case <-ticker.C:
+			if !h.Changed() {
+				continue
+			}
+		}
+		s, err := h.Reload()
+		_ = n.logger.Log("event", "reload", "err", err)
+		if err == nil {
+			n.drainFor.Store(int64(s.Node.Drain))
+		}
+	}
+}
+
 // followLeases keeps the leases of the groups that this node owns.
 func (n *Node) followLeases(group string, owned bool) {
 	if n.leases != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"expvar"
 	mathrand "math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -58,8 +59,11 @@
 	owner      *owner.Manager
 	owners     *owners
 	chain      *filter.Chain
-	front      callersPort
-	dialer     target.Dialer
+	// drainFor is the time for a graceful stop, a time.Duration, if it was changed since the
+	// start; else 0.
+	drainFor atomic.Int64
+	front    callersPort
+	dialer   target.Dialer
 	// leases are held for the groups that this node owns; nil where promotions need none.
 	leases *lease.Keeper
 	// requests is the log of decisions on requests; nil where the front keeps none.
@@ -198,7 +202,7 @@
 	})
 	n.config = config
 	n.exchange = reportExchange(config)
-	n.assembleQuota(store)
+	n.assembleQuota()
 }
 
 func (n *Node) assembleMembership(list platform.VMs, listEvery time.Duration) {
@@ -217,17 +221,15 @@
 	})
 }
 
-func (n *Node) assembleQuota(store platform.Table) {
-	s := n.settings
+func (n *Node) assembleQuota() {
 	n.quota = quota.New(quota.Options{
-		Self:       s.Node.Name,
-		Deployment: s.Node.Deployment,
-		Platform:   store,
-		Peers:      n.peers,
-		View:       n.membership.View,
-		Config:     n.config,
-		Clock:      n.clock,
-		Logger:     n.logger,
+		Self:      n.settings.Node.Name,
+		Peers:     n.peers,
+		View:      n.membership.View,
+		Config:    n.config,
+		Clock:     n.clock,
+		Suspended: clock.Suspended,
+		Logger:    n.logger,
 	})
 }
 
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -29,19 +29,11 @@
 // open from the start.
 func (n *Node) hosted() bool { return n.leases != nil }
 
-// ready reports whether the node can serve callers: it has a fresh configuration, the
-// platform lists it, and it may spend its parts of the customers' rates.
+// ready reports whether the node can serve callers: it has a fresh configuration, and the
+// platform lists it.
 func (n *Node) ready() bool {
 	if n.draining() || n.config.Version() == 0 || !n.config.Fresh() {
 		return false
 	}
-	if !n.membership.View().SelfListed {
-		return false
-	}
-	for _, share := range n.quota.Snapshot() {
-		if !share.Confirmed {
-			return false
-		}
-	}
-	return true
+	return n.membership.View().SelfListed
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -88,17 +88,15 @@
 	}
 	var shares []status.Share
 	for _, s := range n.quota.Snapshot() {
-		customer := config.Customer(s.Customer)
-		if customer == nil || s.Whole == 0 {
+		if config.Customer(s.Customer) == nil {
 			continue
 		}
-		part := float64(s.Units) / float64(s.Whole)
 		shares = append(shares, status.Share{
-			Customer:  s.Customer,
-			Rate:      part * customer.Rate,
-			Burst:     part * customer.Burst,
-			Epoch:     s.Epoch,
-			Confirmed: s.Confirmed,
+			Customer:    s.Customer,
+			Tokens:      s.Tokens,
+			Demand:      s.Demand,
+			Own:         s.Own,
+			Coordinator: s.Coordinator,
 		})
 	}
 	return shares
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -15,6 +15,9 @@
 func (n *Node) stop(ctx context.Context) {
 	close(n.drained)
 	limit := n.settings.Node.Drain.Std()
+	if changed := time.Duration(n.drainFor.Load()); changed > 0 {
+		limit = changed
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	callers := make(chan error, 1)
--- a/internal/run/quota/counters.go
+++ b/internal/run/quota/counters.go
@@ -2,8 +2,8 @@
 
 import "expvar"
 
-// Counters are the process's counters of quota: asks, call_errors, lease_changes,
-// platform_reads, platform_writes, coordinate_errors.
-var Counters = new(expvar.Map).Init()
+// Counters counts the work of this process's quota: reports, report_errors, waits, and
+// own_share, the changes between lent and own share.
+var Counters = new(expvar.Map)
 
 func count(name string) { Counters.Add(name, 1) }
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -2,344 +2,241 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/controller/quota"
 	"crocusyoke/internal/ownership"
 	"crocusyoke/internal/peer"
 )
 
-// Times and bounds of the loop.
+// Times of the loop.
 const (
-	tickEvery   = 50 * time.Millisecond
-	callTimeout = 300 * time.Millisecond
-	// reportEvery is the time between two reports of a part that changes, refreshEvery of
-	// one that does not. With more than reportNodes nodes both grow with their number.
-	reportEvery  = time.Second
-	refreshEvery = 5 * time.Second
-	reportNodes  = 32
-	// reportRate and reportBurst bound the reports of a node, in customers per second and
-	// customers; askRate and askBurst its asks.
-	reportRate  = 12
-	reportBurst = 200
-	askRate     = 5
-	askBurst    = 1000
-	// overAskRate and overAskBurst bound the asks for a customer over its rate.
-	overAskRate  = 2
-	overAskBurst = 8
-	// confirmEvery is the time between two rounds of asking peers for confirmation, and
-	// staleLease the age of the lease from which on they are asked.
-	confirmEvery = 750 * time.Millisecond
-	staleLease   = 1500 * time.Millisecond
-	// urgentLease is the age from which on a node asks all that it may.
-	urgentLease = 2750 * time.Millisecond
-	// confirmPeers bounds the peers asked in one round.
-	confirmPeers = 64
-	// coordinateEvery is the time between two looks at the pools.
-	coordinateEvery = 250 * time.Millisecond
+	// tickEvery is the pause between two looks for what is due.
+	tickEvery = 50 * time.Millisecond
+	// reportEvery is the time between two reports to a coordinator, urgentEvery where a
+	// customer has run out of tokens.
+	reportEvery = 200 * time.Millisecond
+	urgentEvery = 20 * time.Millisecond
+	// callTimeout bounds one report; it is below quota.LoanSlack.
+	callTimeout = 250 * time.Millisecond
+	// perCustomerNodes is the number of nodes from which on customers have coordinators of
+	// their own. In smaller fleets one node coordinates all, so that reports travel together.
+	perCustomerNodes = 32
 )
 
-// Run keeps the node's parts until ctx ends and returns after its last call has ended.
+// Run keeps the node's tokens until ctx ends and returns after its last call has ended.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
-	r.wait.Go(func() { r.answerKicks(ctx) })
-	var reportAt, confirmAt, coordinateAt, planAt time.Time
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
 	for {
-		now, view := r.o.Clock.Now(), r.o.View()
-		r.sync(view, now)
-		r.locate(view)
-		if due(&confirmAt, confirmEvery, now) && r.leaseAge(now) > staleLease {
-			r.confirm(ctx, view)
-		}
-		if due(&reportAt, reportEvery, now) {
-			r.report(ctx, view)
-		}
-		if due(&coordinateAt, coordinateEvery, now) {
-			r.coordinate(ctx, view)
-		}
-		if due(&planAt, planPeriod, now) {
-			for _, s := range *r.slots.Load() {
-				r.plan(ctx, s, view)
-			}
-		}
-		if err := r.o.Clock.Sleep(ctx, tickEvery); err != nil {
+		r.sync(r.o.View())
+		r.report(ctx)
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
+		case <-r.kick:
 		}
 	}
 }
 
-// planPeriod is the time between two plans of an account that is not hungry.
-const planPeriod = 250 * time.Millisecond
-
-// due reports whether *at has come, and sets it to the next time.
-func due(at *time.Time, every time.Duration, now time.Time) bool {
-	if now.Before(*at) {
-		return false
-	}
-	*at = now.Add(every)
-	return true
-}
-
-// stretch is the factor by which reports are rarer in a large fleet.
-func stretch(view *membership.View) time.Duration {
-	return time.Duration(max(1, len(view.Members)/reportNodes))
-}
-
-// round is the time that reports of all customers take.
-func (r *Runner) round() time.Duration {
-	return time.Duration(len(*r.slots.Load())) * time.Second / reportRate
-}
-
-// refreshPeriod is the longest time between two reports of a part.
-func (r *Runner) refreshPeriod(view *membership.View) time.Duration {
-	return max(refreshEvery*stretch(view), 2*r.round())
-}
-
-// missingPeriod is how long units must have been missing before they are recovered.
-func (r *Runner) missingPeriod(view *membership.View) time.Duration {
-	return max(3*reportEvery*stretch(view), 2*r.round())
-}
-
-// sync takes in the configuration and the list.
-func (r *Runner) sync(view *membership.View, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// sync takes in the configuration and the list of nodes.
+func (r *Runner) sync(view *membership.View) {
+	now := r.now()
 	r.configure(now)
-	if !view.ListedAt.IsZero() {
-		r.lease.OnList(view.Listed(), view.ListedAt, now)
+	listed := view.Listed()
+	var live []ownership.Node
+	for _, s := range *r.slots.Load() {
+		if s.seen == view {
+			continue
+		}
+		if live == nil {
+			live = nodesOf(view.Live())
+		}
+		own, each := quota.Share(s.customer, r.o.Self, listed)
+		s.mu.Lock()
+		s.seen = view
+		s.coordinator = coordinator(s.customer, live)
+		s.account.SetCoordinator(s.coordinator)
+		s.account.SetShare(own, now)
+		s.pool.SetShare(each, now)
+		s.mu.Unlock()
 	}
-	r.renew(now)
 }
 
-// renew publishes the end of the lease; r.mu is held.
-func (r *Runner) renew(now time.Time) {
-	until := r.lease.Until()
-	before := now.Before(*r.leaseUntil.Load())
-	r.leaseUntil.Store(&until)
-	if after := now.Before(until); after != before {
-		count("lease_changes")
-		_ = r.o.Logger.Log("event", "lease", "confirmed", after)
+// coordinator returns the name of the customer's coordinator among nodes.
+func coordinator(customer string, nodes []ownership.Node) string {
+	if len(nodes) <= perCustomerNodes {
+		customer = ""
 	}
+	return ownership.Owner("quota/"+customer, "", nodes)
 }
 
-func (r *Runner) leaseAge(now time.Time) time.Duration {
-	return now.Sub(r.leaseUntil.Load().Add(-quota.ConfirmBound))
-}
-
-// call sends one message and takes in what every answer carries.
-func (r *Runner) call(ctx context.Context, to membership.Member, req request) (reply, error) {
-	req.From = r.self
-	req.To = to.Name
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var answer reply
-	sent := r.o.Clock.Now()
-	if err := r.o.Peers.Call(ctx, to.Address, peer.KindShare, req, &answer); err != nil {
-		count("call_errors")
-		return answer, Error.New("call %s: %w", to.Name, err)
-	}
-	if answer.From.Name != to.Name {
-		return answer, Error.New("call %s: answered by %s", to.Name, answer.From.Name)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if answer.Confirmed {
-		r.lease.OnConfirm(to.Name, sent)
-	}
-	if answer.Confirmed && answer.ListAge >= 0 {
-		r.lease.OnRelayed(sent.Add(-time.Duration(answer.ListAge) * time.Millisecond))
+func nodesOf(members []membership.Member) []ownership.Node {
+	nodes := make([]ownership.Node, 0, len(members))
+	for _, m := range members {
+		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain})
 	}
-	r.renew(r.o.Clock.Now())
-	return answer, nil
+	return nodes
 }
 
-// confirm asks others whether they confirm this node: one relay of a large fleet while
-// there is time, else as many as it may.
-func (r *Runner) confirm(ctx context.Context, view *membership.View) {
-	asked, most := others(view.Members, view.Self), confirmPeers
-	if len(asked) > confirmPeers && r.leaseAge(r.o.Clock.Now()) < urgentLease {
-		asked, most = others(view.Relays(), view.Self), 1
+// report sends the reports that are due, one message for each coordinator.
+func (r *Runner) report(ctx context.Context) {
+	now := r.now()
+	batches := make(map[string][]*slot)
+	urgent := make(map[string]bool)
+	for _, s := range *r.slots.Load() {
+		s.mu.Lock()
+		name := s.coordinator
+		hungry := s.account.Hungry(now)
+		r.noteOwn(s, now)
+		s.mu.Unlock()
+		batches[name] = append(batches[name], s)
+		urgent[name] = urgent[name] || hungry
 	}
-	r.shuffle(asked)
-	for _, to := range asked[:min(len(asked), most)] {
-		r.wait.Go(func() { _, _ = r.call(ctx, to, request{}) })
+	for name, batch := range batches {
+		if name != "" && r.begin(name, urgent[name], now) {
+			r.wait.Go(func() { r.send(ctx, name, batch) })
+		}
 	}
 }
 
-// others returns the members but the one called self.
-func others(members []membership.Member, self string) []membership.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.Name == self })
-}
-
-// livePeers returns the other live nodes.
-func livePeers(view *membership.View) []membership.Member {
-	return others(view.Live(), view.Self)
-}
-
-func (r *Runner) shuffle(members []membership.Member) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rng.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-}
-
-// coordinator returns the name of the customer's coordinator among nodes. Small fleets
-// have one for all customers, so that a node's reports travel in one message.
-func coordinator(customer string, nodes []ownership.Node) string {
-	if len(nodes) <= reportNodes {
-		customer = ""
+// noteOwn logs that the node uses its own share, or lends it again. s.mu is held.
+func (r *Runner) noteOwn(s *slot, now time.Time) {
+	own := s.account.Own(now)
+	if own == s.own {
+		return
 	}
-	return ownership.Owner("share/"+customer, "", nodes)
+	s.own = own
+	count("own_share")
+	_ = r.o.Logger.Log("event", "quota", "customer", s.customer, "own_share", own, "coordinator", s.coordinator)
 }
 
-// locate brings the slots' coordinators up to the View. Only Run's loop calls it and
-// uses them.
-func (r *Runner) locate(view *membership.View) {
-	var nodes []ownership.Node
-	for _, s := range *r.slots.Load() {
-		if s.seen == view {
-			continue
-		}
-		if nodes == nil {
-			nodes = nodesOf(view.Live())
-		}
-		s.coordinator, s.seen = coordinator(s.customer, nodes), view
-	}
+// begin reports whether a message to the coordinator is due, and marks it as under way.
+func (r *Runner) begin(name string, urgent bool, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.liveIn != view {
-		r.live, r.liveIn = livePeers(view), view
+	due := r.due[name]
+	if urgent {
+		due = due.Add(urgentEvery - reportEvery)
 	}
-}
-
-func nodesOf(members []membership.Member) []ownership.Node {
-	nodes := make([]ownership.Node, 0, len(members))
-	for _, m := range members {
-		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain})
+	if r.busy[name] || now.Before(due) {
+		return false
 	}
-	return nodes
+	r.busy[name] = true
+	r.due[name] = now.Add(reportEvery)
+	return true
 }
 
-// report sends each coordinator the parts of its customers that are due.
-func (r *Runner) report(ctx context.Context, view *membership.View) {
-	batches := map[string][]quota.Report{}
-	for _, s := range r.dueReports(view) {
-		batches[s.reportedTo] = append(batches[s.reportedTo], s.reported)
-	}
-	for name, reports := range batches {
-		if name == view.Self {
-			r.onHints(r.onReports(view.Self, reports))
-			continue
-		}
-		if to, ok := view.Member(name); ok {
-			r.wait.Go(func() { r.sendReports(ctx, to, reports) })
+// send reports the customers of one coordinator and takes in what it grants.
+func (r *Runner) send(ctx context.Context, name string, batch []*slot) {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	reports := r.reports(name, batch, leaving)
+	granted, err := r.ask(ctx, name, reports)
+	for i, s := range batch {
+		s.mu.Lock()
+		if err != nil {
+			s.account.Unheard()
+		} else {
+			s.account.Granted(granted[i])
 		}
+		s.mu.Unlock()
+	}
+	if err != nil {
+		count("report_errors")
 	}
+	r.mu.Lock()
+	r.busy[name] = false
+	r.mu.Unlock()
 }
 
-// dueReports returns the slots to report now, those longest overdue first.
-func (r *Runner) dueReports(view *membership.View) []*slot {
-	now := r.o.Clock.Now()
-	var pending []*slot
-	for _, s := range *r.slots.Load() {
+func (r *Runner) reports(name string, batch []*slot, leaving bool) []quota.Report {
+	now := r.now()
+	reports := make([]quota.Report, len(batch))
+	for i, s := range batch {
 		s.mu.Lock()
-		age := now.Sub(s.reportedAt)
-		changed := age >= reportEvery*stretch(view) && s.account.Different(s.reported, now)
-		s.mu.Unlock()
-		if s.coordinator != s.reportedTo || changed || age >= refreshEvery*stretch(view) {
-			pending = append(pending, s)
-		}
-	}
-	slices.SortFunc(pending, func(a, b *slot) int { return a.reportedAt.Compare(b.reportedAt) })
-	for i, s := range pending {
-		if !r.reports.AllowN(now, 1) {
-			return pending[:i]
+		reports[i] = s.account.Report(s.customer, s.lender, leaving, now)
+		if reports[i].Lent {
+			s.lender = name
 		}
-		s.mu.Lock()
-		s.reported, s.reportedAt = s.account.Report(now), now
-		s.reportedTo = s.coordinator
 		s.mu.Unlock()
 	}
-	return pending
+	return reports
 }
 
-func (r *Runner) sendReports(ctx context.Context, to membership.Member, reports []quota.Report) {
-	if answer, err := r.call(ctx, to, request{Reports: reports}); err == nil {
-		r.onHints(answer.Hints)
+// ask carries reports to a coordinator, which may be this node.
+func (r *Runner) ask(ctx context.Context, name string, reports []quota.Report) ([]float64, error) {
+	if name == r.o.Self {
+		return r.grant(name, reports), nil
+	}
+	to, ok := r.o.View().Member(name)
+	if !ok {
+		return nil, Error.New("coordinator %s is not listed", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	count("reports")
+	var answer reply
+	err := r.o.Peers.Call(ctx, to.Address, peer.KindShare, request{From: r.o.Self, To: name, Reports: reports}, &answer)
+	if err != nil {
+		return nil, Error.New("report to %s: %w", name, err)
 	}
+	if len(answer.Granted) != len(reports) {
+		return nil, Error.New("report to %s: %d answers to %d reports", name, len(answer.Granted), len(reports))
+	}
+	return answer.Granted, nil
 }
 
-func (r *Runner) onHints(hints []quota.Hint) {
+// grant answers reports for the customers that this node coordinates.
+func (r *Runner) grant(node string, reports []quota.Report) []float64 {
+	now := r.now()
 	all := *r.slots.Load()
-	for _, h := range hints {
-		if s := all[h.Customer]; s != nil {
-			s.mu.Lock()
-			s.account.OnHint(h)
-			s.mu.Unlock()
+	granted := make([]float64, len(reports))
+	for i, report := range reports {
+		s := all[report.Customer]
+		if s == nil {
+			continue
 		}
+		s.mu.Lock()
+		granted[i] = s.pool.Report(node, report, now)
+		s.mu.Unlock()
 	}
+	return granted
 }
 
-// answerKicks plans for the accounts that Take found hungry.
-func (r *Runner) answerKicks(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-r.kicks:
-			s.kicked.Store(false)
-			r.plan(ctx, s, r.o.View())
-		}
+// HandleShare answers peer.KindShare; it is a peer.ServeFunc.
+func (r *Runner) HandleShare(_ context.Context, _ string, payload []byte) (any, error) {
+	var req request
+	if err := cbor.Unmarshal(payload, &req); err != nil {
+		return nil, Error.New("report: %w", err)
 	}
-}
-
-// sampled is the number of peers to choose from when no node with spare units is known.
-const sampled = 8
-
-// sample returns the names of some live peers; one may be named twice.
-func (r *Runner) sample() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	names := make([]string, 0, sampled)
-	for range min(sampled, len(r.live)) {
-		names = append(names, r.live[r.rng.IntN(len(r.live))].Name)
+	if req.To != r.o.Self {
+		return nil, Error.New("report for %s reached %s", req.To, r.o.Self)
 	}
-	return names
+	return reply{Granted: r.grant(req.From, req.Reports)}, nil
 }
 
-// plan sends the asks that are due for one account.
-func (r *Runner) plan(ctx context.Context, s *slot, view *membership.View) {
-	names := r.sample()
-	s.mu.Lock()
-	var asks []quota.PlannedAsk
-	now := r.o.Clock.Now()
-	if !s.closed && (s.account.Hungry(now) || r.asks.TokensAt(now) > askBurst/2) {
-		asks = s.account.Plan(names, now)
-	}
-	limiter := r.asks
-	if s.account.Over() {
-		limiter = s.overAsks
+// GiveAway returns all tokens to the coordinators before the node stops.
+func (r *Runner) GiveAway(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	batches := make(map[string][]*slot)
+	for _, s := range *r.slots.Load() {
+		s.mu.Lock()
+		batches[s.coordinator] = append(batches[s.coordinator], s)
+		s.mu.Unlock()
 	}
-	s.mu.Unlock()
-	for _, ask := range asks {
-		to, ok := view.Member(ask.To)
-		if ok && limiter.AllowN(now, 1) {
-			r.wait.Go(func() { r.ask(ctx, s, to, ask.Ask) })
+	for name, batch := range batches {
+		if name != "" && name != r.o.Self {
+			r.send(ctx, name, batch)
 		}
 	}
-}
-
-func (r *Runner) ask(ctx context.Context, s *slot, to membership.Member, ask quota.Ask) {
-	count("asks")
-	answer, err := r.call(ctx, to, request{Asks: []quota.Ask{ask}})
-	if err != nil || len(answer.AskReplies) != 1 {
-		return
-	}
-	s.mu.Lock()
-	again := s.account.OnAskReply(to.Name, answer.AskReplies[0], r.o.Clock.Now())
-	s.mu.Unlock()
-	if again && s.kicked.CompareAndSwap(false, true) {
-		r.kick(s)
-	}
+	return nil
 }
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -1,26 +1,22 @@
-// Package quota runs the quota controller: it admits requests from this node's parts,
-// asks other nodes for units, confirms the node's right to spend and, for the customers
-// whose coordinator it is, recovers lost units through the platform's table.
+// Package quota runs the quota controller: it admits requests from this node's tokens,
+// reports to the customers' coordinators, and answers for the customers that this node
+// coordinates.
 package quota
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
-	"golang.org/x/time/rate"
 
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/controller/quota"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
-	"crocusyoke/internal/platform"
 )
 
 // Error is the class of this package's errors.
@@ -28,47 +24,33 @@
 
 // Options of a Runner.
 type Options struct {
-	// Self is this node's name in the platform's list.
-	Self string
-	// Instance is a number that no other process of the fleet has; zero derives one from
-	// the name and the clock.
-	Instance   uint64
-	Deployment string
-	Platform   platform.Table
-	Peers      peer.Caller
-	View       func() *membership.View
-	Config     fleet.Source
-	Clock      clock.Clock
-	Logger     log.Logger
+	// Self is this node's name in the list.
+	Self   string
+	Peers  peer.Caller
+	View   func() *membership.View
+	Config fleet.Source
+	Clock  clock.Clock
+	// Suspended returns for how long in all the VM was suspended, which Clock does not
+	// count; nil for never.
+	Suspended func() time.Duration
+	Logger    log.Logger
 }
 
-// slot is one customer's account and, at its coordinator, the pool.
+// slot is one customer on this node.
 type slot struct {
 	customer string
-	kicked   atomic.Bool
 	waiting  atomic.Int64
-	// overAsks bounds the asks while the customer is over its rate: they bring little, and
-	// the node's bound is for the others.
-	overAsks *rate.Limiter
 
 	mu      sync.Mutex
 	account *quota.Account
-	closed  bool
-	pool    *quota.Pool
-	rate    float64
-	// seeded is true once the customer's row is known to exist.
-	seeded     bool
-	recovering bool
-	retryAt    time.Time
-	// coordinator is the customer's coordinator in the View seen.
+	// pool is used while this node coordinates the customer.
+	pool *quota.Pool
+	// lender is the coordinator that the share was last lent to.
+	lender string
+	// coordinator is the one in the View seen.
 	coordinator string
 	seen        *membership.View
-	// reported is the last report, sent to reportedTo at reportedAt.
-	reported   quota.Report
-	reportedTo string
-	reportedAt time.Time
-	// lastNumber is the highest epoch number this process has used as author.
-	lastNumber uint64
+	own         bool
 }
 
 type slots map[string]*slot
@@ -76,50 +58,41 @@
 // Runner is one node's quota. Its methods are safe for concurrent use.
 type Runner struct {
 	o     Options
-	self  quota.Identity
 	slots atomic.Pointer[slots]
-	// leaseUntil is the end of the lease, for Take.
-	leaseUntil atomic.Pointer[time.Time]
-	kicks      chan *slot
-	// asks and reports bound what the node sends, whatever the number of customers.
-	asks, reports *rate.Limiter
-	wait          sync.WaitGroup
+	// kick asks for reports without delay.
+	kick chan struct{}
+	wait sync.WaitGroup
 
-	mu    sync.Mutex
-	lease *quota.Lease
-	rng   *rand.Rand
-	// live holds the live peers in the View liveIn.
-	live   []membership.Member
-	liveIn *membership.View
-	// config is the configuration that the slots were made from.
+	// config is the configuration that the slots were made from. Only Run's loop uses it.
 	config *fleet.Config
-}
 
-// maxKicks bounds the customers waiting for an immediate ask.
-const maxKicks = 1024
+	mu sync.Mutex
+	// busy holds the coordinators with a report under way; due the time of the next one.
+	busy    map[string]bool
+	due     map[string]time.Time
+	leaving bool
+}
 
-// New returns a Runner that admits nothing until Run has heard of its parts.
+// New returns a Runner that admits nothing until Run has been called.
 func New(o Options) *Runner {
-	now := o.Clock.Now()
-	if o.Instance == 0 {
-		o.Instance = xxhash.Sum64String(o.Self + now.Format(time.RFC3339Nano))
+	if o.Suspended == nil {
+		o.Suspended = func() time.Duration { return 0 }
 	}
 	r := &Runner{
-		o:       o,
-		self:    quota.Identity{Name: o.Self, Instance: o.Instance},
-		kicks:   make(chan *slot, maxKicks),
-		lease:   quota.NewLease(o.Self),
-		asks:    rate.NewLimiter(askRate, askBurst),
-		reports: rate.NewLimiter(reportRate, reportBurst),
-		rng:     rand.New(rand.NewPCG(o.Instance, uint64(len(o.Self)))),
+		o:    o,
+		kick: make(chan struct{}, 1),
+		busy: make(map[string]bool),
+		due:  make(map[string]time.Time),
 	}
 	r.slots.Store(&slots{})
-	r.leaseUntil.Store(&time.Time{})
 	return r
 }
 
-// Take admits one request of customer if this node holds a token and may spend. Else
-// retryAfter is about how long it takes until that may change.
+// now returns the time including that of suspensions.
+func (r *Runner) now() time.Time { return r.o.Clock.Now().Add(r.o.Suspended()) }
+
+// Take admits one request of customer if this node holds a token. Else retryAfter is about
+// how long it takes until that may change.
 func (r *Runner) Take(customer string) (ok bool, retryAfter time.Duration) {
 	s := (*r.slots.Load())[customer]
 	if s == nil {
@@ -128,46 +101,50 @@
 	return r.take(s, (*quota.Account).Take)
 }
 
+type takeFunc func(a *quota.Account, now time.Time) (bool, time.Duration)
+
 func (r *Runner) take(s *slot, take takeFunc) (ok bool, retryAfter time.Duration) {
+	now := r.now()
 	s.mu.Lock()
-	now := r.o.Clock.Now()
-	ok, retryAfter = take(s.account, now, *r.leaseUntil.Load())
+	ok, retryAfter = take(s.account, now)
 	hungry := s.account.Hungry(now)
 	s.mu.Unlock()
-	if hungry && s.kicked.CompareAndSwap(false, true) {
-		r.kick(s)
+	if hungry {
+		select {
+		case r.kick <- struct{}{}:
+		default:
+		}
 	}
 	return ok, retryAfter
 }
 
-type takeFunc func(a *quota.Account, now, leaseUntil time.Time) (bool, time.Duration)
-
 const (
-	// patience is how long Admit waits for units that other nodes have to spare.
-	patience = 50 * time.Millisecond
+	// patience is how long Admit waits for tokens.
+	patience = 60 * time.Millisecond
+	// retakeEvery is the pause between two looks for one.
+	retakeEvery = 10 * time.Millisecond
 	// maxWaiting bounds the requests of one customer that wait in Admit.
-	maxWaiting = 64
+	maxWaiting = 32
+	// startWait is proposed for a customer that no configuration in force here names.
+	startWait = 100 * time.Millisecond
 )
 
-// Admit is Take for a caller that can wait: it waits a little for units that are on
-// their way from other nodes, but not for a customer that is over its rate, and not
-// longer than ctx allows.
+// Admit is Take for a caller that can wait a little for tokens that are on their way, but
+// not longer than ctx allows.
 func (r *Runner) Admit(ctx context.Context, customer string) (ok bool, retryAfter time.Duration) {
 	s := (*r.slots.Load())[customer]
 	if s == nil {
 		return false, startWait
 	}
 	ok, retryAfter = r.take(s, (*quota.Account).Take)
-	if ok || retryAfter > patience {
+	if ok || s.waiting.Load() >= maxWaiting {
 		return ok, retryAfter
 	}
-	if s.waiting.Add(1) > maxWaiting {
-		s.waiting.Add(-1)
-		return false, retryAfter
-	}
+	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
-	for until := r.o.Clock.Now().Add(patience); !ok && !r.o.Clock.Now().Add(retryAfter).After(until); {
-		if r.o.Clock.Sleep(ctx, retryAfter) != nil {
+	count("waits")
+	for until := r.o.Clock.Now().Add(patience); !ok && r.o.Clock.Now().Before(until); {
+		if r.o.Clock.Sleep(ctx, retakeEvery) != nil {
 			break
 		}
 		ok, retryAfter = r.take(s, (*quota.Account).Retake)
@@ -175,53 +152,39 @@
 	return ok, retryAfter
 }
 
-// startWait is proposed for a customer that no configuration in force here names.
-const startWait = 100 * time.Millisecond
-
-func (r *Runner) kick(s *slot) {
-	select {
-	case r.kicks <- s:
-	default:
-		s.kicked.Store(false)
-	}
-}
-
 // Status is one customer's part for people.
 type Status struct {
 	Customer string  `json:"customer" cbor:"1,keyasint"`
-	Epoch    uint64  `json:"epoch" cbor:"2,keyasint"`
-	Units    uint32  `json:"units" cbor:"3,keyasint"`
-	Whole    uint32  `json:"whole" cbor:"4,keyasint"`
-	Tokens   float64 `json:"tokens" cbor:"5,keyasint"`
+	Tokens   float64 `json:"tokens" cbor:"2,keyasint"`
 	// Demand is in requests per second.
-	Demand float64 `json:"demand" cbor:"6,keyasint"`
-	// Confirmed is true while the node may spend.
-	Confirmed bool `json:"confirmed" cbor:"7,keyasint"`
+	Demand float64 `json:"demand" cbor:"3,keyasint"`
+	// Own is true while the node uses its own share of the rate: its coordinator is lost.
+	Own bool `json:"own" cbor:"4,keyasint"`
+	// Coordinator is the node that this one reports to.
+	Coordinator string `json:"coordinator" cbor:"5,keyasint"`
 }
 
-// Snapshot returns the state of every customer's part on this node.
+// Snapshot returns the state of every customer on this node.
 func (r *Runner) Snapshot() []Status {
-	now := r.o.Clock.Now()
+	now := r.now()
 	all := *r.slots.Load()
 	out := make([]Status, 0, len(all))
 	for _, s := range all {
 		s.mu.Lock()
 		out = append(out, Status{
-			Customer:  s.customer,
-			Epoch:     s.account.Epoch().Number,
-			Units:     s.account.Units(),
-			Whole:     quota.Whole,
-			Tokens:    s.account.Tokens(now),
-			Demand:    float64(s.account.Report(now).Demand),
-			Confirmed: now.Before(*r.leaseUntil.Load()),
+			Customer:    s.customer,
+			Tokens:      s.account.Tokens(now),
+			Demand:      s.account.Demand(now),
+			Own:         s.account.Own(now),
+			Coordinator: s.coordinator,
 		})
 		s.mu.Unlock()
 	}
 	return out
 }
 
-// configure follows the configuration in force. A customer that is no longer named
-// keeps its units but may spend none.
+// configure follows the configuration in force. A customer that is no longer named may
+// spend nothing.
 func (r *Runner) configure(now time.Time) {
 	config := r.o.Config.Current()
 	if config == nil || config == r.config {
@@ -230,29 +193,21 @@
 	r.config = config
 	before := *r.slots.Load()
 	after := make(slots, len(config.Customers))
-	for name, s := range before {
-		after[name] = s
-		if config.Customer(name) == nil {
-			s.configure(0, 0, now)
-		}
-	}
 	for i := range config.Customers {
 		c := &config.Customers[i]
-		if after[c.Name] == nil {
-			after[c.Name] = &slot{
-				customer: c.Name,
-				account:  quota.NewAccount(c.Name, r.self, now),
-				overAsks: rate.NewLimiter(overAskRate, overAskBurst),
-			}
+		s := before[c.Name]
+		if s == nil {
+			s = &slot{customer: c.Name, account: quota.NewAccount(now), pool: quota.NewPool(now)}
 		}
-		after[c.Name].configure(c.Rate, c.Burst, now)
+		s.configure(quota.Limit{Rate: c.Rate, Burst: c.Burst}, now)
+		after[c.Name] = s
 	}
 	r.slots.Store(&after)
 }
 
-func (s *slot) configure(perSecond, burst float64, now time.Time) {
+func (s *slot) configure(limit quota.Limit, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rate = perSecond
-	s.account.Configure(perSecond, burst, now)
+	s.account.Configure(limit, now)
+	s.pool.Configure(limit, now)
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -70,14 +70,14 @@
 // Share is the node's part of a customer's rate.
 type Share struct {
 	Customer string `cbor:"1,keyasint" json:"customer"`
-	// Rate is in requests per second.
-	Rate float64 `cbor:"2,keyasint" json:"rate"`
-	// Burst is in requests.
-	Burst float64 `cbor:"3,keyasint" json:"burst"`
-	// Epoch is the version of the row that the part descends from.
-	Epoch uint64 `cbor:"4,keyasint" json:"epoch"`
-	// Confirmed is false when the node may not spend its part.
-	Confirmed bool `cbor:"5,keyasint" json:"confirmed"`
+	// Tokens is the number of requests that the node may admit at once.
+	Tokens float64 `cbor:"2,keyasint" json:"tokens"`
+	// Demand is in requests per second.
+	Demand float64 `cbor:"3,keyasint" json:"demand"`
+	// Own is true while the node uses its own share of the rate, its coordinator being lost.
+	Own bool `cbor:"4,keyasint" json:"own"`
+	// Coordinator is the node that grants the customer's tokens.
+	Coordinator string `cbor:"5,keyasint" json:"coordinator"`
 }
 
 // Peer is another node as the reporting node sees it.
--- a/internal/status/table.go
+++ b/internal/status/table.go
@@ -71,10 +71,10 @@
 }
 
 func writeShares(w io.Writer, reports []Report) {
-	fmt.Fprintln(w, "\nCUSTOMER\tNODE\tRATE/S\tBURST\tEPOCH\tCONFIRMED")
+	fmt.Fprintln(w, "\nCUSTOMER\tNODE\tTOKENS\tDEMAND/S\tOWN SHARE\tCOORDINATOR")
 	for _, r := range reports {
 		for _, s := range r.Shares {
-			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%d\t%s\n", s.Customer, r.Node, s.Rate, s.Burst, s.Epoch, yes(s.Confirmed))
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%s\t%s\n", s.Customer, r.Node, s.Tokens, s.Demand, yes(s.Own), s.Coordinator)
 		}
 	}
 }
