Evidence: fewer status polls where an orderer waits out old evidence

Ruled out: set-up statements (requests without id fell with the polls alone).

Change: under held terms replicas are asked every 250 ms, the primary every 400 ms, and every 20 ms while a request waits; evidence may be 600 ms old.

--- a/internal/owner/evidence/poll.go
+++ b/internal/owner/evidence/poll.go
@@ -11,6 +11,12 @@
 	// IdlePoll is used in groups without recent requests; it stays within Bound, so that
 	// a first request finds evidence.
 	IdlePoll = 400 * time.Millisecond
+	// HeldReplicaPoll and HeldPrimaryPoll are used under Rules.Held, where nothing waits for
+	// the next poll: two replicas asked so often keep evidence within Bound.
+	HeldReplicaPoll = 250 * time.Millisecond
+	HeldPrimaryPoll = 400 * time.Millisecond
+	// HeldWaitPoll is used there while a request waits for a target.
+	HeldWaitPoll = 20 * time.Millisecond
 	// RetryPoll is the pause after a poll that failed, and LongRetryPoll after several.
 	RetryPoll     = 50 * time.Millisecond
 	LongRetryPoll = 500 * time.Millisecond
@@ -24,6 +30,9 @@
 	Waiting bool
 	// Idle is true when no request arrived of late.
 	Idle bool
+	// Held is Rules.Held; Primary is true for the primary's poll.
+	Held    bool
+	Primary bool
 	// Since is the latest time that a waiting claim asks observations from.
 	Since time.Time
 }
@@ -44,6 +53,9 @@
 // A claim that arose after lastSent is served at once; one that an earlier poll didn't
 // satisfy, after FastPoll.
 func NextPoll(lastSent time.Time, demand Demand) time.Time {
+	if demand.Held {
+		return lastSent.Add(heldInterval(demand))
+	}
 	switch {
 	case !demand.Waiting && demand.Idle:
 		return lastSent.Add(IdlePoll)
@@ -55,3 +67,16 @@
 		return lastSent.Add(FastPoll)
 	}
 }
+
+func heldInterval(demand Demand) time.Duration {
+	switch {
+	case demand.Waiting:
+		return HeldWaitPoll
+	case demand.Primary:
+		return HeldPrimaryPoll
+	case demand.Idle:
+		return IdlePoll
+	default:
+		return HeldReplicaPoll
+	}
+}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -56,7 +56,10 @@
 	if m.unreachable() {
 		return evidence.NextRetry(m.failedAt, m.failures)
 	}
-	return evidence.NextPoll(m.lastSent, g.demand())
+	demand := g.demand()
+	demand.Held = g.options.HeldTerms
+	demand.Primary = m.status.Role == target.RolePrimary
+	return evidence.NextPoll(m.lastSent, demand)
 }
 
 // idleAfter is how long a group without requests is polled as if they still came.
