Promotion: no holds without the lease; an owner that can't reach a primary yields the group

Change: an order starts only while the lease is held; targets that only this node misses are asked about before a group counts as orphaned; an owner that peers contradict says so to all and is passed over for 10 s. Links of a process that started again end at once (stateless reset), silent ones after 1 s.

--- a/internal/controller/promotion/model_test.go
+++ b/internal/controller/promotion/model_test.go
@@ -137,7 +137,7 @@
 	case 2, 3:
 		w.replicate(m)
 	case 4:
-		w.groups[g].Answer(w.now, "peer", "elsewhere", w.rand.IntN(3+1) == 0)
+		w.groups[g].Answer(w.now, "peer", "elsewhere", m.name, w.rand.IntN(3+1) == 0)
 	case 5, 6, 7:
 		w.now = w.now.Add(time.Duration((1 + w.rand.IntN(400))) * time.Millisecond)
 		w.poll(g)
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -70,13 +70,14 @@
 	options  Options
 	members  []Member
 	views    map[string]*view
-	answers  map[string]answer // by peer, about the suspected primary
+	answers  map[question]answer
 	asked    time.Time
 	order    order
 	used     uint64    // the highest term ordered here; never ordered again
 	pause    time.Time // no order before
 	orphan   time.Time // since when there is no primary in the highest term
 	enabled  bool
+	allowed  bool
 	timeline Timeline
 	count    Counters
 }
@@ -94,7 +95,8 @@
 	return &Group{
 		options: options,
 		views:   make(map[string]*view),
-		answers: make(map[string]answer),
+		answers: make(map[question]answer),
+		allowed: true,
 	}
 }
 
@@ -110,6 +112,10 @@
 	g.enabled = enabled
 }
 
+// Allow says whether this node could carry an order through at present. Without that it
+// holds no target: an order that can't end in a promotion only stops the group.
+func (g *Group) Allow(allowed bool) { g.allowed = allowed }
+
 // SetMembers replaces the group's targets.
 func (g *Group) SetMembers(members []Member) {
 	g.members = members
@@ -144,9 +150,9 @@
 	v.misses++
 }
 
-// Answer takes a peer's answer to Ask.
-func (g *Group) Answer(now time.Time, peer, domain string, reachable bool) {
-	g.answers[peer] = answer{domain: domain, reachable: reachable, at: now}
+// Answer takes a peer's answer to Ask about the target called name.
+func (g *Group) Answer(now time.Time, peer, domain, name string, reachable bool) {
+	g.answers[question{peer, name}] = answer{domain: domain, reachable: reachable, at: now}
 }
 
 // Primary returns the target that leads the highest term heard of, and that term.
@@ -196,16 +202,16 @@
 func (g *Group) tickIdle(now time.Time) []Action {
 	primary, term := g.Primary()
 	actions := g.follow(now, primary, term)
-	if now.Before(g.pause) {
+	if now.Before(g.pause) || !g.allowed && !g.options.Held {
 		return actions
 	}
 	why, ask := g.reason(now, primary, term)
 	if ask && now.Sub(g.asked) >= AskEvery {
 		g.asked = now
 		g.count.Suspicions++
-		actions = append(actions, Ask{Target: primary})
+		actions = append(actions, g.questions(primary)...)
 	}
-	if why == reasonNone || g.reachable(now) < g.majority() {
+	if why == reasonNone || !g.allowed || g.reachable(now) < g.majority() {
 		return actions
 	}
 	return append(actions, g.start(now, why)...)
@@ -215,14 +221,11 @@
 func (g *Group) reason(now time.Time, primary string, term uint64) (Reason, bool) {
 	top := g.topTerm()
 	if primary == "" || term < top && !g.leads(now, primary) {
-		if since(&g.orphan, now) >= OrphanAfter {
-			return ReasonOrphan, false
-		}
-		return reasonNone, false
+		return g.orphaned(now)
 	}
 	g.orphan = time.Time{}
 	if g.silent(now, primary) {
-		if g.confirmed(now) {
+		if g.confirmed(now, primary) {
 			return ReasonUnreachable, true
 		}
 		return reasonNone, true
@@ -253,12 +256,12 @@
 	return now.Sub(v.heard) >= SuspectAfter && now.Sub(v.missSince) >= SuspectAfter
 }
 
-// confirmed reports whether a node in another failure domain misses the primary too,
-// and none reaches it.
-func (g *Group) confirmed(now time.Time) bool {
+// confirmed reports whether a node in another failure domain misses a target too, and none
+// reaches it.
+func (g *Group) confirmed(now time.Time, name string) bool {
 	outside := false
-	for _, a := range g.answers {
-		if now.Sub(a.at) > AnswerAge {
+	for q, a := range g.answers {
+		if q.target != name || now.Sub(a.at) > AnswerAge {
 			continue
 		}
 		if a.reachable {
--- a/internal/controller/promotion/promotion_test.go
+++ b/internal/controller/promotion/promotion_test.go
@@ -50,7 +50,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Ask:
-			g.Answer(b.w.now, "peer", "d2", reachable)
+			g.Answer(b.w.now, "peer", "d2", a.Target, reachable)
 		case Adopt:
 			m := b.w.target(a.Target)
 			if !m.down {
@@ -171,7 +171,7 @@
 		for _, action := range g.Tick(b.w.now) {
 			switch a := action.(type) {
 			case Ask:
-				g.Answer(b.w.now, "peer", "d2", false)
+				g.Answer(b.w.now, "peer", "d2", a.Target, false)
 			case Adopt:
 				m := target.Status{Term: a.Term, Orderer: g.options.Self}
 				g.Adopted(b.w.now, a.Target, a.Term, m, nil)
--- a/internal/controller/promotion/state.go
+++ b/internal/controller/promotion/state.go
@@ -38,6 +38,12 @@
 	followed  time.Time // last Follow ordered
 }
 
+// question is what was asked of a peer: whether it reaches a target.
+type question struct {
+	peer   string
+	target string
+}
+
 type answer struct {
 	domain    string
 	reachable bool
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -26,6 +26,7 @@
 	n.server.Handle(peer.KindConfig, false, n.exchange.fetch)
 	n.server.Handle(peer.KindShare, false, n.quota.HandleShare)
 	n.server.Handle(peer.KindSuspect, false, n.promotion.HandleSuspect)
+	n.server.Handle(peer.KindUnfit, false, n.handleUnfit)
 	if n.cancel != nil {
 		n.server.Handle(peer.KindCancel, false, n.handleCancel)
 	}
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -130,6 +130,7 @@
 	n.assembleHostedFront(h)
 	n.server = quicpeer.NewServer(n.settings.Node.Name, tls, n.clock, n.owner)
 	n.server.Allow = n.isListed
+	n.server.ResetKey = quicpeer.ResetKeyOf(n.settings.Node.Name, n.settings.Peers.Address)
 	n.handleCalls()
 	return []part{
 		func(ctx context.Context) error { return nodes.Run(ctx, n.selfListed) },
@@ -162,22 +163,32 @@
 	})
 }
 
+// news is what answers to probes carry between hosted nodes.
+type news struct {
+	// Version is how far the node knows the platform's tables.
+	Version uint64 `cbor:"1,keyasint"`
+	// Unfit names the groups that the node can't serve as their owner.
+	Unfit []string `cbor:"2,keyasint,omitempty"`
+}
+
 // copyExchange tells peers how far this node knows the platform's tables, and lets them
 // take copies.
 func copyExchange(n *Node, config *runcatalog.Runner) exchange {
 	return exchange{
 		attach: func() []byte {
-			body, err := cbor.Marshal(config.Version())
+			body, err := cbor.Marshal(news{Version: config.Version(), Unfit: n.owners.unfitGroups()})
 			if err != nil {
 				return nil
 			}
 			return body
 		},
 		heard: func(node string, attached []byte, _ time.Time) {
-			var version uint64
-			if cbor.Unmarshal(attached, &version) != nil {
+			var heard news
+			if cbor.Unmarshal(attached, &heard) != nil {
 				return
 			}
+			n.owners.heardUnfit(node, heard.Unfit)
+			version := heard.Version
 			if m, ok := n.membership.View().Member(node); ok {
 				config.HeardVersion(context.Background(), m.Address, version)
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,6 +243,7 @@
 		Deployment:  s.Node.Deployment,
 		Settle:      evidence.Bound,
 		Held:        n.heldTerms,
+		MayOrder:    n.mayOrder(),
 		Dialer:      n.dialer,
 		Peers:       n.peers,
 		Nodes:       n.otherNodes,
@@ -272,6 +273,17 @@
 	n.owners = newOwners(n)
 }
 
+// mayOrder returns how promotions ask whether this node could order one, nil for always.
+func (n *Node) mayOrder() func(group string) bool {
+	if n.leases == nil {
+		return nil
+	}
+	return func(group string) bool {
+		_, err := n.leases.Fence(group)
+		return err == nil
+	}
+}
+
 // seed draws a seed for pauses and jitter.
 func seed() uint64 { return mathrand.Uint64() }
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -33,13 +33,15 @@
 	node  *Node
 	table atomic.Pointer[ownerTable]
 	lost  map[string]time.Time // former groups, since when
-	// view and config are those that the table was made from.
-	view   *membership.View
-	config *fleet.Config
+	// view, config and changes are those that the table was made from.
+	view    *membership.View
+	config  *fleet.Config
+	changes uint64
+	unfit   *unfitness
 }
 
 func newOwners(n *Node) *owners {
-	o := &owners{node: n, lost: make(map[string]time.Time)}
+	o := &owners{node: n, lost: make(map[string]time.Time), unfit: newUnfitness(n.clock)}
 	o.table.Store(&ownerTable{})
 	return o
 }
@@ -67,8 +69,10 @@
 		return
 	}
 	view := o.node.membership.View()
-	if view != o.view || config != o.config {
-		o.view, o.config = view, config
+	o.noteUnfit(ctx)
+	changes := o.unfit.changes()
+	if view != o.view || config != o.config || changes != o.changes {
+		o.view, o.config, o.changes = view, config, changes
 		o.replace(view, config)
 	}
 	o.releaseLost(ctx)
@@ -86,7 +90,7 @@
 	}
 	table := make(ownerTable, len(config.Groups))
 	for _, g := range config.Groups {
-		name := ownership.Owner(g.Name, homeDomain(g), nodes)
+		name := ownership.Owner(g.Name, homeDomain(g), o.unfit.without(g.Name, nodes))
 		member, _ := view.Member(name)
 		table[g.Name] = place{name: name, address: member.Address}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,7 +18,7 @@
 	KindConfig                  // configuration: fetch a version's body
 	KindShare                   // quota: parts of a customer's rate
 	KindSuspect                 // promotion: ask another failure domain's view of a target
-	KindRelease                 // owner: ask a former owner to let go of a group
+	KindUnfit                   // ownership: the groups that a node can't serve
 	KindCancel                  // entry: cancel a caller's running statement
 	KindStatus                  // cli: a node's status
 )
--- a/internal/peer/quicpeer/ephemeral.go
+++ b/internal/peer/quicpeer/ephemeral.go
@@ -4,11 +4,14 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"math/big"
 	"time"
+
+	"github.com/quic-go/quic-go"
 )
 
 // ephemeralLife is how long a certificate made at start is valid.
@@ -42,3 +45,10 @@
 		NextProtos:         []string{protocol},
 	}, nil
 }
+
+// ResetKeyOf returns a reset key that every process of a node derives alike. Who knows it
+// can end links, not read or join them.
+func ResetKeyOf(node, address string) *quic.StatelessResetKey {
+	key := quic.StatelessResetKey(sha256.Sum256([]byte("crocusyoke reset " + node + " " + address)))
+	return &key
+}
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -18,9 +18,9 @@
 // Limits of one connection.
 const (
 	// IdleTimeout is how long a connection may stay silent.
-	IdleTimeout = 1500 * time.Millisecond
+	IdleTimeout = time.Second
 	// KeepAlive is the pause between two probes of a quiet connection.
-	KeepAlive = 400 * time.Millisecond
+	KeepAlive = 300 * time.Millisecond
 	// handshakeTimeout bounds the opening of a connection.
 	handshakeTimeout = 2 * time.Second
 	// maxStreams is the most streams that a peer may have open at once.
@@ -49,7 +49,10 @@
 	self string
 	// Allow reports whether the node called name may connect from an IP address; nil means
 	// always. Set it before Serve where certificates prove nothing.
-	Allow    func(name, ip string) bool
+	Allow func(name, ip string) bool
+	// ResetKey lets a node that starts again end the connections of its former process at
+	// once; nil where the next process can't know the key.
+	ResetKey *quic.StatelessResetKey
 	tls      *tls.Config
 	clock    clock.Clock
 	sessions request.Handler
@@ -87,7 +90,7 @@
 
 // Serve accepts connections on packets until ctx ends, then waits for what runs.
 func (s *Server) Serve(ctx context.Context, packets net.PacketConn) error {
-	transport := &quic.Transport{Conn: packets}
+	transport := &quic.Transport{Conn: packets, StatelessResetKey: s.ResetKey}
 	listener, err := transport.Listen(s.tls, quicConfig())
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -36,6 +36,9 @@
 	// margin is how much earlier than its end the holder stops acting, and how much later
 	// another node takes the lease over.
 	margin = 500 * time.Millisecond
+	// lookEvery is the longest pause between two looks at another holder's lease, which it
+	// may give up.
+	lookEvery = 1500 * time.Millisecond
 	// retryEvery is the pause after a call that failed.
 	retryEvery = 500 * time.Millisecond
 )
@@ -223,7 +226,7 @@
 func (k *Keeper) waitFor(l *lease, now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(retryEvery, l.seenAt.Add(Length+2*margin).Sub(now))
+	return min(lookEvery, max(retryEvery, l.seenAt.Add(Length+2*margin).Sub(now)))
 }
 
 func (k *Keeper) settle(l *lease, until time.Time, fence uint64) {
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -54,8 +54,11 @@
 	// Settle and Held are passed to the controller.
 	Settle time.Duration
 	Held   bool
-	Dialer target.Dialer
-	Peers  peer.Caller
+	// MayOrder reports whether this node could have a target of the group promoted now; nil
+	// for always.
+	MayOrder func(group string) bool
+	Dialer   target.Dialer
+	Peers    peer.Caller
 	// Nodes returns the other nodes that are not known to be dead.
 	Nodes func() []platform.VM
 	// Table holds the groups' rows and the objects of their audit trails.
@@ -140,6 +143,15 @@
 	return ""
 }
 
+// Unfit reports whether another node should own the group: this one can't reach a target
+// that may lead, and a peer can.
+func (r *Runner) Unfit(name string) bool {
+	g := r.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Unfit(r.options.Clock.Now())
+}
+
 // Timeline returns the instants of the group's newest promotion by this node.
 func (r *Runner) Timeline(name string) promotion.Timeline {
 	g := r.group(name)
@@ -195,6 +207,9 @@
 	g.mu.Lock()
 	g.members = members(listed)
 	g.core.SetMembers(g.members)
+	if r.options.MayOrder != nil {
+		g.core.Allow(r.options.MayOrder(g.name))
+	}
 	before := g.core.Phase()
 	actions := g.core.Tick(r.options.Clock.Now())
 	after := g.core.Phase()
--- a/internal/run/promotion/suspect.go
+++ b/internal/run/promotion/suspect.go
@@ -59,7 +59,7 @@
 	request := SuspectRequest{Group: g.name, Target: name, Address: r.address(g, name)}
 	voters, lone := r.voters()
 	if len(voters) == 0 {
-		r.answer(g, r.options.Self, "elsewhere", r.reach(ctx, request.login()))
+		r.answer(g, r.options.Self, "elsewhere", name, r.reach(ctx, request.login()))
 		return
 	}
 	for _, vm := range voters {
@@ -81,13 +81,13 @@
 	if err := r.options.Peers.Call(ctx, vm.Address, peer.KindSuspect, request, &reply); err != nil {
 		return
 	}
-	r.answer(g, vm.Name, domain, reply.Reachable)
+	r.answer(g, vm.Name, domain, request.Target, reply.Reachable)
 }
 
-func (r *Runner) answer(g *group, peerName, domain string, reachable bool) {
+func (r *Runner) answer(g *group, peerName, domain, targetName string, reachable bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.Answer(r.options.Clock.Now(), peerName, domain, reachable)
+	g.core.Answer(r.options.Clock.Now(), peerName, domain, targetName, reachable)
 }
 
 // voters returns the nodes to ask. lone is true when every node is in this node's
