Gaps without a primary: refused at once with the time to come back

Change: owner/gap expects a gap's end from the last ones; who can't outlast it is refused at once with the time to come back, the others wait. Tokens of a customer are waited for up to 0.2 s by as many requests as tokens are likely to come for.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -71,6 +71,9 @@
 	// demand is in requests per second, as of demandAt.
 	demand   float64
 	demandAt time.Time
+	// income is in tokens granted per second, as of incomeAt.
+	income   float64
+	incomeAt time.Time
 }
 
 // NewAccount returns an Account without tokens.
@@ -236,9 +239,24 @@
 }
 
 // Granted takes the coordinator's answer to a report.
-func (a *Account) Granted(tokens float64) {
+func (a *Account) Granted(tokens float64, now time.Time) {
 	a.unheard = 0
 	a.tokens += tokens
+	a.income = a.Income(now) + tokens/demandMemory.Seconds()
+	a.incomeAt = now
+}
+
+// Income returns the tokens per second that came of late, or that the node's own share
+// brings.
+func (a *Account) Income(now time.Time) float64 {
+	if a.own {
+		return a.limit.Rate * a.share
+	}
+	passed := now.Sub(a.incomeAt)
+	if passed <= 0 {
+		return a.income
+	}
+	return a.income * math.Exp(-passed.Seconds()/demandMemory.Seconds())
 }
 
 // Unheard notes that a report brought no answer.
--- a/internal/filter/retry/retry.go
+++ b/internal/filter/retry/retry.go
@@ -86,7 +86,7 @@
 			return resp, nil
 		}
 		refusal := request.AsRefusal(err)
-		if !safe(kind, refusal) || !f.wait(ctx, req, backoff) {
+		if !safe(kind, refusal) || refusal.RetryAfter > MaxBackoff || !f.wait(ctx, req, backoff) {
 			return nil, err
 		}
 		if refusal.Code == request.CodeReplicaWrite {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,6 +265,7 @@
 		Split:           s.Policy.Split,
 		HeldTerms:       n.heldTerms,
 		AllConnections:  n.heldTerms,
+		RefuseInGap:     n.heldTerms,
 		Idempotent:      runIdempotent,
 		IdempotentBegin: runIdempotentBegin,
 		Observe:         n.promotion.Observe,
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -8,6 +8,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/evidence"
+	"crocusyoke/internal/owner/gap"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
 )
@@ -26,6 +27,7 @@
 	members    []*member
 	candidates []choose.Candidate
 	evidence   *evidence.Group
+	gap        *gap.Gap
 	claims     []*claimWaiter
 	// waiting counts requests that wait for a target.
 	waiting   int
@@ -53,6 +55,7 @@
 		ctx:      ctx,
 		stop:     stop,
 		evidence: evidence.New(nil, evidence.Rules{Held: m.options.HeldTerms}),
+		gap:      gap.New(m.options.Clock.Now()),
 		changed:  make(chan struct{}),
 		sessions: make(map[string]*transaction),
 		lastUsed: m.options.Clock.Now(),
@@ -276,6 +279,7 @@
 // notePrimary logs a change of primary. g.mu is held.
 func (g *group) notePrimary(now time.Time) {
 	name, term, ok := g.evidence.Primary(now)
+	g.gap.Note(now, ok)
 	if !ok || (name == g.primary && term == g.term) {
 		return
 	}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -73,6 +73,9 @@
 	// AllConnections lets an owner use all of a target's connections at once, where the
 	// target itself refuses one too many and says so.
 	AllConnections bool
+	// RefuseInGap refuses requests at once that need a primary when none can be expected in
+	// their time; else they wait for Times.PrimaryWait.
+	RefuseInGap bool
 	// Split is the number of nodes that each talk to every target with an even part of
 	// its slots and connections, for the baseline without owners; 0 for owners.
 	Split int
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -24,22 +24,38 @@
 			g.mu.Unlock()
 			return nil
 		}
-		wait := answer.Wait
+		wait, retryAfter := answer.Wait, time.Duration(0)
 		if wait <= 0 {
-			wait = g.options.Times.PrimaryWait - now.Sub(r.began)
+			wait, retryAfter = g.primaryWait(ctx, now, r)
 		}
 		if refusal := g.mayWait(ctx, wait); refusal != nil {
 			g.mu.Unlock()
-			return refusal
+			return refusal.After(retryAfter)
 		}
 		g.awaitChange(ctx, wait)
 	}
 }
 
+// primaryWait returns how long the request may wait for a primary, or after how long it may
+// come back. g.mu is held.
+func (g *group) primaryWait(ctx context.Context, now time.Time, r *run) (wait, retryAfter time.Duration) {
+	most := g.options.Times.PrimaryWait - now.Sub(r.began)
+	if !g.options.RefuseInGap {
+		return most, 0
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(most)
+	}
+	wait, retryAfter = g.gap.Wait(now, deadline)
+	return min(wait, most), retryAfter
+}
+
 // choose asks for a target. g.mu is held.
 func (g *group) choose(now time.Time, r *run) choose.Answer {
 	g.refresh()
 	primary, term, ok := g.evidence.Primary(now)
+	g.gap.Note(now, ok)
 	if r.req.TokenKnown && r.req.Token.Term > term {
 		ok = false
 	}
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -144,7 +144,7 @@
 		if err != nil {
 			s.account.Unheard()
 		} else {
-			s.account.Granted(granted[i])
+			s.account.Granted(granted[i], r.now())
 		}
 		s.mu.Unlock()
 	}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -120,11 +120,12 @@
 
 const (
 	// patience is how long Admit waits for tokens.
-	patience = 60 * time.Millisecond
+	patience = 200 * time.Millisecond
 	// retakeEvery is the pause between two looks for one.
 	retakeEvery = 10 * time.Millisecond
-	// maxWaiting bounds the requests of one customer that wait in Admit.
-	maxWaiting = 32
+	// minWaiting is how many requests of one customer may wait in Admit at least, whatever
+	// tokens have come of late.
+	minWaiting = 2
 	// startWait is proposed for a customer that no configuration in force here names.
 	startWait = 100 * time.Millisecond
 )
@@ -137,7 +138,7 @@
 		return false, startWait
 	}
 	ok, retryAfter = r.take(s, (*quota.Account).Take)
-	if ok || s.waiting.Load() >= maxWaiting {
+	if ok || float64(s.waiting.Load()) >= r.mayWait(s) {
 		return ok, retryAfter
 	}
 	s.waiting.Add(1)
@@ -152,6 +153,15 @@
 	return ok, retryAfter
 }
 
+// mayWait returns how many requests may wait for tokens: as many as are likely to get one
+// within patience. Those of a customer that asks for much more than its rate are refused at
+// once.
+func (r *Runner) mayWait(s *slot) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minWaiting, s.account.Income(r.now())*patience.Seconds())
+}
+
 // Status is one customer's part for people.
 type Status struct {
 	Customer string  `json:"customer" cbor:"1,keyasint"`
