Quota: a customer over its rate is refused at once

Cause: callers of a customer over its limit waited 0.2 s for a token and were late. Change: after 0.5 s of short grants nobody waits.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -74,6 +74,10 @@
 	// income is in tokens granted per second, as of incomeAt.
 	income   float64
 	incomeAt time.Time
+	// asked is what the last report asked for; shortSince is since when the coordinator has
+	// granted less than half of that.
+	asked      float64
+	shortSince time.Time
 }
 
 // NewAccount returns an Account without tokens.
@@ -221,6 +225,7 @@
 		a.tokens -= r.Returned
 	}
 	r.Held = a.tokens
+	a.asked = r.Wanted - r.Held
 	if a.mayLend(lender, now) {
 		r.Lent = true
 		a.lentUntil = now.Add(LoanTerm + LoanSlack)
@@ -244,6 +249,22 @@
 	a.tokens += tokens
 	a.income = a.Income(now) + tokens/demandMemory.Seconds()
 	a.incomeAt = now
+	switch {
+	case a.asked < 1 || tokens >= a.asked/2:
+		a.shortSince = time.Time{}
+	case a.shortSince.IsZero():
+		a.shortSince = now
+	}
+}
+
+// overAfter is how long the coordinator must have granted too little before the customer
+// counts as over its rate.
+const overAfter = 500 * time.Millisecond
+
+// Over reports whether the customer asks for more than its rate: to wait for tokens then
+// only makes late what could be refused at once.
+func (a *Account) Over(now time.Time) bool {
+	return !a.shortSince.IsZero() && now.Sub(a.shortSince) > overAfter
 }
 
 // Income returns the tokens per second that came of late, or that the node's own share
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -159,6 +159,9 @@
 func (r *Runner) mayWait(s *slot) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.account.Over(r.now()) {
+		return 0
+	}
 	return max(minWaiting, s.account.Income(r.now())*patience.Seconds())
 }
 
