Promotion: a dark primary is asked about from the first missed poll on

Change: under held terms peers are asked at the first miss, polls take 0.3 s at most, evidence is 0.5 s old at most.

--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -14,6 +14,8 @@
 	SuspectAfter = 700 * time.Millisecond
 	// SuspectMisses is the number of polls in a row that must have failed by then.
 	SuspectMisses = 2
+	// HeldSuspectAfter is SuspectAfter where peers are asked from the first missed poll on.
+	HeldSuspectAfter = 500 * time.Millisecond
 	// AskEvery is the pause between two rounds of questions to peers.
 	AskEvery = 300 * time.Millisecond
 	// AnswerAge bounds the age of a peer's answer that counts.
@@ -230,6 +232,9 @@
 		}
 		return reasonNone, true
 	}
+	if g.options.Held && g.views[primary].misses > 0 {
+		return reasonNone, true
+	}
 	clear(g.answers)
 	if g.stall(now, primary) {
 		return ReasonCutOff, false
@@ -253,6 +258,9 @@
 	if v.misses < SuspectMisses {
 		return false
 	}
+	if g.options.Held {
+		return now.Sub(v.heard) >= HeldSuspectAfter
+	}
 	return now.Sub(v.heard) >= SuspectAfter && now.Sub(v.missSince) >= SuspectAfter
 }
 
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -28,7 +28,7 @@
 
 // Bound is how long an observation may be used. An orderer waits as long between
 // adopting a term on a majority and promoting.
-const Bound = 600 * time.Millisecond
+const Bound = 500 * time.Millisecond
 
 // Verdict is what is known of a claim.
 type Verdict uint8
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -82,7 +82,7 @@
 // poll asks once and returns the control connection to use next, nil after a failure.
 func (m *member) poll(ctx context.Context, login target.Login, control target.Control) target.Control {
 	g := m.group
-	ctx, cancel := context.WithTimeout(ctx, target.ControlTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.controlTimeout())
 	defer cancel()
 	var err error
 	sentAt := g.now()
@@ -110,6 +110,14 @@
 	return control
 }
 
+// controlTimeout bounds one poll.
+func (g *group) controlTimeout() time.Duration {
+	if g.options.HeldTerms {
+		return target.HeldControlTimeout
+	}
+	return target.ControlTimeout
+}
+
 func (m *member) noteSent(sentAt time.Time) {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
--- a/internal/run/promotion/suspect.go
+++ b/internal/run/promotion/suspect.go
@@ -43,7 +43,11 @@
 }
 
 func (r *Runner) reach(ctx context.Context, login target.Login) bool {
-	ctx, cancel := context.WithTimeout(ctx, target.ControlTimeout)
+	timeout := target.ControlTimeout
+	if r.options.Held {
+		timeout = target.HeldControlTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	control, err := r.options.Dialer.Control(ctx, login)
 	if err != nil {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -158,4 +158,7 @@
 	RequestsTable = "crocusyoke_requests"
 	// ControlTimeout bounds one control call that has no earlier deadline.
 	ControlTimeout = 400 * time.Millisecond
+	// HeldControlTimeout is the same for targets under held terms, whose status is one short
+	// line.
+	HeldControlTimeout = 300 * time.Millisecond
 )
