Planned stops: callers are served until the balancer knows; loans end at once

Change: drain plans; where a balancer asks for readiness callers are taken for 2.3 s more. A lender that changes its coordinator takes its share back from the former one with one call. Quota changes are logged once a node.

--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -39,16 +39,52 @@
 	return names[min(s, Exit)]
 }
 
-// Most time of each step but Finish, which gets what is left.
+// Stage is a step with the most time that it takes; Finish gets what is left.
+type Stage struct {
+	Step Step
+	For  time.Duration
+}
+
+// Plan is the order of a stop.
+type Plan []Stage
+
 const (
-	announceFor  = time.Second
-	acceptFor    = 500 * time.Millisecond
-	settleFor    = 1500 * time.Millisecond
 	handOverFor  = 3 * time.Second
-	reservedFor  = announceFor + acceptFor + settleFor + 2*handOverFor
 	minFinishFor = time.Second
 )
 
+// Listed is the plan where callers learn from the platform's list of VMs which nodes to
+// use: no caller is taken any more from the start.
+var Listed = Plan{
+	{Announce, time.Second},
+	{StopAccepting, 500 * time.Millisecond},
+	{Settle, 1500 * time.Millisecond},
+	{Finish, 0},
+	{HandOverShares, handOverFor},
+	{HandOverGroups, handOverFor},
+}
+
+// Asked is the plan where a balancer asks the node whether it is ready, once a second, and
+// goes on to send callers until two answers in a row say that it is not. They are served
+// until then.
+var Asked = Plan{
+	{Announce, 300 * time.Millisecond},
+	{Settle, 2300 * time.Millisecond},
+	{StopAccepting, 100 * time.Millisecond},
+	{Finish, 0},
+	{HandOverShares, 300 * time.Millisecond},
+	{HandOverGroups, 500 * time.Millisecond},
+}
+
+// reserved returns the time of all stages but Finish.
+func (p Plan) reserved() time.Duration {
+	var sum time.Duration
+	for _, stage := range p {
+		sum += stage.For
+	}
+	return sum
+}
+
 // Order is a step to run until its deadline.
 type Order struct {
 	Step     Step
@@ -65,6 +101,8 @@
 
 // Controller is one stop. It is not safe for concurrent use.
 type Controller struct {
+	plan     Plan
+	stage    int
 	end      time.Time
 	scale    float64
 	current  Order
@@ -74,22 +112,18 @@
 
 // Begin starts a stop at now that ends within limit. If limit is too short for all
 // steps, each gets its proportion.
-func Begin(limit time.Duration, now time.Time) *Controller {
-	c := &Controller{end: now.Add(limit), scale: 1, beganAt: now}
-	if need := reservedFor + minFinishFor; limit < need {
+func Begin(plan Plan, limit time.Duration, now time.Time) *Controller {
+	c := &Controller{plan: plan, end: now.Add(limit), scale: 1, beganAt: now}
+	if need := plan.reserved() + minFinishFor; limit < need {
 		c.scale = float64(limit) / float64(need)
 	}
-	c.current = Order{Step: Announce, Deadline: now.Add(c.limit(Announce))}
+	c.current = Order{Step: plan[0].Step, Deadline: now.Add(c.limit(0))}
 	return c
 }
 
-// limit returns the most time that a step takes; zero for those without one.
-func (c *Controller) limit(s Step) time.Duration {
-	limits := map[Step]time.Duration{
-		Announce: announceFor, StopAccepting: acceptFor, Settle: settleFor,
-		HandOverShares: handOverFor, HandOverGroups: handOverFor,
-	}
-	return time.Duration(float64(limits[s]) * c.scale)
+// limit returns the most time that a stage takes; zero for Finish.
+func (c *Controller) limit(stage int) time.Duration {
+	return time.Duration(float64(c.plan[stage].For) * c.scale)
 }
 
 // Current returns the step to run. Exit has no work.
@@ -102,19 +136,23 @@
 	}
 	c.outcomes = append(c.outcomes, Outcome{Step: c.current.Step, Took: now.Sub(c.beganAt), Err: err})
 	c.beganAt = now
-	next := c.current.Step + 1
-	c.current = Order{Step: next, Deadline: c.deadline(next, now)}
+	c.stage++
+	if c.stage == len(c.plan) {
+		c.current = Order{Step: Exit, Deadline: c.end}
+		return c.current
+	}
+	c.current = Order{Step: c.plan[c.stage].Step, Deadline: c.deadline(now)}
 	return c.current
 }
 
-// deadline keeps, for the steps after s, the time that they may take.
-func (c *Controller) deadline(s Step, now time.Time) time.Time {
+// deadline keeps, for the stages after the present one, the time that they may take.
+func (c *Controller) deadline(now time.Time) time.Time {
 	latest := c.end
-	for later := s + 1; later < Exit; later++ {
+	for later := c.stage + 1; later < len(c.plan); later++ {
 		latest = latest.Add(-c.limit(later))
 	}
-	own := now.Add(c.limit(s))
-	if s == Finish || s == Exit || own.After(latest) {
+	own := now.Add(c.limit(c.stage))
+	if c.plan[c.stage].Step == Finish || own.After(latest) {
 		return latest
 	}
 	return own
--- a/internal/controller/drain/drain_test.go
+++ b/internal/controller/drain/drain_test.go
@@ -13,7 +13,7 @@
 // run runs every step to its deadline, or for a moment if it is not slow, and returns
 // when each began.
 func run(limit time.Duration, slow func(Step) bool) (began map[Step]time.Duration, end time.Duration) {
-	c, now := Begin(limit, start), start
+	c, now := Begin(Listed, limit, start), start
 	began = map[Step]time.Duration{}
 	for o := c.Current(); o.Step != Exit; {
 		began[o.Step] = now.Sub(start)
@@ -30,7 +30,7 @@
 
 // everyStepHasTime reports whether each step has time also if all before it hang.
 func everyStepHasTime(limit time.Duration) bool {
-	c, now := Begin(limit, start), start
+	c, now := Begin(Listed, limit, start), start
 	for o := c.Current(); o.Step != Exit; o = c.Done(context.DeadlineExceeded, now) {
 		if !o.Deadline.After(now) {
 			return false
@@ -54,12 +54,34 @@
 }
 
 func TestOrder(t *testing.T) {
-	c := Begin(20*time.Second, start)
+	c := Begin(Listed, 20*time.Second, start)
 	for want := Announce; want < Exit; want++ {
 		must.Eq(t, want, c.Current().Step)
 		c.Done(nil, start)
 	}
 	must.Eq(t, Exit, c.Done(nil, start).Step)
 	must.Len(t, int(Exit), c.Outcomes())
-	must.Eq(t, 20*time.Second-2*handOverFor, Begin(20*time.Second, start).deadline(Finish, start).Sub(start))
+	c = Begin(Listed, 20*time.Second, start)
+	for c.Current().Step != Finish {
+		c.Done(nil, start)
+	}
+	must.Eq(t, 20*time.Second-2*handOverFor, c.Current().Deadline.Sub(start))
+}
+
+// TestAskedServesUntilTheBalancerKnows: callers are taken for two rounds of the balancer's
+// questions, and every step has time within the platform's bound.
+func TestAskedServesUntilTheBalancerKnows(t *testing.T) {
+	const limit = 4800 * time.Millisecond
+	c, now := Begin(Asked, limit, start), start
+	order := map[Step]int{}
+	for o := c.Current(); o.Step != Exit; o = c.Done(nil, now) {
+		order[o.Step] = len(order)
+		must.True(t, o.Deadline.After(now))
+		if o.Step == StopAccepting {
+			must.GreaterEq(t, 2*time.Second, now.Sub(start))
+		}
+		now = o.Deadline
+	}
+	must.Less(t, order[StopAccepting], order[Settle])
+	must.LessEq(t, limit, now.Sub(start))
 }
--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -51,6 +51,9 @@
 	Returned float64 `cbor:"4,keyasint,omitempty"`
 	// Lent is true if the node lends its share for LoanTerm.
 	Lent bool `cbor:"5,keyasint,omitempty"`
+	// TakenBack is true if the node ends an earlier loan with this report: once it is
+	// answered the coordinator counts the share no more.
+	TakenBack bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Account is one customer's tokens on one node.
@@ -234,6 +237,24 @@
 	return r
 }
 
+// LentElsewhere reports whether the share is lent to a former coordinator, lender.
+func (a *Account) LentElsewhere(lender string, now time.Time) bool {
+	return lender != "" && lender != a.coordinator && now.Before(a.lentUntil)
+}
+
+// TakeBack returns the report to a former coordinator that ends the loan to it.
+func (a *Account) TakeBack(customer string, now time.Time) Report {
+	a.tick(now)
+	a.asked = 0
+	return Report{Customer: customer, Held: a.tokens, Wanted: a.Wanted(now), TakenBack: true}
+}
+
+// TakenBack notes that the former coordinator has answered TakeBack.
+func (a *Account) TakenBack(now time.Time) {
+	a.lentUntil = now
+	a.tick(now)
+}
+
 // mayLend reports whether the share is free to be lent: it was last lent to the same
 // coordinator, or to none that still counts it.
 func (a *Account) mayLend(lender string, now time.Time) bool {
--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -76,6 +76,11 @@
 	n := w.nodes[i]
 	to := w.nodes[n.believes].name
 	n.account.SetCoordinator(to)
+	if n.account.LentElsewhere(n.lender, w.now) && rapid.Bool().Draw(w.t, "take back") {
+		former := slices.IndexFunc(w.nodes, func(f *worldNode) bool { return f.name == n.lender })
+		w.messages = append(w.messages, message{from: i, to: former, report: n.account.TakeBack("c", w.now), until: w.now.Add(LoanSlack)})
+		return
+	}
 	r := n.account.Report("c", n.lender, false, w.now)
 	if r.Lent {
 		n.lender = to
@@ -98,6 +103,9 @@
 		return
 	}
 	from.account.Granted(granted, w.now)
+	if m.report.TakenBack && from.lender == to.name {
+		from.account.TakenBack(w.now)
+	}
 }
 
 // round has every node ask for what it can get, and spend it.
--- a/internal/controller/quota/pool.go
+++ b/internal/controller/quota/pool.go
@@ -80,8 +80,11 @@
 	}
 	h.held = r.Held
 	h.heardAt = now
-	if r.Lent {
+	switch {
+	case r.Lent:
 		h.lentUntil = now.Add(LoanTerm)
+	case r.TakenBack:
+		h.lentUntil = earlier(h.lentUntil, now)
 	}
 	p.tokens += r.Returned
 	p.fill(now)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -7,9 +7,6 @@
 	"crocusyoke/internal/controller/drain"
 )
 
-// settleFor is how long peers may take to send new work elsewhere.
-const settleFor = 1500 * time.Millisecond
-
 // stop ends the node so that no request is cut, in the order that the drain controller
 // gives.
 func (n *Node) stop(ctx context.Context) {
@@ -21,7 +18,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	callers := make(chan error, 1)
-	control := drain.Begin(limit, n.clock.Now())
+	control := drain.Begin(n.drainPlan(), limit, n.clock.Now())
 	for order := control.Current(); order.Step != drain.Exit; {
 		err := n.step(ctx, order, callers)
 		order = control.Done(err, n.clock.Now())
@@ -31,6 +28,13 @@
 	}
 }
 
+func (n *Node) drainPlan() drain.Plan {
+	if n.hosted() {
+		return drain.Asked
+	}
+	return drain.Listed
+}
+
 // step runs one step until its deadline. callers gets the outcome of the callers' end.
 func (n *Node) step(stop context.Context, order drain.Order, callers chan error) error {
 	ctx, cancel := context.WithDeadline(stop, order.Deadline)
@@ -41,7 +45,8 @@
 	case drain.StopAccepting:
 		go func() { callers <- n.front.Drain(stop) }()
 	case drain.Settle:
-		return n.clock.Sleep(ctx, settleFor)
+		<-ctx.Done()
+		return nil
 	case drain.Finish:
 		select {
 		case err := <-callers:
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -89,15 +89,23 @@
 	now := r.now()
 	batches := make(map[string][]*slot)
 	urgent := make(map[string]bool)
+	changed := 0
 	for _, s := range *r.slots.Load() {
 		s.mu.Lock()
 		name := s.coordinator
+		if s.account.LentElsewhere(s.lender, now) && !s.lost {
+			name = s.lender
+		}
 		hungry := s.account.Hungry(now)
-		r.noteOwn(s, now)
+		if own := s.account.Own(now); own != s.own {
+			s.own = own
+			changed++
+		}
 		s.mu.Unlock()
 		batches[name] = append(batches[name], s)
 		urgent[name] = urgent[name] || hungry
 	}
+	r.noteOwn(changed)
 	for name, batch := range batches {
 		if name != "" && r.begin(name, urgent[name], now) {
 			r.wait.Go(func() { r.send(ctx, name, batch) })
@@ -105,15 +113,20 @@
 	}
 }
 
-// noteOwn logs that the node uses its own share, or lends it again. s.mu is held.
-func (r *Runner) noteOwn(s *slot, now time.Time) {
-	own := s.account.Own(now)
-	if own == s.own {
+// noteOwn logs that the node uses its own share of some customers' rates, or lends it again.
+func (r *Runner) noteOwn(changed int) {
+	if changed == 0 {
 		return
 	}
-	s.own = own
-	count("own_share")
-	_ = r.o.Logger.Log("event", "quota", "customer", s.customer, "own_share", own, "coordinator", s.coordinator)
+	own, coordinators := 0, make(map[string]bool)
+	for _, s := range *r.slots.Load() {
+		coordinators[s.coordinator] = true
+		if s.own {
+			own++
+		}
+	}
+	Counters.Add("own_share", int64(changed))
+	_ = r.o.Logger.Log("event", "quota", "changed", changed, "own_share", own, "coordinators", len(coordinators))
 }
 
 // begin reports whether a message to the coordinator is due, and marks it as under way.
@@ -143,9 +156,13 @@
 		s.mu.Lock()
 		if err != nil {
 			s.account.Unheard()
+			s.lost = s.lost || reports[i].TakenBack
 		} else {
 			s.account.Granted(granted[i], r.now())
 		}
+		if err == nil && reports[i].TakenBack {
+			s.account.TakenBack(r.now())
+		}
 		s.mu.Unlock()
 	}
 	if err != nil {
@@ -161,9 +178,13 @@
 	reports := make([]quota.Report, len(batch))
 	for i, s := range batch {
 		s.mu.Lock()
-		reports[i] = s.account.Report(s.customer, s.lender, leaving, now)
+		if name == s.coordinator {
+			reports[i] = s.account.Report(s.customer, s.lender, leaving, now)
+		} else {
+			reports[i] = s.account.TakeBack(s.customer, now)
+		}
 		if reports[i].Lent {
-			s.lender = name
+			s.lender, s.lost = name, false
 		}
 		s.mu.Unlock()
 	}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -47,6 +47,8 @@
 	pool *quota.Pool
 	// lender is the coordinator that the share was last lent to.
 	lender string
+	// lost is true if the lender did not answer when the share was taken back.
+	lost bool
 	// coordinator is the one in the View seen.
 	coordinator string
 	seen        *membership.View
