Whole path against the stand-ins; ready only when every customer and group is known

Cause: TestWholePath, first run: every statement in the first 50 ms after a configuration was refused as over the rate: its customers were taken in at the quota's next tick. On the platform this hit each new customer and each restart.

Change: a new configuration is taken in at once; a node is ready only when it knows every customer and every group's owner.

Seen to fail: TestWholePath before the change (ERROR BUSY in place of COMPLETE).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -305,7 +305,10 @@
 	for _, p := range parts {
 		group.Go(func() error { return p(run) })
 	}
-	n.config.Subscribe(func(*fleet.Config) { n.front.Sweep() })
+	n.config.Subscribe(func(*fleet.Config) {
+		n.quota.Kick()
+		n.front.Sweep()
+	})
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -55,6 +55,21 @@
 	return p.address, p.name == o.node.settings.Node.Name, ok && p.name != ""
 }
 
+// complete reports whether every group of the configuration in force has a known owner.
+func (o *owners) complete() bool {
+	config := o.node.config.Current()
+	if config == nil {
+		return false
+	}
+	table := *o.table.Load()
+	for _, g := range config.Groups {
+		if table[g.Name].name == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // run follows membership, configuration and primaries.
 func (o *owners) run(ctx context.Context) error {
 	for o.node.clock.Sleep(ctx, ownersEvery) == nil {
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -30,10 +30,10 @@
 func (n *Node) hosted() bool { return n.leases != nil }
 
 // ready reports whether the node can serve callers: it has a fresh configuration, and the
-// platform lists it.
+// platform lists it, and it knows every customer and every group's owner.
 func (n *Node) ready() bool {
 	if n.draining() || n.config.Version() == 0 || !n.config.Fresh() {
 		return false
 	}
-	return n.membership.View().SelfListed
+	return n.membership.View().SelfListed && n.quota.Serves() && n.owners.complete()
 }
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -112,14 +112,34 @@
 	hungry := s.account.Hungry(now)
 	s.mu.Unlock()
 	if hungry {
-		select {
-		case r.kick <- struct{}{}:
-		default:
-		}
+		r.Kick()
 	}
 	return ok, retryAfter
 }
 
+// Kick has the Runner look at once for what is due, such as a new configuration.
+func (r *Runner) Kick() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Serves reports whether the customers of the configuration in force are known here.
+func (r *Runner) Serves() bool {
+	config := r.o.Config.Current()
+	if config == nil {
+		return false
+	}
+	all := *r.slots.Load()
+	for i := range config.Customers {
+		if all[config.Customers[i].Name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 const (
 	// patience is how long Admit waits for tokens.
 	patience = 200 * time.Millisecond
