--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -149,25 +149,29 @@
 	return nil
 }
 
-// follow keeps one table up to date.
+// follow keeps one table up to date. Only a feed that answered ends the back-off: a store
+// that has forgotten its history may go on to give copies that are too old to follow from.
 func (r *Runner) follow(ctx context.Context, name string, t *table) {
 	backoff := backoffMin
 	whole := true
 	lost := false
 	for ctx.Err() == nil {
 		var err error
-		if whole {
+		reading := whole
+		if reading {
 			err = r.read(ctx, name, t)
 		} else {
 			err = r.followOnce(ctx, name, t)
 		}
-		whole = err != nil && (whole || platform.ErrHistory.Has(err))
+		whole = err != nil && (reading || platform.ErrHistory.Has(err))
 		if lost != (err != nil) {
 			lost = err != nil
 			_ = r.o.Logger.Log("event", "feed", "table", name, "lost", lost, "err", err)
 		}
-		if err == nil || platform.ErrHistory.Has(err) {
-			backoff = backoffMin
+		if err == nil {
+			if !reading {
+				backoff = backoffMin
+			}
 			continue
 		}
 		r.Counts.Add("feed_errors", 1)
--- /dev/null
+++ b/internal/run/register/register_test.go
@@ -0,0 +1,123 @@
+package register
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/clock"
+	"crocusyoke/internal/platform"
+	"crocusyoke/internal/platform/platformtest"
+)
+
+// table adds deletions to the fake platform.
+type table struct {
+	*platformtest.Fake
+	mu      sync.Mutex
+	deleted []string
+}
+
+func (t *table) Delete(_ context.Context, key string, _ uint64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.deleted = append(t.deleted, key)
+	return nil
+}
+
+func (t *table) keys() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.deleted)
+}
+
+func node(store *table, name, address string, gone func() []string) *Register {
+	return New(Options{
+		Self: platform.VM{Name: name, Address: address, Domain: "a"}, Table: store, Clock: clock.Wall{},
+		Logger: log.NewNopLogger(), Random: rand.New(rand.NewPCG(1, 1)), Gone: gone,
+	})
+}
+
+func listed(t *testing.T, r *Register) func() bool {
+	return func() bool {
+		vms, err := r.ListVMs(t.Context())
+		return err == nil && slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm == r.self() })
+	}
+}
+
+func (r *Register) self() platform.VM {
+	vm := r.o.Self
+	vm.State = platform.VMLive
+	return vm
+}
+
+// TestNodesFindEachOther: nodes write their rows, through an outage and lost answers too, and
+// a node at a new address replaces its row.
+func TestNodesFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &table{Fake: platformtest.New()}
+		store.SetOutage(true)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		none := func() []string { return nil }
+		first, second := node(store, "n1", "1", none), node(store, "n2", "2", none)
+		go func() { _ = first.Run(ctx, listed(t, first)) }()
+		go func() { _ = second.Run(ctx, listed(t, second)) }()
+		time.Sleep(3 * time.Second)
+		store.LosePuts(platformtest.LossAfter, platformtest.LossBefore)
+		store.SetOutage(false)
+		time.Sleep(5 * time.Second)
+		vms, err := first.ListVMs(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 2, vms)
+		moved := node(store, "n2", "3", none)
+		must.NoError(t, moved.write(t.Context()))
+		vms, err = first.ListVMs(t.Context())
+		must.NoError(t, err)
+		must.SliceContains(t, vms, moved.self())
+		must.Len(t, 2, vms)
+	})
+}
+
+// TestForeignRows: rows that are not of nodes, or can't be read, name none.
+func TestForeignRows(t *testing.T) {
+	must.SliceEmpty(t, VMs([]platform.Row{{Key: "lease/g"}, {Key: "node/n1", Value: []byte("\xff")}}))
+}
+
+// TestGoneNodesAreRemoved: a row goes only when its node has been gone for long enough without
+// a break.
+func TestGoneNodesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &table{Fake: platformtest.New()}
+		must.NoError(t, node(store, "n2", "2", nil).write(t.Context()))
+		var mu sync.Mutex
+		gone := []string{"n2"}
+		set := func(names []string) {
+			mu.Lock()
+			defer mu.Unlock()
+			gone = names
+		}
+		r := node(store, "n1", "1", func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return gone
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = r.Run(ctx, listed(t, r)) }()
+		time.Sleep(RemoveAfter - time.Second)
+		set(nil)
+		time.Sleep(2 * time.Second)
+		set([]string{"n2"})
+		time.Sleep(RemoveAfter - time.Second)
+		must.SliceEmpty(t, store.keys())
+		time.Sleep(3 * time.Second)
+		must.SliceContains(t, store.keys(), "node/n2")
+	})
+}
