--- /dev/null
+++ b/internal/controller/promotion/doubt_test.go
@@ -0,0 +1,130 @@
+package promotion
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/target"
+)
+
+// heldGroup is a group of three targets under held terms; p leads at first.
+type heldGroup struct {
+	t    *testing.T
+	now  time.Time
+	core *Group
+	// silent targets do not answer, reached ones answer peers.
+	silent  map[string]bool
+	reached bool
+	status  map[string]target.Status
+	adopted []string
+	let     []string
+}
+
+func newHeldGroup(t *testing.T) *heldGroup {
+	h := &heldGroup{t: t, now: time.Unix(1000, 0), silent: map[string]bool{}, status: map[string]target.Status{}}
+	h.core = New(Options{Self: "n1", Domain: "a", Held: true, Settle: 500 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 1))})
+	h.core.SetMembers([]Member{{Name: "p", Domain: "a"}, {Name: "r1", Domain: "b"}, {Name: "r2", Domain: "c"}})
+	for _, name := range []string{"p", "r1", "r2"} {
+		s := target.Status{Target: name, Role: target.RoleReplica, Term: 1, Own: 1, Last: logpos.Position{Term: 1, Index: 5}}
+		if name == "p" {
+			s.Role = target.RolePrimary
+		}
+		h.status[name] = s
+	}
+	h.core.Enable(true)
+	return h
+}
+
+// pass lets time pass in steps of 50 ms, in which targets are polled and peers answer.
+func (h *heldGroup) pass(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+		for name, s := range h.status {
+			if h.silent[name] {
+				h.core.Unreachable(h.now, name)
+				continue
+			}
+			h.core.Observe(h.now, s)
+		}
+		for _, action := range h.core.Tick(h.now) {
+			switch a := action.(type) {
+			case Ask:
+				h.core.Answer(h.now, "n2", "b", a.Target, h.reached)
+			case Adopt:
+				h.adopted = append(h.adopted, a.Target)
+			case Follow:
+				h.let = append(h.let, a.Target)
+			}
+		}
+	}
+}
+
+// TestNoHoldWithoutTheLease: a node that could not have a target promoted holds none, however
+// long the primary is gone; with the lease it does.
+func TestNoHoldWithoutTheLease(t *testing.T) {
+	h := newHeldGroup(t)
+	h.pass(time.Second)
+	h.core.Allow(false)
+	h.silent["p"] = true
+	h.pass(10 * time.Second)
+	must.SliceEmpty(t, h.adopted)
+	h.core.Allow(true)
+	h.pass(time.Second)
+	must.SliceContains(t, h.adopted, "r1")
+	must.SliceContains(t, h.adopted, "r2")
+}
+
+// TestPrimaryThatPeersReach: a primary that only this node misses is kept, and the node says
+// that another one should own the group.
+func TestPrimaryThatPeersReach(t *testing.T) {
+	h := newHeldGroup(t)
+	h.pass(time.Second)
+	must.False(t, h.core.Unfit(h.now))
+	h.silent["p"], h.reached = true, true
+	h.pass(10 * time.Second)
+	must.SliceEmpty(t, h.adopted)
+	must.True(t, h.core.Unfit(h.now))
+}
+
+// TestUnseenPrimary: a new owner that never saw the primary asks peers about the target that
+// it can't reach before it counts the group as orphaned.
+func TestUnseenPrimary(t *testing.T) {
+	h := newHeldGroup(t)
+	h.silent["p"], h.reached = true, true
+	h.pass(10 * time.Second)
+	must.SliceEmpty(t, h.adopted)
+	must.True(t, h.core.Unfit(h.now))
+	h.reached = false
+	h.pass(5 * time.Second)
+	must.SliceContains(t, h.adopted, "r1")
+}
+
+// TestHoldsLeftBehind: targets that an order which was given up still holds are let go, and
+// the primary that leads stays.
+func TestHoldsLeftBehind(t *testing.T) {
+	h := newHeldGroup(t)
+	h.pass(time.Second)
+	held := h.status["r1"]
+	held.Term = 2
+	h.status["r1"] = held
+	h.pass(5 * time.Second)
+	must.SliceEmpty(t, h.adopted)
+	must.SliceContains(t, h.let, "r1")
+	must.SliceNotContains(t, h.let, "r2")
+}
+
+// TestDarkPrimaryIsReplacedSoon: peers are asked at the first missed poll, so that an order
+// begins within a second.
+func TestDarkPrimaryIsReplacedSoon(t *testing.T) {
+	h := newHeldGroup(t)
+	h.pass(time.Second)
+	h.silent["p"] = true
+	began := h.now
+	for len(h.adopted) == 0 {
+		h.pass(50 * time.Millisecond)
+		must.Less(t, time.Second, h.now.Sub(began))
+	}
+}
--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -277,3 +277,38 @@
 		p.Put(get(t, p))
 	})
 }
+
+// TestCustomersDoNotShare: where connections serve one customer, another's is never lent; at
+// the limit the connection idle for the longest of another customer makes room.
+func TestCustomersDoNotShare(t *testing.T) {
+	withPool(t, 3, 0, func(t *testing.T, p *Pool, s *server) {
+		lend := func(customer string) *Conn {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			conn, err := p.Get(ctx, customer)
+			must.NoError(t, err)
+			must.Eq(t, customer, conn.customer)
+			return conn
+		}
+		for _, customer := range []string{"a", "b", "c"} {
+			p.Put(lend(customer))
+			time.Sleep(time.Millisecond)
+		}
+		must.Nil(t, p.TryGet("d"))
+		must.Eq(t, 3, s.dials)
+		p.Put(lend("b"))
+		must.Eq(t, 3, s.dials)
+		p.Put(lend("d"))
+		must.Eq(t, 4, s.dials)
+		must.Nil(t, p.TryGet("a"), must.Sprint("the one idle for the longest made room"))
+		must.Eq(t, 3, s.maxOpen)
+		held := []*Conn{lend("b"), lend("c"), lend("d")}
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := p.Get(ctx, "a")
+		must.Error(t, err)
+		for _, conn := range held {
+			p.Put(conn)
+		}
+	})
+}
