--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -72,8 +72,8 @@
 	{Settle, 2300 * time.Millisecond},
 	{StopAccepting, 100 * time.Millisecond},
 	{Finish, 0},
-	{HandOverShares, 300 * time.Millisecond},
-	{HandOverGroups, 500 * time.Millisecond},
+	{HandOverShares, 150 * time.Millisecond},
+	{HandOverGroups, 300 * time.Millisecond},
 }
 
 // reserved returns the time of all stages but Finish.
--- a/internal/controller/drain/drain_test.go
+++ b/internal/controller/drain/drain_test.go
@@ -69,9 +69,11 @@
 }
 
 // TestAskedServesUntilTheBalancerKnows: callers are taken for two rounds of the balancer's
-// questions, and every step has time within the platform's bound.
+// questions, what runs may go on until five sixths of the time before the kill, and every step
+// has time within that.
 func TestAskedServesUntilTheBalancerKnows(t *testing.T) {
-	const limit = 4800 * time.Millisecond
+	const kill = 6 * time.Second
+	const limit = 5600 * time.Millisecond
 	c, now := Begin(Asked, limit, start), start
 	order := map[Step]int{}
 	for o := c.Current(); o.Step != Exit; o = c.Done(nil, now) {
@@ -80,6 +82,9 @@
 		if o.Step == StopAccepting {
 			must.GreaterEq(t, 2*time.Second, now.Sub(start))
 		}
+		if o.Step == Finish {
+			must.GreaterEq(t, kill*5/6, o.Deadline.Sub(start))
+		}
 		now = o.Deadline
 	}
 	must.Less(t, order[StopAccepting], order[Settle])
