Owner: half of a target's connections for hosted nodes too

Ruled out: the lease (taken within 0.3 s), the primary (it answered the former owner). Change: the product's rule stands: an owner uses at most half.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -264,7 +264,6 @@
 		Reads:           choose.Policy(s.Policy.Reads),
 		Split:           s.Policy.Split,
 		HeldTerms:       n.heldTerms,
-		AllConnections:  n.heldTerms,
 		RefuseInGap:     n.heldTerms,
 		Idempotent:      runIdempotent,
 		IdempotentBegin: runIdempotentBegin,
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -138,7 +138,7 @@
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	return t.Slots, share(t.Connections, g.full || g.options.AllConnections)
+	return t.Slots, share(t.Connections, g.full)
 }
 
 // controlConnections is how many of a target's connections are kept for control: one
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -70,9 +70,6 @@
 	// HeldTerms is true for targets that adopt a term only until they restart or are let
 	// go (evidence.Rules).
 	HeldTerms bool
-	// AllConnections lets an owner use all of a target's connections at once, where the
-	// target itself refuses one too many and says so.
-	AllConnections bool
 	// RefuseInGap refuses requests at once that need a primary when none can be expected in
 	// their time; else they wait for Times.PrimaryWait.
 	RefuseInGap bool
