--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -163,6 +163,9 @@
 		} else {
 			err = r.followOnce(ctx, name, t)
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		whole = err != nil && (reading || platform.ErrHistory.Has(err))
 		if lost != (err != nil) {
 			lost = err != nil
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -189,10 +189,6 @@
 	n.done.Wait()
 }
 
-func (f *testFleet) unlist(n *node) {
-	f.platform.set(func() { delete(f.platform.vms, n.name) })
-}
-
 func stopAll(nodes []*node) {
 	for _, n := range nodes {
 		n.stop()
