--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -29,31 +29,38 @@
 			// One trial at a time while openings fail.
 			return
 		}
-		if p.open+p.opening >= p.options.Limit && !p.evict(customer) {
-			return
+		var evicted *Conn
+		if p.open+p.opening >= p.options.Limit {
+			if evicted = p.evict(customer); evicted == nil {
+				return
+			}
 		}
 		p.opening++
 		p.openingFor[customer]++
-		go p.openOne(customer, p.retryAt)
+		go p.openOne(customer, p.retryAt, evicted)
 	}
 }
 
-// evict closes another customer's connection, the one idle for the longest. It reports
-// false without one, and where that would not make room below the limit. p.mu is held.
-func (p *Pool) evict(customer string) bool {
+// evict takes out another customer's connection, the one idle for the longest, to be closed
+// before a new one is opened. It returns nil without one, and where that would not make room
+// below the limit. p.mu is held.
+func (p *Pool) evict(customer string) *Conn {
 	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.customer != customer })
 	if i < 0 || p.open+p.opening > p.options.Limit {
-		return false
+		return nil
 	}
 	oldest := p.idle[i]
 	p.idle = slices.Delete(p.idle, i, i+1)
 	p.open--
-	go closeAll([]*Conn{oldest})
-	return true
+	return oldest
 }
 
-// openOne opens one connection, not before notBefore, and hands it out.
-func (p *Pool) openOne(customer string, notBefore time.Time) {
+// openOne opens one connection, not before notBefore and after evicted was closed if there is
+// one, and hands it out.
+func (p *Pool) openOne(customer string, notBefore time.Time, evicted *Conn) {
+	if evicted != nil {
+		_ = evicted.Close()
+	}
 	conn, err := p.dial(customer, notBefore)
 	now := p.options.Clock.Now()
 	p.mu.Lock()
