Evidence: a suspension of the VM makes it worthless; large files split

Cause: the steady clock does not count a suspension, so a node that woke up took evidence from before it for fresh. Change: an owner that finds the suspended total grown drops the age of its evidence and asks again; a poll that a suspension fell into counts as failed.

--- /dev/null
+++ b/internal/controller/promotion/held.go
@@ -0,0 +1,48 @@
+package promotion
+
+import "time"
+
+// leads reports whether a primary below the highest term is to be kept: held targets were
+// left behind by an order that was given up, and it still leads its own term.
+func (g *Group) leads(now time.Time, primary string) bool {
+	return g.options.Held && g.heardLately(now, primary) && g.views[primary].status.Own >= g.topOwn()
+}
+
+// topOwn returns the highest term that a target is itself in.
+func (g *Group) topOwn() uint64 {
+	var top uint64
+	for _, v := range g.views {
+		if v.known {
+			top = max(top, v.status.Own)
+		}
+	}
+	return top
+}
+
+// nextTerm returns the term of a new order.
+func (g *Group) nextTerm() uint64 {
+	if g.options.Held {
+		return g.topOwn() + 1
+	}
+	return max(g.used, g.topTerm()) + 1
+}
+
+// letGo makes targets receive again that are held although a primary leads.
+func (g *Group) letGo(now time.Time, primary string) []Action {
+	if primary == "" || !g.leads(now, primary) {
+		return nil
+	}
+	var actions []Action
+	for _, m := range g.members {
+		v := g.views[m.Name]
+		if m.Name == primary || v == nil || !v.known || v.misses > 0 {
+			continue
+		}
+		if v.status.Term <= v.status.Own || now.Sub(v.followed) < FollowEvery {
+			continue
+		}
+		v.followed = now
+		actions = append(actions, Follow{Target: m.Name, Address: g.member(primary).Address, Term: g.views[primary].status.Own})
+	}
+	return actions
+}
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -8,39 +8,6 @@
 	"crocusyoke/internal/target"
 )
 
-// Timing of decisions.
-const (
-	// SuspectAfter is how long a primary stays unheard before peers are asked.
-	SuspectAfter = 700 * time.Millisecond
-	// SuspectMisses is the number of polls in a row that must have failed by then.
-	SuspectMisses = 2
-	// HeldSuspectAfter is SuspectAfter where peers are asked from the first missed poll on.
-	HeldSuspectAfter = 500 * time.Millisecond
-	// AskEvery is the pause between two rounds of questions to peers.
-	AskEvery = 300 * time.Millisecond
-	// AnswerAge bounds the age of a peer's answer that counts.
-	AnswerAge = 1500 * time.Millisecond
-	// StallAfter is how long so many replicas may be unable to hear a reachable primary
-	// that no write can be confirmed, before the primary counts as cut off.
-	StallAfter = 1500 * time.Millisecond
-	// OrphanAfter is how long a group may be without a primary in its highest term, or
-	// a target may be ahead of the primary's term, before a new term is ordered.
-	OrphanAfter = 1500 * time.Millisecond
-	// AdoptWait bounds the wait for a majority to adopt a term.
-	AdoptWait = 1500 * time.Millisecond
-	// CatchUpWait bounds the wait for a replica to reach a fenced, leaving primary.
-	CatchUpWait = 2 * time.Second
-	// StepWait bounds the wait for a promotion's answer, HeldStepWait where the promotion
-	// takes effect some time after it was ordered.
-	StepWait     = 1500 * time.Millisecond
-	HeldStepWait = 5 * time.Second
-	// BackoffMin and BackoffMax bound the random pause after an order that failed.
-	BackoffMin = 200 * time.Millisecond
-	BackoffMax = 900 * time.Millisecond
-	// FollowEvery is the pause between two attempts to make one target follow.
-	FollowEvery = 500 * time.Millisecond
-)
-
 // Member is one target of the group.
 type Member struct {
 	Name    string
@@ -308,51 +275,6 @@
 	return false
 }
 
-// leads reports whether a primary below the highest term is to be kept: held targets were
-// left behind by an order that was given up, and it still leads its own term.
-func (g *Group) leads(now time.Time, primary string) bool {
-	return g.options.Held && g.heardLately(now, primary) && g.views[primary].status.Own >= g.topOwn()
-}
-
-// topOwn returns the highest term that a target is itself in.
-func (g *Group) topOwn() uint64 {
-	var top uint64
-	for _, v := range g.views {
-		if v.known {
-			top = max(top, v.status.Own)
-		}
-	}
-	return top
-}
-
-// nextTerm returns the term of a new order.
-func (g *Group) nextTerm() uint64 {
-	if g.options.Held {
-		return g.topOwn() + 1
-	}
-	return max(g.used, g.topTerm()) + 1
-}
-
-// letGo makes targets receive again that are held although a primary leads.
-func (g *Group) letGo(now time.Time, primary string) []Action {
-	if primary == "" || !g.leads(now, primary) {
-		return nil
-	}
-	var actions []Action
-	for _, m := range g.members {
-		v := g.views[m.Name]
-		if m.Name == primary || v == nil || !v.known || v.misses > 0 {
-			continue
-		}
-		if v.status.Term <= v.status.Own || now.Sub(v.followed) < FollowEvery {
-			continue
-		}
-		v.followed = now
-		actions = append(actions, Follow{Target: m.Name, Address: g.member(primary).Address, Term: g.views[primary].status.Own})
-	}
-	return actions
-}
-
 // follow makes the targets that stay behind follow the primary of the highest term.
 func (g *Group) follow(now time.Time, primary string, term uint64) []Action {
 	if g.options.Held {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,6 +258,7 @@
 		Domain:          s.Node.Domain,
 		Dialer:          n.dialer,
 		Clock:           n.clock,
+		Suspended:       clock.Suspended,
 		Config:          n.config,
 		Logger:          n.logger,
 		Scheduling:      schedule.Policy(s.Policy.Scheduling),
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -139,6 +139,15 @@
 	return term
 }
 
+// Forget drops when observations were made: the time since then is not known any more. What
+// was seen of terms and positions stays.
+func (g *Group) Forget() {
+	for i := range g.observations {
+		g.observations[i].sentAt = time.Time{}
+	}
+	g.history = history{}
+}
+
 // Status returns the newest status of the target called name and when it was asked for.
 func (g *Group) Status(name string) (target.Status, time.Time, bool) {
 	o := g.find(name)
--- /dev/null
+++ b/internal/owner/evidence/held_test.go
@@ -0,0 +1,41 @@
+package evidence
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/target"
+)
+
+// TestHeldEvidence: under held terms a majority found unheld within Bound confirms an answer,
+// also one that came later; one held target less than a majority does not, and a hold that was
+// let go counts no more.
+func TestHeldEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := New([]string{"p", "r1", "r2"}, Rules{Held: true})
+	status := func(name string, term uint64) target.Status {
+		s := target.Status{Target: name, Role: target.RoleReplica, Term: term, Own: 1, Last: logpos.Position{Term: 1, Index: 9}}
+		if name == "p" {
+			s.Role = target.RolePrimary
+		}
+		return s
+	}
+	g.Observe(now, now, status("p", 1))
+	g.Observe(now, now, status("r1", 1))
+	claim := Claim{Primary: "p", Term: 1, Since: now.Add(100 * time.Millisecond)}
+	must.Eq(t, Confirmed, g.Confirm(now.Add(Bound), claim))
+	must.Eq(t, Wait, g.Confirm(now.Add(Bound+time.Millisecond), claim))
+	later := now.Add(300 * time.Millisecond)
+	g.Observe(later, later, status("r1", 2))
+	g.Observe(later, later, status("r2", 2))
+	must.Eq(t, Replaced, g.Confirm(later, claim))
+	_, _, ok := g.Primary(later)
+	must.False(t, ok)
+	let := later.Add(100 * time.Millisecond)
+	g.Observe(let, let, status("r1", 1))
+	g.Observe(let, let, status("r2", 1))
+	must.Eq(t, Confirmed, g.Confirm(let, claim))
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -207,18 +207,6 @@
 	return target.Commands{Probe: simpleQuery("SELECT 1"), Rollback: simpleQuery("ROLLBACK")}
 }
 
-// outcomeOf maps the fake's codes as the PostgreSQL edge does.
-func outcomeOf(state string) target.Outcome {
-	switch state {
-	case "":
-		return target.Done
-	case "25006":
-		return target.ReadOnly
-	default:
-		return target.Failed
-	}
-}
-
 func (g *fakeGroup) Control(context.Context, target.Login) (target.Control, error) {
 	return nil, errFake
 }
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -28,7 +28,9 @@
 	candidates []choose.Candidate
 	evidence   *evidence.Group
 	gap        *gap.Gap
-	claims     []*claimWaiter
+	// suspended is Options.Suspended as of the last look.
+	suspended time.Duration
+	claims    []*claimWaiter
 	// waiting counts requests that wait for a target.
 	waiting   int
 	changed   chan struct{}
@@ -59,7 +61,9 @@
 		changed:  make(chan struct{}),
 		sessions: make(map[string]*transaction),
 		lastUsed: m.options.Clock.Now(),
-		full:     full,
+		// What came before the group was known is of no interest.
+		suspended: m.options.Suspended(),
+		full:      full,
 	}
 	g.led, g.replaced = context.WithCancel(context.Background())
 	g.mu.Lock()
@@ -75,6 +79,23 @@
 	return g.led
 }
 
+// blink is the longest suspension that evidence outlasts; readings of the two clocks are that
+// close.
+const blink = 20 * time.Millisecond
+
+// noteSuspension drops evidence that was gathered before the VM was suspended: its age by the
+// clock does not count that time. g.mu is held.
+func (g *group) noteSuspension() {
+	suspended := g.options.Suspended()
+	if suspended-g.suspended <= blink {
+		return
+	}
+	_ = g.options.Logger.Log("event", "suspended", "group", g.name, "for", suspended-g.suspended)
+	g.suspended = suspended
+	g.evidence.Forget()
+	g.kickPolls()
+}
+
 // now returns the time.
 func (g *group) now() time.Time { return g.options.Clock.Now() }
 
@@ -264,6 +285,7 @@
 func (g *group) observe(m *member, sentAt time.Time, status target.Status) {
 	now := g.now()
 	g.mu.Lock()
+	g.noteSuspension()
 	status.Target = m.target.Name
 	g.evidence.Observe(sentAt, now, status)
 	m.observed(status, sentAt)
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"crocusyoke/internal/target"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"crocusyoke/internal/fleet"
@@ -95,3 +97,15 @@
 	}
 	return messages
 }
+
+// outcomeOf maps the fake's codes as the PostgreSQL edge does.
+func outcomeOf(state string) target.Outcome {
+	switch state {
+	case "":
+		return target.Done
+	case "25006":
+		return target.ReadOnly
+	default:
+		return target.Failed
+	}
+}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -61,7 +61,10 @@
 	Domain string
 	Dialer target.Dialer
 	Clock  clock.Clock
-	Config fleet.Source
+	// Suspended returns for how long in all the VM was suspended, which Clock does not count;
+	// nil for never.
+	Suspended func() time.Duration
+	Config    fleet.Source
 	// Logger may be nil.
 	Logger log.Logger
 	// Scheduling and Reads default to schedule.Fair and choose.Replicas.
@@ -117,6 +120,9 @@
 	if options.Database == nil {
 		options.Database = func(group string) string { return group }
 	}
+	if options.Suspended == nil {
+		options.Suspended = func() time.Duration { return 0 }
+	}
 	options.Times = options.Times.withDefaults()
 	return &Manager{
 		options:  options,
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -54,6 +54,7 @@
 // choose asks for a target. g.mu is held.
 func (g *group) choose(now time.Time, r *run) choose.Answer {
 	g.refresh()
+	g.noteSuspension()
 	primary, term, ok := g.evidence.Primary(now)
 	g.gap.Note(now, ok)
 	if r.req.TokenKnown && r.req.Token.Term > term {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -91,9 +91,13 @@
 	}
 	var status target.Status
 	if err == nil {
+		before := g.options.Suspended()
 		sentAt = g.now()
 		m.noteSent(sentAt)
 		status, err = control.Status(ctx)
+		if err == nil && g.options.Suspended()-before > blink {
+			err = Error.New("poll of %s: suspended meanwhile", m.target.Name)
+		}
 	}
 	g.manager.counts.polls.Add(1)
 	if err != nil {
@@ -177,6 +181,7 @@
 	for {
 		now := g.now()
 		g.mu.Lock()
+		g.noteSuspension()
 		verdict := g.evidence.Confirm(now, claim)
 		if verdict != evidence.Wait {
 			g.mu.Unlock()
