Quota: nothing is lent to a coordinator that has not answered

Change: the first report to a coordinator lends nothing; a loan lasts 0.7 s for the lender; tokens are returned only to a coordinator that answers.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -8,10 +8,10 @@
 // Times of lending.
 const (
 	// LoanTerm is how long a coordinator counts a share after a report that lends it.
-	LoanTerm = 600 * time.Millisecond
+	LoanTerm = 450 * time.Millisecond
 	// LoanSlack is how much later than LoanTerm after it sent the report the lender uses
 	// its share again: a report may take that long to arrive.
-	LoanSlack = 300 * time.Millisecond
+	LoanSlack = 250 * time.Millisecond
 	// maxHorizon is the longest time for which a node holds tokens ahead of demand.
 	maxHorizon = time.Second
 	// demandMemory is the time constant of the measure of demand.
@@ -103,11 +103,12 @@
 	a.share = share
 }
 
-// SetCoordinator changes the node that the account reports to.
+// SetCoordinator changes the node that the account reports to. Nothing is lent to it until it
+// has answered: after a restart it may be a node that is dead and not yet known to be.
 func (a *Account) SetCoordinator(name string) {
 	if name != a.coordinator {
 		a.coordinator = name
-		a.unheard = 0
+		a.unheard = doubtAfter
 	}
 }
 
@@ -223,7 +224,7 @@
 	if leaving {
 		r.Wanted = 0
 	}
-	if keep := r.Wanted * returnAbove; a.tokens > keep {
+	if keep := r.Wanted * returnAbove; a.tokens > keep && a.unheard < doubtAfter {
 		r.Returned = math.Floor(a.tokens - r.Wanted)
 		a.tokens -= r.Returned
 	}
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -21,7 +21,7 @@
 	reportEvery = 200 * time.Millisecond
 	urgentEvery = 20 * time.Millisecond
 	// callTimeout bounds one report; it is below quota.LoanSlack.
-	callTimeout = 250 * time.Millisecond
+	callTimeout = 200 * time.Millisecond
 	// perCustomerNodes is the number of nodes from which on customers have coordinators of
 	// their own. In smaller fleets one node coordinates all, so that reports travel together.
 	perCustomerNodes = 32
