--- a/internal/requestlog/log.go
+++ b/internal/requestlog/log.go
@@ -32,8 +32,7 @@
 	// ID is the caller's name for the request, Session the session's.
 	ID      string
 	Session string
-	// Outcome is the name of a refusal's code, "ok", or "late" for a success that took
-	// longer than its service allows.
+	// Outcome is the name of a refusal's code, or OutcomeOK.
 	Outcome string
 	// Fields are further keys and values, as for log.Logger.
 	Fields []any
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -80,7 +80,6 @@
 	gone        map[string]goneTarget
 	subscribers []func(*fleet.Config)
 	fetching    bool
-	heardAt     time.Time
 }
 
 type goneTarget struct {
@@ -132,13 +131,6 @@
 // Vars returns the counters.
 func (r *Runner) Vars() expvar.Var { return &r.Counts }
 
-// HeardAt returns when the store last answered.
-func (r *Runner) HeardAt() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.heardAt
-}
-
 // Run follows the tables until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
@@ -225,9 +217,6 @@
 	r.mu.Lock()
 	before := r.listed()
 	changed := change()
-	if !at.IsZero() {
-		r.heardAt = at
-	}
 	if !changed {
 		r.mu.Unlock()
 		return
