--- a/internal/peer/quicpeer/quicpeer_test.go
+++ b/internal/peer/quicpeer/quicpeer_test.go
@@ -25,9 +25,14 @@
 	refuse  error
 	block   chan struct{}
 	crossed bool
+	// arrived, if set, is told of each request.
+	arrived chan struct{}
 }
 
 func (o *owner) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
+	if o.arrived != nil {
+		o.arrived <- struct{}{}
+	}
 	if o.block != nil {
 		select {
 		case <-o.block:
@@ -142,11 +147,14 @@
 
 func TestCancelReachesTheOwner(t *testing.T) {
 	a := newAuthority(t)
-	o := &owner{block: make(chan struct{})}
+	o := &owner{block: make(chan struct{}), arrived: make(chan struct{}, 2)}
 	address, _ := serve(t, a, o)
 	h := dial(t, a, "a", RoleNode).Open(address)
 	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(20*time.Millisecond, cancel)
+	go func() {
+		<-o.arrived
+		cancel()
+	}()
 	_, err := h.Serve(ctx, newRequest("s", 1, "x"))
 	must.Eq(t, request.CodeTimeout, request.AsRefusal(err).Code)
 	close(o.block)
@@ -161,6 +169,8 @@
 	mu     sync.Mutex
 	events []string
 	until  chan struct{}
+	// arrived is told of the first request.
+	arrived chan struct{}
 }
 
 func (l *lingering) note(event string) {
@@ -172,6 +182,7 @@
 func (l *lingering) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
 	l.note("serve " + string(req.Messages))
 	if req.ID.Sequence == 1 {
+		close(l.arrived)
 		<-l.until
 	}
 	l.note("served " + string(req.Messages))
@@ -182,11 +193,14 @@
 
 func TestNewStreamWaitsForTheEndOfTheSessionsOldOne(t *testing.T) {
 	a := newAuthority(t)
-	o := &lingering{until: make(chan struct{})}
+	o := &lingering{until: make(chan struct{}), arrived: make(chan struct{})}
 	address, _ := serve(t, a, o)
 	h := dial(t, a, "a", RoleNode).Open(address)
 	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(20*time.Millisecond, cancel)
+	go func() {
+		<-o.arrived
+		cancel()
+	}()
 	_, err := h.Serve(ctx, newRequest("s", 1, "x"))
 	must.Eq(t, request.CodeOutcomeUnknown, request.AsRefusal(err).Code)
 	time.AfterFunc(50*time.Millisecond, func() { close(o.until) })
