Clock: a wait of nothing makes no timer

Only timers that are due when they are selected on reach that code in a bubble. Ruled out: a data race of ours (the detector reported none).

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -23,6 +23,9 @@
 
 // Sleep implements Clock.
 func (Wall) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
