--- a/internal/controller/promotion/doubt_test.go
+++ b/internal/controller/promotion/doubt_test.go
@@ -128,3 +128,16 @@
 		must.Less(t, time.Second, h.now.Sub(began))
 	}
 }
+
+// TestOthersHoldsAreLeftAlone: a node without the lease lets no target go: the hold may be that
+// of the lease's holder, which relies on it until it has promoted.
+func TestOthersHoldsAreLeftAlone(t *testing.T) {
+	h := newHeldGroup(t)
+	h.core.Allow(false)
+	h.pass(time.Second)
+	held := h.status["r1"]
+	held.Term = 2
+	h.status["r1"] = held
+	h.pass(5 * time.Second)
+	must.SliceEmpty(t, h.let)
+}
--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -29,7 +29,7 @@
 
 // letGo makes targets receive again that are held although a primary leads.
 func (g *Group) letGo(now time.Time, primary string) []Action {
-	if primary == "" || !g.leads(now, primary) {
+	if primary == "" || !g.allowed || !g.leads(now, primary) {
 		return nil
 	}
 	var actions []Action
