Quota: what did not run is not charged; tokens lapse with the loans that backed them

Cause: every try of a caller took a token, also those that a group without a primary refused at once.

Change: a token whose request ended as not run comes back, and counts as held until then. So what a node holds above its part of the burst now lapses 0.22 s after the report that renewed it, the coordinator has nodes give it up, and a share is used by its owner only after that. A new coordinator grants nothing for as long.

Ruled out: a wider slack (the bound is the stated one).

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -8,10 +8,17 @@
 // Times of lending.
 const (
 	// LoanTerm is how long a coordinator counts a share after a report that lends it.
-	LoanTerm = 450 * time.Millisecond
+	LoanTerm = 350 * time.Millisecond
+	// ArrivalSlack is the longest that a report is on its way: one that arrives later lends
+	// nothing.
+	ArrivalSlack = 160 * time.Millisecond
+	// TokenTerm is how long the tokens that a coordinator lets a node hold may exceed the
+	// node's part of the burst, counted from the report that they answer.
+	TokenTerm = 220 * time.Millisecond
 	// LoanSlack is how much later than LoanTerm after it sent the report the lender uses
-	// its share again: a report may take that long to arrive.
-	LoanSlack = 250 * time.Millisecond
+	// its share again: by then the coordinator counts it no more, and nobody holds tokens
+	// that were granted while it did.
+	LoanSlack = ArrivalSlack + TokenTerm
 	// maxHorizon is the longest time for which a node holds tokens ahead of demand.
 	maxHorizon = time.Second
 	// demandMemory is the time constant of the measure of demand.
@@ -44,7 +51,8 @@
 // Report is what a node tells the coordinator of one customer.
 type Report struct {
 	Customer string `cbor:"1,keyasint"`
-	// Held is the number of tokens that the node holds, Wanted how many it would like to.
+	// Held is the number of tokens that the node holds, with those of requests that may still
+	// give theirs back; Wanted is how many it would like to.
 	Held   float64 `cbor:"2,keyasint"`
 	Wanted float64 `cbor:"3,keyasint"`
 	// Returned is the number of tokens that the node gives back with this report.
@@ -61,6 +69,13 @@
 	limit Limit
 	// tokens are held; they were granted, or filled from the node's own share.
 	tokens float64
+	// pending is the number of tokens spent on requests whose fate is open: each is gone or
+	// comes back.
+	pending float64
+	// allowed is the most that tokens and pending may be, by the coordinator's answer to the
+	// report of allowedAt.
+	allowed   float64
+	allowedAt time.Time
 	// share is the node's right, 0 to 1; own is true while the node uses it.
 	share  float64
 	own    bool
@@ -112,6 +127,9 @@
 	}
 }
 
+// part is the node's part of the burst.
+func (a *Account) part() float64 { return a.limit.Burst * a.share }
+
 // fill adds what the node's own share brought since the last call.
 func (a *Account) fill(now time.Time) {
 	passed := now.Sub(a.filled).Seconds()
@@ -119,12 +137,23 @@
 	if !a.own || passed <= 0 {
 		return
 	}
-	most := a.limit.Burst * a.share
-	if a.tokens < most {
+	if most := a.part() - a.pending; a.tokens < most {
 		a.tokens = min(most, a.tokens+passed*a.limit.Rate*a.share)
 	}
 }
 
+// trim takes away what the node may hold no more: without a fresh answer of its coordinator
+// that is its own part of the burst.
+func (a *Account) trim(now time.Time) {
+	if now.Sub(a.allowedAt) > TokenTerm {
+		a.allowed = a.part()
+	}
+	a.tokens = max(0, min(a.tokens, a.allowed-a.pending))
+}
+
+// held is the number of tokens that the node may still spend, now or once they come back.
+func (a *Account) held() float64 { return min(a.tokens+a.pending, a.allowed) }
+
 // Take spends a token if there is one. Else wait is about how long it takes until there
 // may be one.
 func (a *Account) Take(now time.Time) (ok bool, wait time.Duration) {
@@ -137,11 +166,23 @@
 	a.tick(now)
 	if a.tokens >= 1 {
 		a.tokens--
+		a.pending++
 		return true, 0
 	}
 	return false, a.wait()
 }
 
+// Settle ends what Take began: the request ran, or it provably did not and its token comes
+// back.
+func (a *Account) Settle(ran bool, now time.Time) {
+	a.tick(now)
+	a.pending = max(0, a.pending-1)
+	if !ran {
+		a.tokens++
+		a.trim(now)
+	}
+}
+
 // wait estimates the time until a token, from the customer's rate and this node's part of
 // the demand.
 func (a *Account) wait() time.Duration {
@@ -161,6 +202,7 @@
 // tick decides whether the node uses its own share.
 func (a *Account) tick(now time.Time) {
 	a.fill(now)
+	a.trim(now)
 	a.own = !now.Before(a.lentUntil) && a.share > 0
 }
 
@@ -220,16 +262,18 @@
 // all tokens.
 func (a *Account) Report(customer string, lender string, leaving bool, now time.Time) Report {
 	a.tick(now)
-	r := Report{Customer: customer, Wanted: a.Wanted(now)}
+	wanted := a.Wanted(now)
 	if leaving {
-		r.Wanted = 0
+		wanted = 0
 	}
-	if keep := r.Wanted * returnAbove; a.tokens > keep && a.unheard < doubtAfter {
-		r.Returned = math.Floor(a.tokens - r.Wanted)
+	r := Report{Customer: customer}
+	if keep := wanted * returnAbove; a.tokens > keep && a.unheard < doubtAfter {
+		r.Returned = math.Floor(a.tokens - wanted)
 		a.tokens -= r.Returned
 	}
-	r.Held = a.tokens
-	a.asked = r.Wanted - r.Held
+	a.asked = wanted - a.tokens
+	r.Held = a.held()
+	r.Wanted = wanted + a.pending
 	if a.mayLend(lender, now) {
 		r.Lent = true
 		a.lentUntil = now.Add(LoanTerm + LoanSlack)
@@ -247,12 +291,14 @@
 func (a *Account) TakeBack(customer string, now time.Time) Report {
 	a.tick(now)
 	a.asked = 0
-	return Report{Customer: customer, Held: a.tokens, Wanted: a.Wanted(now), TakenBack: true}
+	return Report{Customer: customer, Held: a.held(), TakenBack: true}
 }
 
-// TakenBack notes that the former coordinator has answered TakeBack.
+// TakenBack notes that the former coordinator has answered TakeBack: the share is free once
+// nobody holds tokens that were granted while it was lent.
 func (a *Account) TakenBack(now time.Time) {
-	a.lentUntil = now
+	a.lentUntil = earlier(a.lentUntil, now.Add(TokenTerm))
+	a.unheard = 0
 	a.tick(now)
 }
 
@@ -265,11 +311,15 @@
 	return lender == a.coordinator || !now.Before(a.lentUntil)
 }
 
-// Granted takes the coordinator's answer to a report.
-func (a *Account) Granted(tokens float64, now time.Time) {
+// Granted takes the coordinator's answer to a report, sent at sentAt, that said held. tokens
+// is negative if the node has to give some up.
+func (a *Account) Granted(tokens, held float64, sentAt, now time.Time) {
 	a.unheard = 0
+	a.tick(now)
 	a.tokens += tokens
-	a.income = a.Income(now) + tokens/demandMemory.Seconds()
+	a.allowed, a.allowedAt = held+tokens, sentAt
+	a.trim(now)
+	a.income = a.Income(now) + max(0, tokens)/demandMemory.Seconds()
 	a.incomeAt = now
 	switch {
 	case a.asked < 1 || tokens >= a.asked/2:
--- a/internal/controller/quota/account_test.go
+++ b/internal/controller/quota/account_test.go
@@ -24,7 +24,7 @@
 	must.Between(t, 45, a.Tokens(now), 50)
 	a.SetCoordinator("alive")
 	must.False(t, a.Report("c", "", false, now).Lent)
-	a.Granted(0, now)
+	a.Granted(0, 0, now, now)
 	must.True(t, a.Report("c", "", false, now).Lent)
 	must.False(t, a.Own(now))
 }
@@ -36,7 +36,7 @@
 	a.Configure(Limit{Rate: 100, Burst: 100}, now)
 	a.SetShare(1, now)
 	a.SetCoordinator("n")
-	a.Granted(0, now)
+	a.Granted(0, 0, now, now)
 	must.True(t, a.Report("c", "", false, now).Lent)
 	must.False(t, a.Own(now.Add(LoanTerm+LoanSlack-time.Millisecond)))
 	must.True(t, a.Own(now.Add(LoanTerm+LoanSlack)))
--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -18,7 +18,7 @@
 	now   time.Time
 	limit Limit
 	nodes []*worldNode
-	// admitted holds the times of admitted requests, in order.
+	// admitted holds the times of admitted requests that ran or whose fate is open, in order.
 	admitted []time.Time
 	messages []message
 }
@@ -30,12 +30,15 @@
 	lender   string
 	believes int
 	paused   bool
+	// open holds the times of admitted requests that have not ended.
+	open []time.Time
 }
 
 // message is a report on its way, with the time until which it may arrive.
 type message struct {
 	from, to int
 	report   Report
+	sentAt   time.Time
 	until    time.Time
 }
 
@@ -56,7 +59,7 @@
 // start starts node i's process.
 func (w *world) start(i int) {
 	n := w.nodes[i]
-	n.account, n.pool, n.lender, n.paused = NewAccount(w.now), NewPool(w.now), "", false
+	n.account, n.pool, n.lender, n.paused, n.open = NewAccount(w.now), NewPool(w.now), "", false, nil
 	each := 1 / float64(len(w.nodes))
 	n.account.Configure(w.limit, w.now)
 	n.account.SetShare(each, w.now)
@@ -68,24 +71,39 @@
 	for range count {
 		if ok, _ := w.nodes[i].account.Take(w.now); ok {
 			w.admitted = append(w.admitted, w.now)
+			w.nodes[i].open = append(w.nodes[i].open, w.now)
 		}
 	}
 }
 
+// end ends the oldest count requests of node i. Those that did not run are struck from admitted.
+func (w *world) end(i, count int, ran bool) {
+	n := w.nodes[i]
+	count = min(count, len(n.open))
+	for _, at := range n.open[:count] {
+		n.account.Settle(ran, w.now)
+		if !ran {
+			k := slices.Index(w.admitted, at)
+			w.admitted = slices.Delete(w.admitted, k, k+1)
+		}
+	}
+	n.open = n.open[count:]
+}
+
 func (w *world) report(i int) {
 	n := w.nodes[i]
 	to := w.nodes[n.believes].name
 	n.account.SetCoordinator(to)
 	if n.account.LentElsewhere(n.lender, w.now) && rapid.Bool().Draw(w.t, "take back") {
 		former := slices.IndexFunc(w.nodes, func(f *worldNode) bool { return f.name == n.lender })
-		w.messages = append(w.messages, message{from: i, to: former, report: n.account.TakeBack("c", w.now), until: w.now.Add(LoanSlack)})
+		w.messages = append(w.messages, message{from: i, to: former, report: n.account.TakeBack("c", w.now), sentAt: w.now, until: w.now.Add(ArrivalSlack)})
 		return
 	}
 	r := n.account.Report("c", n.lender, false, w.now)
 	if r.Lent {
 		n.lender = to
 	}
-	w.messages = append(w.messages, message{from: i, to: n.believes, report: r, until: w.now.Add(LoanSlack)})
+	w.messages = append(w.messages, message{from: i, to: n.believes, report: r, sentAt: w.now, until: w.now.Add(ArrivalSlack)})
 }
 
 // deliver lets a report arrive; its answer arrives too unless it is lost.
@@ -102,10 +120,12 @@
 		from.account.Unheard()
 		return
 	}
-	from.account.Granted(granted, w.now)
 	if m.report.TakenBack && from.lender == to.name {
 		from.account.TakenBack(w.now)
 	}
+	if !m.report.TakenBack {
+		from.account.Granted(granted, m.report.Held, m.sentAt, w.now)
+	}
 }
 
 // round has every node ask for what it can get, and spend it.
@@ -141,7 +161,7 @@
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
 			n := w.nodes[i]
-			switch rapid.IntRange(0, 15).Draw(t, "step") {
+			switch rapid.IntRange(0, 18).Draw(t, "step") {
 			case 0, 1:
 				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			case 2, 3:
@@ -160,6 +180,10 @@
 				n.believes = rapid.IntRange(0, len(w.nodes)-1).Draw(t, "coordinator")
 			case 9:
 				n.paused = !n.paused
+			case 10, 11, 12:
+				if !n.paused {
+					w.end(i, rapid.IntRange(1, 200).Draw(t, "ended"), rapid.Bool().Draw(t, "ran"))
+				}
 			default:
 				w.round()
 				w.now = w.now.Add(time.Duration(rapid.IntRange(50, 300).Draw(t, "round ms")) * time.Millisecond)
@@ -181,3 +205,42 @@
 		t.Fatalf("%v tokens after 0.2 s of a quarter of 100 a second", got)
 	}
 }
+
+// TestTokensShrinkWithTheLoans: once a share is lent no more, what nodes hold above their parts
+// is given up before its owner uses it; without an answer it lapses by itself.
+func TestTokensShrinkWithTheLoans(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := Limit{Rate: 100, Burst: 50}
+	p, a := NewPool(now), NewAccount(now)
+	p.Configure(limit, now)
+	p.SetShare(0.5, now)
+	a.Configure(limit, now)
+	a.SetShare(0.5, now)
+	a.SetCoordinator("n1")
+	a.Granted(0, 0, now, now)
+	report := func() {
+		for range 200 {
+			a.note(now)
+		}
+		r := a.Report("c", "n1", false, now)
+		a.Granted(p.Report("n1", r, now), r.Held, now, now)
+	}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		p.Report("n2", Report{Lent: true}, now)
+		report()
+	}
+	if got := a.Tokens(now); got < 45 {
+		t.Fatalf("%v tokens while both shares are lent", got)
+	}
+	if got := a.Tokens(now.Add(TokenTerm + time.Millisecond)); got > 25 {
+		t.Fatalf("%v tokens without a fresh answer", got)
+	}
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		report()
+	}
+	if got := a.Tokens(now); got > 25 {
+		t.Fatalf("%v tokens after the other share's loan has lapsed", got)
+	}
+}
--- a/internal/controller/quota/pool.go
+++ b/internal/controller/quota/pool.go
@@ -9,7 +9,10 @@
 	share  float64
 	tokens float64
 	filled time.Time
-	nodes  map[string]*holder
+	// opens is when the first tokens are granted: by then nobody holds tokens of a former
+	// process of this coordinator that this one does not know of.
+	opens time.Time
+	nodes map[string]*holder
 }
 
 // holder is what the coordinator knows of one node.
@@ -27,7 +30,7 @@
 
 // NewPool returns an empty Pool.
 func NewPool(now time.Time) *Pool {
-	return &Pool{filled: now, nodes: make(map[string]*holder)}
+	return &Pool{filled: now, opens: now.Add(TokenTerm), nodes: make(map[string]*holder)}
 }
 
 // Configure changes the limit.
@@ -47,20 +50,28 @@
 func (p *Pool) fill(now time.Time) {
 	from := p.filled
 	p.filled = now
-	held := 0.0
 	brought := 0.0
 	for name, h := range p.nodes {
 		if now.Sub(h.heardAt) > forgetAfter {
 			delete(p.nodes, name)
 			continue
 		}
-		held += h.held
 		if until := earlier(now, h.lentUntil); until.After(from) {
 			brought += until.Sub(from).Seconds() * p.share
 		}
 	}
 	p.tokens += brought * p.limit.Rate
-	p.tokens = max(0, min(p.tokens, p.limit.Burst*p.Lent(now)-held))
+	p.tokens = max(0, min(p.tokens, p.room(now)))
+}
+
+// room is how many tokens there may be beside those that nodes hold. It is negative once a
+// share is lent no more and nodes hold tokens that it had backed.
+func (p *Pool) room(now time.Time) float64 {
+	room := p.limit.Burst * p.Lent(now)
+	for _, h := range p.nodes {
+		room -= h.held
+	}
+	return room
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -70,7 +81,8 @@
 	return b
 }
 
-// Report takes a node's report, received at now, and returns the tokens granted to it.
+// Report takes a node's report, received at now, and returns the tokens granted to it. A
+// negative number is to be given up.
 func (p *Pool) Report(node string, r Report, now time.Time) float64 {
 	p.fill(now)
 	h := p.nodes[node]
@@ -88,12 +100,28 @@
 	}
 	p.tokens += r.Returned
 	p.fill(now)
-	granted := max(0, min(r.Wanted-r.Held, p.tokens))
-	p.tokens -= granted
+	granted := p.grant(r, now)
+	p.tokens -= max(0, granted)
 	h.held += granted
 	return granted
 }
 
+// grant returns what a node gets for its report. Where nodes hold too much in all, each gives
+// up what exceeds its part of the burst; one whose share is not lent here has none.
+func (p *Pool) grant(r Report, now time.Time) float64 {
+	if room := p.room(now); room < 0 {
+		part := 0.0
+		if r.Lent {
+			part = p.limit.Burst * p.share
+		}
+		return max(room, min(0, part-r.Held))
+	}
+	if now.Before(p.opens) {
+		return 0
+	}
+	return max(0, min(r.Wanted-r.Held, p.tokens))
+}
+
 // Lent returns the part of the whole that is lent at now.
 func (p *Pool) Lent(now time.Time) float64 {
 	part := 0.0
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -44,6 +44,12 @@
 	return w.left >= 0, 40 * time.Millisecond
 }
 
+func (w *world) Settle(_ string, ran bool) {
+	if !ran {
+		w.left++
+	}
+}
+
 func (w *world) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
 	w.seen = append(w.seen, *req)
 	r := w.replies[0]
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -1,7 +1,8 @@
 // Package limit is the filter that holds each customer to its rate and burst.
 //
 // Invariant: a transaction is charged once, at its begin; any other statement once. What
-// continues or ends a transaction is never refused here.
+// continues or ends a transaction is never refused here. A request is charged only if it may
+// have run, so that the refusals of a group without a primary take nothing from the rate.
 package limit
 
 import (
@@ -19,6 +20,9 @@
 	// Admit spends one request of the customer's. If there is none left it may wait a
 	// little for more, but not beyond ctx, and else returns after how long to ask again.
 	Admit(ctx context.Context, customer string) (ok bool, retryAfter time.Duration)
+	// Settle is called once for each request that Admit let pass. ran is false if it provably
+	// did not run.
+	Settle(customer string, ran bool)
 }
 
 // Filter refuses requests beyond their customer's rate.
@@ -45,7 +49,9 @@
 		return nil, request.Refuse(request.CodeOverRate, step, "",
 			"customer %s is over its rate, retry after %s", req.Customer, wait).After(wait)
 	}
-	return f.next.Serve(ctx, req)
+	response, err := f.next.Serve(ctx, req)
+	f.quota.Settle(req.Customer, err == nil || request.AsRefusal(err).Code.Fate != request.NotRun)
+	return response, err
 }
 
 // End implements request.Handler.
--- a/internal/run/quota/cost_test.go
+++ b/internal/run/quota/cost_test.go
@@ -60,7 +60,10 @@
 			rng := rand.New(rand.NewPCG(1, 2))
 			for range int(d / (time.Second / costRequests)) {
 				for _, n := range running {
-					n.quota.Take(all[rng.IntN(customers)].Name)
+					name := all[rng.IntN(customers)].Name
+					if ok, _ := n.quota.Take(name); ok {
+						n.quota.Settle(name, true)
+					}
 				}
 				time.Sleep(time.Second / costRequests)
 			}
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -222,11 +222,17 @@
 // take does not wait.
 func take(n *node) bool {
 	ok, _ := n.quota.Take("c")
+	if ok {
+		n.quota.Settle("c", true)
+	}
 	return ok
 }
 
 // admit waits as the Runner sees fit.
 func admit(n *node) bool {
 	ok, _ := n.quota.Admit(context.Background(), "c")
+	if ok {
+		n.quota.Settle("c", true)
+	}
 	return ok
 }
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -18,10 +18,10 @@
 	tickEvery = 50 * time.Millisecond
 	// reportEvery is the time between two reports to a coordinator, urgentEvery where a
 	// customer has run out of tokens.
-	reportEvery = 200 * time.Millisecond
+	reportEvery = 150 * time.Millisecond
 	urgentEvery = 20 * time.Millisecond
-	// callTimeout bounds one report; it is below quota.LoanSlack.
-	callTimeout = 200 * time.Millisecond
+	// callTimeout bounds one report; it is below quota.ArrivalSlack.
+	callTimeout = 150 * time.Millisecond
 	// perCustomerNodes is the number of nodes from which on customers have coordinators of
 	// their own. In smaller fleets one node coordinates all, so that reports travel together.
 	perCustomerNodes = 32
@@ -150,18 +150,19 @@
 	r.mu.Lock()
 	leaving := r.leaving
 	r.mu.Unlock()
-	reports := r.reports(name, batch, leaving)
+	sentAt := r.now()
+	reports := r.reports(name, batch, leaving, sentAt)
 	granted, err := r.ask(ctx, name, reports)
 	for i, s := range batch {
 		s.mu.Lock()
-		if err != nil {
+		switch {
+		case err != nil:
 			s.account.Unheard()
 			s.lost = s.lost || reports[i].TakenBack
-		} else {
-			s.account.Granted(granted[i], r.now())
-		}
-		if err == nil && reports[i].TakenBack {
+		case reports[i].TakenBack:
 			s.account.TakenBack(r.now())
+		default:
+			s.account.Granted(granted[i], reports[i].Held, sentAt, r.now())
 		}
 		s.mu.Unlock()
 	}
@@ -173,8 +174,7 @@
 	r.mu.Unlock()
 }
 
-func (r *Runner) reports(name string, batch []*slot, leaving bool) []quota.Report {
-	now := r.now()
+func (r *Runner) reports(name string, batch []*slot, leaving bool, now time.Time) []quota.Report {
 	reports := make([]quota.Report, len(batch))
 	for i, s := range batch {
 		s.mu.Lock()
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -175,6 +175,20 @@
 	return ok, retryAfter
 }
 
+// Settle ends what Admit or Take began. A request that provably did not run is not charged.
+func (r *Runner) Settle(customer string, ran bool) {
+	s := (*r.slots.Load())[customer]
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account.Settle(ran, r.now())
+	if !ran {
+		count("returned")
+	}
+}
+
 // mayWait returns how many requests may wait for tokens: as many as are likely to get one
 // within patience. Those of a customer that asks for much more than its rate are refused at
 // once.
--- a/internal/run/quota/runner_test.go
+++ b/internal/run/quota/runner_test.go
@@ -160,6 +160,9 @@
 		for i := range 15 {
 			s, r := load(t, nodes[i%6:i%6+1], quiet.Rate*0.8, 2*time.Second, func(n *node) bool {
 				ok, _ := n.quota.Admit(t.Context(), quiet.Name)
+				if ok {
+					n.quota.Settle(quiet.Name, true)
+				}
 				return ok
 			})
 			sent, refused = sent+s, refused+r
