Leases end by the store's clock; orders stop when the primary returns or a hold is lost

Ruled out: the replicas (reachable, and caught up to 1/78), the cloud call (not made).

Change: the row of a lease tells the store's steady clock when its term began, at the latest; who reads the row knows at once whether the term is over. Terms last 4 s, renewed each second by one conditional write instead of a read and a write. An order whose primary leads and answers again is dropped before the promotion is called for; so is one of whose majority a hold was lost (a held replica that restarts), which the evidence of answers relies on. Targets that failed ten polls are asked each 0.2 s, not 0.5 s.

TestTakenOverByTheStoresClock, TestReturnedPrimaryIsKept, TestLostHoldStopsTheOrder, each seen to fail without its rule.

--- a/internal/controller/promotion/doubt_test.go
+++ b/internal/controller/promotion/doubt_test.go
@@ -22,6 +22,9 @@
 	status  map[string]target.Status
 	adopted []string
 	let     []string
+	// obeys has targets hold the terms that they are asked to; promoted are those called for.
+	obeys    bool
+	promoted []string
 }
 
 func newHeldGroup(t *testing.T) *heldGroup {
@@ -55,6 +58,9 @@
 				h.core.Answer(h.now, "n2", "b", a.Target, h.reached)
 			case Adopt:
 				h.adopted = append(h.adopted, a.Target)
+				h.hold(a)
+			case Promote:
+				h.promoted = append(h.promoted, a.Target)
 			case Follow:
 				h.let = append(h.let, a.Target)
 			}
@@ -62,6 +68,61 @@
 	}
 }
 
+// hold answers an order to adopt a term.
+func (h *heldGroup) hold(a Adopt) {
+	if !h.obeys || h.silent[a.Target] {
+		return
+	}
+	s := h.status[a.Target]
+	s.Term = a.Term
+	h.status[a.Target] = s
+	s.Orderer = h.core.options.Self
+	h.core.Adopted(h.now, a.Target, a.Term, s, nil)
+}
+
+// orderUnderWay returns a group whose primary is gone and whose replicas hold the next term.
+func orderUnderWay(t *testing.T) *heldGroup {
+	h := newHeldGroup(t)
+	h.obeys = true
+	h.pass(time.Second)
+	h.silent["p"] = true
+	for h.core.Phase() != PhaseSettle {
+		h.pass(50 * time.Millisecond)
+		must.Less(t, 2*time.Second, h.now.Sub(time.Unix(1001, 0)))
+	}
+	return h
+}
+
+// TestGonePrimaryIsReplaced: the order ends in a promotion once evidence has run out.
+func TestGonePrimaryIsReplaced(t *testing.T) {
+	h := orderUnderWay(t)
+	h.pass(time.Second)
+	must.Len(t, 1, h.promoted)
+}
+
+// TestReturnedPrimaryIsKept: a cut that heals before the promotion was called for ends the
+// order, and the replicas are let go.
+func TestReturnedPrimaryIsKept(t *testing.T) {
+	h := orderUnderWay(t)
+	h.silent["p"] = false
+	h.pass(time.Second)
+	must.SliceEmpty(t, h.promoted)
+	must.SliceContains(t, h.let, "r1")
+	must.SliceContains(t, h.let, "r2")
+}
+
+// TestLostHoldStopsTheOrder: a held replica that restarts has forgotten its hold, so that
+// answers of the old primary could still be confirmed.
+func TestLostHoldStopsTheOrder(t *testing.T) {
+	h := orderUnderWay(t)
+	h.obeys = false
+	restarted := h.status["r2"]
+	restarted.Term = restarted.Own
+	h.status["r2"] = restarted
+	h.pass(time.Second)
+	must.SliceEmpty(t, h.promoted)
+}
+
 // TestNoHoldWithoutTheLease: a node that could not have a target promoted holds none, however
 // long the primary is gone; with the lease it does.
 func TestNoHoldWithoutTheLease(t *testing.T) {
--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -46,3 +46,26 @@
 	}
 	return actions
 }
+
+// returned reports whether the primary that the order is to replace leads and answers after all.
+func (g *Group) returned(now time.Time) bool {
+	if g.order.reason != ReasonUnreachable && g.order.reason != ReasonOrphan {
+		return false
+	}
+	primary, _ := g.Primary()
+	return primary != "" && g.leads(now, primary) && g.views[primary].heard.After(g.order.began)
+}
+
+// stillHeld reports whether a majority holds the order's term, as far as is known: a target
+// that restarted, or was let go, has forgotten it.
+func (g *Group) stillHeld() bool {
+	held := 0
+	for name := range g.order.adopted {
+		v := g.views[name]
+		lost := v != nil && v.known && v.heard.After(g.order.heldAt) && v.status.Term < g.order.term
+		if !lost {
+			held++
+		}
+	}
+	return held >= g.majority()
+}
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -15,6 +15,7 @@
 	g.order = order{
 		phase:   PhaseAdopt,
 		term:    g.used,
+		began:   now,
 		since:   now,
 		reason:  reason,
 		lead:    primary,
@@ -97,6 +98,7 @@
 		g.timeline.Adopted = now
 		g.timeline.Started = g.order.since
 		g.order.since = now
+		g.order.heldAt = now
 		return g.tickSettle(now)
 	}
 	if now.Sub(g.order.since) >= AdoptWait {
@@ -106,6 +108,10 @@
 }
 
 func (g *Group) tickSettle(now time.Time) []Action {
+	if g.options.Held && (g.returned(now) || !g.stillHeld()) {
+		g.abandon(now)
+		return nil
+	}
 	if now.Sub(g.order.since) < g.options.Settle {
 		return nil
 	}
--- a/internal/controller/promotion/state.go
+++ b/internal/controller/promotion/state.go
@@ -53,6 +53,8 @@
 type order struct {
 	phase   Phase
 	term    uint64
+	began   time.Time
+	heldAt  time.Time // when a majority had adopted
 	since   time.Time
 	reason  Reason
 	lead    string // the primary that the order replaces
--- a/internal/owner/evidence/poll.go
+++ b/internal/owner/evidence/poll.go
@@ -19,7 +19,7 @@
 	HeldWaitPoll = 20 * time.Millisecond
 	// RetryPoll is the pause after a poll that failed, and LongRetryPoll after several.
 	RetryPoll     = 50 * time.Millisecond
-	LongRetryPoll = 500 * time.Millisecond
+	LongRetryPoll = 200 * time.Millisecond
 	// MinPoll is the least interval, however many answers wait.
 	MinPoll = 500 * time.Microsecond
 )
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -25,6 +25,9 @@
 	// Version counts the row's writes from 1; 0 stands for a row that does not exist.
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
+	// StoreTime is what the store's steady clock showed when it answered; zero where the
+	// store tells none.
+	StoreTime time.Duration `json:"-"`
 }
 
 // Table is the transactional table service.
--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"crocusyoke/internal/platform"
 )
@@ -34,6 +35,7 @@
 	puts    []Loss
 	reads   int
 	onPut   func()
+	clock   func() time.Duration
 }
 
 // New returns an empty platform.
@@ -62,6 +64,21 @@
 	f.onPut = once
 }
 
+// SetClock gives the platform a steady clock, which its answers about rows tell.
+func (f *Fake) SetClock(clock func() time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.clock = clock
+}
+
+// stamped returns row with the platform's clock. f.mu is held.
+func (f *Fake) stamped(row platform.Row) platform.Row {
+	if f.clock != nil {
+		row.StoreTime = f.clock()
+	}
+	return row
+}
+
 // SetVMs sets the list of VMs.
 func (f *Fake) SetVMs(vms ...platform.VM) {
 	f.mu.Lock()
@@ -95,7 +112,7 @@
 	if !ok {
 		return row, platform.ErrNotFound.New("row %s", key)
 	}
-	return row, nil
+	return f.stamped(row), nil
 }
 
 // List implements platform.Table.
@@ -135,7 +152,7 @@
 	if fate == LossAfter {
 		return platform.Row{}, platform.ErrUnknown.New("put %s", key)
 	}
-	return row, nil
+	return f.stamped(row), nil
 }
 
 func (f *Fake) hook() {
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -3,8 +3,9 @@
 //
 // Invariant: a holder acts only while its lease is valid by a clock that counts the time
 // that its VM was suspended, counted from before the call that renewed it was sent. Another
-// node takes a lease over only after it has seen its row unchanged for longer than the
-// lease lasts, or once the holder gave it up.
+// node takes a lease over only once the holder gave it up, once the store's steady clock is
+// further than a lease's length beyond the time that the row names, which is no earlier than
+// when the term began, or after it has seen the row unchanged for longer than that.
 package lease
 
 import (
@@ -30,9 +31,9 @@
 // Times of a lease.
 const (
 	// Length is how long a lease lasts without a renewal.
-	Length = 8 * time.Second
+	Length = 4 * time.Second
 	// renewEvery is the pause between two renewals.
-	renewEvery = 3 * time.Second
+	renewEvery = time.Second
 	// margin is how much earlier than its end the holder stops acting, and how much later
 	// another node takes the lease over.
 	margin = 500 * time.Millisecond
@@ -54,6 +55,9 @@
 	Run string `cbor:"2,keyasint"`
 	// Fence grows with each holder.
 	Fence uint64 `cbor:"3,keyasint"`
+	// Began is the store's clock when the term began, or somewhat later; zero if the holder
+	// does not know it.
+	Began time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Options of a Keeper.
@@ -75,6 +79,9 @@
 
 	mu     sync.Mutex
 	leases map[string]*lease
+	// storeTime was told by the newest answer of the store, to a call sent at storeAsked.
+	storeTime  time.Duration
+	storeAsked time.Time
 }
 
 // lease is one lease as this node sees it.
@@ -86,6 +93,9 @@
 	// until is the end of this node's lease; zero if it holds none.
 	until time.Time
 	fence uint64
+	// held is the version of the row as this node's last renewal left it; zero if it has to
+	// be read first.
+	held uint64
 	// version and seenAt are the row as last seen of another holder, and when it was first
 	// seen so.
 	version uint64
@@ -165,6 +175,7 @@
 	defer cancel()
 	next, err := k.step(ctx, name, l)
 	if err != nil {
+		k.forget(l)
 		next = retryEvery
 		if !platform.ErrOutage.Has(err) {
 			_ = k.o.Logger.Log("event", "lease", "name", name, "err", err)
@@ -176,9 +187,41 @@
 	l.nextAt = k.now().Add(next)
 }
 
-// step reads the row and takes, renews or gives up the lease. It returns the time until
-// the next step.
+// step takes, renews or gives up the lease. It returns the time until the next step.
 func (k *Keeper) step(ctx context.Context, name string, l *lease) (time.Duration, error) {
+	k.mu.Lock()
+	held, fence := l.held, l.fence
+	renew := l.wanted && held > 0
+	k.mu.Unlock()
+	if renew {
+		return renewEvery, k.put(ctx, name, l, held, fence)
+	}
+	return k.look(ctx, name, l)
+}
+
+// forget has the next step read the row: what stands there is not known.
+func (k *Keeper) forget(l *lease) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.held = 0
+}
+
+// put writes this node's row in place of version held, which begins a new term of the lease.
+func (k *Keeper) put(ctx context.Context, name string, l *lease, held, fence uint64) error {
+	began := k.now()
+	next := record{Holder: k.o.Self, Run: k.o.Run, Fence: fence, Began: k.storeNow(began)}
+	version, err := k.write(ctx, name, held, next)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.until, l.fence, l.held = began.Add(Length), fence, version
+	return nil
+}
+
+// look reads the row and takes, renews or gives up the lease.
+func (k *Keeper) look(ctx context.Context, name string, l *lease) (time.Duration, error) {
 	row, current, err := k.read(ctx, name)
 	if err != nil {
 		return 0, err
@@ -187,39 +230,58 @@
 	mine := current.Holder == k.o.Self && current.Run == k.o.Run
 	k.mu.Lock()
 	wanted := l.wanted
-	free := current.Holder == "" || current.Holder == k.o.Self || l.lapsed(row.Version, began)
+	free := current.Holder == "" || current.Holder == k.o.Self || l.lapsed(row, current, began)
 	k.mu.Unlock()
 	switch {
 	case !wanted && !mine:
-		k.settle(l, time.Time{}, 0)
+		k.drop(l)
 		return renewEvery, nil
 	case !wanted:
-		k.settle(l, time.Time{}, 0)
-		return renewEvery, k.write(ctx, name, row.Version, record{Fence: current.Fence})
+		k.drop(l)
+		_, err := k.write(ctx, name, row.Version, record{Fence: current.Fence})
+		return renewEvery, err
 	case !mine && !free:
 		return k.waitFor(l, began), nil
+	case mine:
+		return renewEvery, k.put(ctx, name, l, row.Version, current.Fence)
 	}
-	next := record{Holder: k.o.Self, Run: k.o.Run, Fence: current.Fence}
-	if !mine {
-		next.Fence++
-	}
-	if err := k.write(ctx, name, row.Version, next); err != nil {
+	fence := current.Fence + 1
+	if err := k.put(ctx, name, l, row.Version, fence); err != nil {
 		return 0, err
 	}
-	k.settle(l, began.Add(Length), next.Fence)
-	if !mine {
-		_ = k.o.Logger.Log("event", "lease taken", "name", name, "fence", next.Fence, "former", current.Holder)
-	}
+	_ = k.o.Logger.Log("event", "lease taken", "name", name, "fence", fence, "former", current.Holder)
 	return renewEvery, nil
 }
 
-// lapsed notes the row of another holder and reports whether it has been unchanged for
-// longer than a lease lasts.
-func (l *lease) lapsed(version uint64, now time.Time) bool {
-	if version != l.version || l.seenAt.IsZero() {
-		l.version, l.seenAt = version, now
+// lapsed notes the row of another holder and reports whether its lease is over: by the
+// store's clock, or because the row has been unchanged for longer than a lease lasts.
+func (l *lease) lapsed(row platform.Row, current record, now time.Time) bool {
+	if row.Version != l.version || l.seenAt.IsZero() {
+		l.version, l.seenAt = row.Version, now
+	}
+	told := current.Began > 0 && row.StoreTime-current.Began > Length+margin
+	return told || now.Sub(l.seenAt) > Length+margin
+}
+
+// heard notes the store's clock in an answer to a call that was sent at asked.
+func (k *Keeper) heard(storeTime time.Duration, asked time.Time) {
+	if storeTime <= 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storeTime, k.storeAsked = storeTime, asked
+}
+
+// storeNow returns the latest that the store's clock may show at now, or zero if it was never
+// told: the answer is no older than its call.
+func (k *Keeper) storeNow(now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.storeTime == 0 {
+		return 0
 	}
-	return now.Sub(l.seenAt) > Length+margin
+	return k.storeTime + now.Sub(k.storeAsked)
 }
 
 // waitFor returns the time until another holder's lease may have lapsed.
@@ -229,15 +291,18 @@
 	return min(lookEvery, max(retryEvery, l.seenAt.Add(Length+2*margin).Sub(now)))
 }
 
-func (k *Keeper) settle(l *lease, until time.Time, fence uint64) {
+// drop notes that this node holds the lease no more.
+func (k *Keeper) drop(l *lease) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l.until, l.fence = until, fence
+	l.until, l.fence, l.held = time.Time{}, 0, 0
 }
 
 func (k *Keeper) read(ctx context.Context, name string) (platform.Row, record, error) {
 	var r record
+	asked := k.now()
 	row, err := k.o.Table.Get(ctx, keyPrefix+name)
+	k.heard(row.StoreTime, asked)
 	if platform.ErrNotFound.Has(err) {
 		return platform.Row{}, r, nil
 	}
@@ -247,11 +312,14 @@
 	return row, r, Error.Wrap(cbor.Unmarshal(row.Value, &r))
 }
 
-func (k *Keeper) write(ctx context.Context, name string, version uint64, r record) error {
+// write replaces the row of the given version and returns its new one.
+func (k *Keeper) write(ctx context.Context, name string, version uint64, r record) (uint64, error) {
 	value, err := cbor.Marshal(r)
 	if err != nil {
-		return Error.Wrap(err)
+		return 0, Error.Wrap(err)
 	}
-	_, err = k.o.Table.Put(ctx, keyPrefix+name, version, value)
-	return err
+	asked := k.now()
+	row, err := k.o.Table.Put(ctx, keyPrefix+name, version, value)
+	k.heard(row.StoreTime, asked)
+	return row.Version, err
 }
--- a/internal/run/lease/lease_test.go
+++ b/internal/run/lease/lease_test.go
@@ -160,3 +160,26 @@
 		must.Eq(t, 1, fence(k))
 	})
 }
+
+// TestTakenOverByTheStoresClock: a node that has never seen the row takes the lease of a dead
+// holder over as soon as the store's clock shows that it has lapsed, and no sooner.
+func TestTakenOverByTheStoresClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, began := platformtest.New(), time.Now()
+		store.SetClock(func() time.Duration { return time.Hour + time.Since(began) })
+		first, second := keeper(store, "n1", "a", &suspension{}), keeper(store, "n2", "b", &suspension{})
+		stop := run(first)
+		first.Want("g", true)
+		time.Sleep(3 * renewEvery)
+		stop()
+		time.Sleep(Length - renewEvery)
+		defer run(second)()
+		second.Want("g", true)
+		for fence(first) != 0 {
+			must.Eq(t, 0, fence(second))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2*margin + retryEvery + renewEvery)
+		must.Eq(t, 2, fence(second))
+	})
+}
