Membership: a link that breaks or goes silent is looked after at once

QUIC had found the links silent long before.

Change: the end of a link makes a direct and the indirect probes of that node at once. Links count as silent after 0.6 s with a keep-alive each 0.2 s (before 1 s and 0.3 s); a stream to an owner opens within 0.25 s or the request is refused as not run and may go to the next owner (before 1 s).

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -274,6 +274,19 @@
 	return sends
 }
 
+// OnLost records that the link to the node at address broke or went silent, and returns the
+// probes that tell whether the node is gone: one of this node's own and the indirect ones.
+// Without an answer to any the caller uses OnUnreached.
+func (c *Core) OnLost(address string) (direct Send, indirect []Send, ok bool) {
+	for _, name := range c.order {
+		n := c.nodes[name]
+		if n.Address == address && n.State == Alive {
+			return c.probe(n, ""), c.OnTimeout(name), true
+		}
+	}
+	return Send{}, nil, false
+}
+
 // OnUnreached records that neither this node nor those it asked reached name.
 func (c *Core) OnUnreached(name string, now time.Time) {
 	n := c.nodes[name]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,6 +219,7 @@
 			n.exchange.heard(node, attached, sentAt)
 		},
 	})
+	n.peers.OnLost(n.membership.Lost)
 }
 
 func (n *Node) assembleQuota() {
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -27,6 +27,7 @@
 
 	mu    sync.Mutex
 	conns map[string]*link
+	lost  func(address string)
 }
 
 // link is the connection to one address, or the attempt to open it.
@@ -60,6 +61,14 @@
 	}
 }
 
+// OnLost has f called whenever an open connection to address breaks or goes silent. f must
+// not block.
+func (c *Client) OnLost(f func(address string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = f
+}
+
 // Close ends all connections.
 func (c *Client) Close() error {
 	return c.transport.Close()
@@ -167,9 +176,20 @@
 	context.AfterFunc(l.conn.Context(), func() {
 		count.Add(countLost, 1)
 		c.forget(address, l)
+		c.tell(address)
 	})
 }
 
+// tell passes on that the connection to address is lost.
+func (c *Client) tell(address string) {
+	c.mu.Lock()
+	lost := c.lost
+	c.mu.Unlock()
+	if lost != nil {
+		lost(address)
+	}
+}
+
 func (c *Client) handshake(ctx context.Context, address string) (*quic.Conn, error) {
 	remoteAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
--- a/internal/peer/quicpeer/remote.go
+++ b/internal/peer/quicpeer/remote.go
@@ -12,7 +12,7 @@
 // Waits of a request at another node.
 const (
 	// openTimeout bounds the opening of a session's stream.
-	openTimeout = time.Second
+	openTimeout = 250 * time.Millisecond
 	// cancelWait is how long a canceled request's answer is waited for.
 	cancelWait = 300 * time.Millisecond
 	// graceWait is how long after its deadline a request's answer may arrive.
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -18,9 +18,9 @@
 // Limits of one connection.
 const (
 	// IdleTimeout is how long a connection may stay silent.
-	IdleTimeout = time.Second
+	IdleTimeout = 600 * time.Millisecond
 	// KeepAlive is the pause between two probes of a quiet connection.
-	KeepAlive = 300 * time.Millisecond
+	KeepAlive = 200 * time.Millisecond
 	// handshakeTimeout bounds the opening of a connection.
 	handshakeTimeout = 2 * time.Second
 	// maxStreams is the most streams that a peer may have open at once.
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -31,6 +31,7 @@
 func (i *instant) Owner(string) (string, bool, bool)                   { return "", true, true }
 func (i *instant) Open(string) request.Handler                         { return i }
 func (i *instant) Admit(context.Context, string) (bool, time.Duration) { return true, 0 }
+func (i *instant) Settle(string, bool)                                 {}
 
 // bench is one caller's connection through the callers' port and all filters.
 type bench struct {
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -32,6 +32,8 @@
 	// read it listReads times a second.
 	listEvery = time.Second
 	listReads = 50
+	// maxLost is how many lost links may wait to be looked after.
+	maxLost = 64
 )
 
 // Options of a Runner.
@@ -61,6 +63,8 @@
 	o    Options
 	view atomic.Pointer[View]
 	wait sync.WaitGroup
+	// lost holds the addresses of links that were lost.
+	lost chan string
 
 	mu          sync.Mutex
 	core        *membership.Core
@@ -73,7 +77,7 @@
 func New(o Options) *Runner {
 	now := o.Clock.Now()
 	seed := uint64(now.UnixNano())
-	r := &Runner{o: o, core: membership.New(o.Self, seed, rand.New(rand.NewPCG(seed, seed>>7)))}
+	r := &Runner{o: o, lost: make(chan string, maxLost), core: membership.New(o.Self, seed, rand.New(rand.NewPCG(seed, seed>>7)))}
 	r.view.Store(r.core.View())
 	return r
 }
@@ -93,6 +97,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
 	r.wait.Go(func() { r.pollList(ctx) })
+	r.wait.Go(func() { r.followLost(ctx) })
 	for {
 		for _, send := range r.tick() {
 			r.wait.Go(func() { r.probe(ctx, send) })
@@ -198,14 +203,19 @@
 	r.mu.Lock()
 	indirect := r.core.OnTimeout(s.To)
 	r.mu.Unlock()
-	reached := make(chan bool, len(indirect))
-	for _, send := range indirect {
+	r.settle(ctx, s.To, indirect)
+}
+
+// settle sends probes of a node that is in doubt, and reports it if none reached it.
+func (r *Runner) settle(ctx context.Context, name string, probes []membership.Send) {
+	reached := make(chan bool, len(probes))
+	for _, send := range probes {
 		r.wait.Go(func() {
 			reply, err := r.call(ctx, send, membership.IndirectTimeout)
-			reached <- err == nil && reply.Reached
+			reached <- err == nil && (reply.Reached || send.To == name)
 		})
 	}
-	for range indirect {
+	for range probes {
 		if <-reached {
 			return
 		}
@@ -214,11 +224,38 @@
 		return
 	}
 	r.mu.Lock()
-	r.core.OnUnreached(s.To, r.o.Clock.Now())
+	r.core.OnUnreached(name, r.o.Clock.Now())
 	r.mu.Unlock()
 	r.publish()
 }
 
+// Lost is told that the link to the node at address broke or went silent: whether the node is
+// gone is found out at once, not at its next turn.
+func (r *Runner) Lost(address string) {
+	select {
+	case r.lost <- address:
+	default:
+		count("links_left_out")
+	}
+}
+
+// followLost looks after lost links until ctx ends.
+func (r *Runner) followLost(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-r.lost:
+			r.mu.Lock()
+			direct, indirect, ok := r.core.OnLost(address)
+			r.mu.Unlock()
+			if ok {
+				r.wait.Go(func() { r.settle(ctx, direct.To, append(indirect, direct)) })
+			}
+		}
+	}
+}
+
 // HandleProbe answers peer.KindProbe; it is a peer.ServeFunc.
 func (r *Runner) HandleProbe(ctx context.Context, _ string, payload []byte) (any, error) {
 	var p membership.Probe
