Polls: held targets are asked each 0.4 s, and at once after a failed exchange

Evidence serves 0.5 s, so two of three targets asked each 0.4 s keep it; a failing exchange tells of a dead target sooner than the next poll.

--- a/internal/owner/evidence/poll.go
+++ b/internal/owner/evidence/poll.go
@@ -13,8 +13,8 @@
 	IdlePoll = 400 * time.Millisecond
 	// HeldReplicaPoll and HeldPrimaryPoll are used under Rules.Held, where nothing waits for
 	// the next poll: two replicas asked so often keep evidence within Bound.
-	HeldReplicaPoll = 250 * time.Millisecond
-	HeldPrimaryPoll = 300 * time.Millisecond
+	HeldReplicaPoll = 400 * time.Millisecond
+	HeldPrimaryPoll = 400 * time.Millisecond
 	// HeldWaitPoll is used there while a request waits for a target.
 	HeldWaitPoll = 20 * time.Millisecond
 	// RetryPoll is the pause after a poll that failed, and LongRetryPoll after several.
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -111,11 +111,23 @@
 		sample = 1
 	}
 	m.errors += errorWeight * (sample - m.errors)
+	if failed && m.failures == 0 {
+		m.askSoon()
+	}
 	if !failed && position.Term == m.last.Term && m.last.Index < position.Index {
 		m.last = position
 	}
 }
 
+// askSoon makes the next poll due: what failed may be the target. The group's mu is held.
+func (m *member) askSoon() {
+	m.lastSent = time.Time{}
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
 // candidate describes m for the choice of a target.
 func (m *member) candidate(now time.Time, req *request.Request) choose.Candidate {
 	return choose.Candidate{
