Promotion: no wait that the platform's own delay covers; shorter suspicion

Change: evidence runs out between adoption and the promotion's effect, 0.2 s of which follow the call; nothing is waited for once the primary itself has stepped down. A held primary out of reach is not asked to step down, so that one that comes back in time is kept. A reachable primary that is cut off from its replicas steps down. Suspicion after 0.3 s (before 0.5 s) with two missed polls and a peer's word as before; a control call to a held target may take 0.2 s (before 0.3 s).

TestLeavingPrimaryHandsOverAtOnce, TestCutOffPrimaryStepsDown.

--- a/internal/controller/promotion/doubt_test.go
+++ b/internal/controller/promotion/doubt_test.go
@@ -74,7 +74,7 @@
 		return
 	}
 	s := h.status[a.Target]
-	s.Term = a.Term
+	s.Role, s.Term = target.RoleReplica, a.Term
 	h.status[a.Target] = s
 	s.Orderer = h.core.options.Self
 	h.core.Adopted(h.now, a.Target, a.Term, s, nil)
@@ -123,6 +123,36 @@
 	must.SliceEmpty(t, h.promoted)
 }
 
+// TestLeavingPrimaryHandsOverAtOnce: a primary that has stepped down commits nothing, so that
+// nothing has to run out before its successor is promoted.
+func TestLeavingPrimaryHandsOverAtOnce(t *testing.T) {
+	h := newHeldGroup(t)
+	h.obeys = true
+	h.pass(time.Second)
+	h.core.SetMembers([]Member{{Name: "p", Domain: "a", Leaving: true}, {Name: "r1", Domain: "b"}, {Name: "r2", Domain: "c"}})
+	h.pass(200 * time.Millisecond)
+	must.Eq(t, target.RoleReplica, h.status["p"].Role)
+	must.Len(t, 1, h.promoted)
+	must.NotEq(t, "p", h.promoted[0])
+}
+
+// TestCutOffPrimaryStepsDown: a primary that its replicas don't hear, but this node does, steps
+// down, and one of the others is promoted.
+func TestCutOffPrimaryStepsDown(t *testing.T) {
+	h := newHeldGroup(t)
+	h.obeys = true
+	h.pass(time.Second)
+	for _, name := range []string{"r1", "r2"} {
+		s := h.status[name]
+		s.LinkAge = 2 * StallAfter
+		h.status[name] = s
+	}
+	h.pass(200 * time.Millisecond)
+	must.Eq(t, target.RoleReplica, h.status["p"].Role)
+	must.Len(t, 1, h.promoted)
+	must.NotEq(t, "p", h.promoted[0])
+}
+
 // TestNoHoldWithoutTheLease: a node that could not have a target promoted holds none, however
 // long the primary is gone; with the lease it does.
 func TestNoHoldWithoutTheLease(t *testing.T) {
--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -69,3 +69,16 @@
 	}
 	return held >= g.majority()
 }
+
+// settle returns how long to wait between adoption and the call for the promotion. A primary
+// that has stepped down commits nothing any more, whatever evidence says.
+func (g *Group) settle() time.Duration {
+	switch {
+	case !g.options.Held:
+		return g.options.Settle
+	case g.order.fenced:
+		return 0
+	default:
+		return g.options.Settle - HeldEffectAfter
+	}
+}
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -22,8 +22,7 @@
 		adopted: make(map[string]target.Status),
 		asked:   make(map[string]bool),
 	}
-	if reason == ReasonCutOff {
-		// Its log is the highest, but nobody can follow it: the others decide.
+	if g.spared(reason) {
 		g.order.asked[primary] = true
 	}
 	if reason == ReasonLeaving {
@@ -34,6 +33,16 @@
 	return g.askAll()
 }
 
+// spared reports whether the primary is not asked to adopt. The log of one that is cut off is
+// the highest, but nobody can follow it: the others decide. A held one that is out of reach may
+// come back before the promotion is called for, and is kept then.
+func (g *Group) spared(reason Reason) bool {
+	if g.options.Held {
+		return reason == ReasonUnreachable
+	}
+	return reason == ReasonCutOff
+}
+
 // askAll orders every target that was not asked yet to adopt the order's term. Targets
 // that seem unreachable are asked too: they may have come back.
 func (g *Group) askAll() []Action {
@@ -61,8 +70,11 @@
 		g.abandon(now)
 		return
 	}
-	g.order.adopted[name] = status
-	if g.order.phase == PhaseFence {
+	fenced := g.options.Held && name == g.order.lead && status.Role == target.RoleReplica
+	if !fenced || g.order.reason == ReasonLeaving {
+		g.order.adopted[name] = status
+	}
+	if g.order.phase == PhaseFence || fenced {
 		g.order.fenced = true
 		g.order.wanted = status.Last
 	}
@@ -112,7 +124,7 @@
 		g.abandon(now)
 		return nil
 	}
-	if now.Sub(g.order.since) < g.options.Settle {
+	if now.Sub(g.order.since) < g.settle() {
 		return nil
 	}
 	g.order.chosen = g.choose()
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -23,8 +23,8 @@
 	Self string
 	// Domain is the orderer's failure domain.
 	Domain string
-	// Settle is the time between adoption and promotion: the greatest age at which
-	// evidence of a term is still used to acknowledge.
+	// Settle is the greatest age at which evidence of a term is still used to acknowledge: the
+	// time between adoption and the promotion's effect.
 	Settle time.Duration
 	// Held is true for targets that adopt a term only until they restart or are let go,
 	// that find their primary by themselves, and of which a promoted one leads its own next
--- a/internal/controller/promotion/times.go
+++ b/internal/controller/promotion/times.go
@@ -9,7 +9,7 @@
 	// SuspectMisses is the number of polls in a row that must have failed by then.
 	SuspectMisses = 2
 	// HeldSuspectAfter is SuspectAfter where peers are asked from the first missed poll on.
-	HeldSuspectAfter = 500 * time.Millisecond
+	HeldSuspectAfter = 300 * time.Millisecond
 	// AskEvery is the pause between two rounds of questions to peers.
 	AskEvery = 300 * time.Millisecond
 	// AnswerAge bounds the age of a peer's answer that counts.
@@ -31,6 +31,9 @@
 	// BackoffMin and BackoffMax bound the random pause after an order that failed.
 	BackoffMin = 200 * time.Millisecond
 	BackoffMax = 900 * time.Millisecond
+	// HeldEffectAfter is the least time between the call for a promotion and its effect, where
+	// the promotion takes effect some time after it was ordered.
+	HeldEffectAfter = 200 * time.Millisecond
 	// FollowEvery is the pause between two attempts to make one target follow.
 	FollowEvery = 500 * time.Millisecond
 )
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -160,5 +160,5 @@
 	ControlTimeout = 400 * time.Millisecond
 	// HeldControlTimeout is the same for targets under held terms, whose status is one short
 	// line.
-	HeldControlTimeout = 300 * time.Millisecond
+	HeldControlTimeout = 200 * time.Millisecond
 )
