Quota: scarce tokens go to nodes in proportion; between full reports only short customers report

Each urgent report carried all customers.

Change: where the bucket holds less than all ask for, a node gets its part of it. Urgent reports carry the customers that are short.

TestScarceTokensAreShared (seen to fail).

--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -244,3 +244,22 @@
 		t.Fatalf("%v tokens after the other share's loan has lapsed", got)
 	}
 }
+
+// TestScarceTokensAreShared replays a customer at four times its rate with three quarters of its
+// callers at one node: what each node gets is in proportion to what its callers ask for.
+func TestScarceTokensAreShared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPool(now)
+	p.Configure(Limit{Rate: 100, Burst: 100}, now)
+	p.SetShare(0.5, now)
+	got := map[string]float64{}
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		// The busy node always asks first.
+		got["busy"] += p.Report("busy", Report{Wanted: 60, Lent: true}, now)
+		got["calm"] += p.Report("calm", Report{Wanted: 20, Lent: true}, now)
+	}
+	if part := got["calm"] / (got["busy"] + got["calm"]); part < 0.2 || part > 0.3 {
+		t.Fatalf("the node with a quarter of the demand got %.2f of the tokens: %v", part, got)
+	}
+}
--- a/internal/controller/quota/pool.go
+++ b/internal/controller/quota/pool.go
@@ -17,8 +17,9 @@
 
 // holder is what the coordinator knows of one node.
 type holder struct {
-	// held is the number of tokens that the node may hold.
-	held float64
+	// held is the number of tokens that the node may hold, short how many more it asked for.
+	held  float64
+	short float64
 	// lentUntil is the end of its loan.
 	lentUntil time.Time
 	heardAt   time.Time
@@ -100,14 +101,18 @@
 	}
 	p.tokens += r.Returned
 	p.fill(now)
+	h.short = max(0, r.Wanted-r.Held)
 	granted := p.grant(r, now)
 	p.tokens -= max(0, granted)
 	h.held += granted
+	h.short = max(0, h.short-granted)
 	return granted
 }
 
 // grant returns what a node gets for its report. Where nodes hold too much in all, each gives
-// up what exceeds its part of the burst; one whose share is not lent here has none.
+// up what exceeds its part of the burst; one whose share is not lent here has none. Where the
+// bucket holds less than all nodes ask for, each gets its part: a node with many callers near it
+// takes nothing from those of the others.
 func (p *Pool) grant(r Report, now time.Time) float64 {
 	if room := p.room(now); room < 0 {
 		part := 0.0
@@ -119,7 +124,14 @@
 	if now.Before(p.opens) {
 		return 0
 	}
-	return max(0, min(r.Wanted-r.Held, p.tokens))
+	want, all := max(0, r.Wanted-r.Held), 0.0
+	for _, h := range p.nodes {
+		all += h.short
+	}
+	if all <= p.tokens {
+		return want
+	}
+	return p.tokens * want / all
 }
 
 // Lent returns the part of the whole that is lent at now.
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -84,11 +84,12 @@
 	return nodes
 }
 
-// report sends the reports that are due, one message for each coordinator.
+// report sends the reports that are due, one message for each coordinator: those of all its
+// customers each reportEvery, in between only those of customers that have run out of tokens.
 func (r *Runner) report(ctx context.Context) {
 	now := r.now()
-	batches := make(map[string][]*slot)
-	urgent := make(map[string]bool)
+	all := make(map[string][]*slot)
+	hungry := make(map[string][]*slot)
 	changed := 0
 	for _, s := range *r.slots.Load() {
 		s.mu.Lock()
@@ -96,18 +97,22 @@
 		if s.account.LentElsewhere(s.lender, now) && !s.lost {
 			name = s.lender
 		}
-		hungry := s.account.Hungry(now)
+		if s.account.Hungry(now) {
+			hungry[name] = append(hungry[name], s)
+		}
 		if own := s.account.Own(now); own != s.own {
 			s.own = own
 			changed++
 		}
 		s.mu.Unlock()
-		batches[name] = append(batches[name], s)
-		urgent[name] = urgent[name] || hungry
+		all[name] = append(all[name], s)
 	}
 	r.noteOwn(changed)
-	for name, batch := range batches {
-		if name != "" && r.begin(name, urgent[name], now) {
+	for name, batch := range all {
+		if name == "" {
+			continue
+		}
+		if batch = r.begin(name, batch, hungry[name], now); len(batch) > 0 {
 			r.wait.Go(func() { r.send(ctx, name, batch) })
 		}
 	}
@@ -129,20 +134,25 @@
 	_ = r.o.Logger.Log("event", "quota", "changed", changed, "own_share", own, "coordinators", len(coordinators))
 }
 
-// begin reports whether a message to the coordinator is due, and marks it as under way.
-func (r *Runner) begin(name string, urgent bool, now time.Time) bool {
+// begin returns the customers of a message to the coordinator that is due, and marks it as
+// under way.
+func (r *Runner) begin(name string, all, hungry []*slot, now time.Time) []*slot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	due := r.due[name]
-	if urgent {
-		due = due.Add(urgentEvery - reportEvery)
+	if r.busy[name] {
+		return nil
 	}
-	if r.busy[name] || now.Before(due) {
-		return false
+	if now.Before(r.due[name]) {
+		if len(hungry) == 0 || now.Before(r.urgentDue[name]) {
+			return nil
+		}
+		all = hungry
+	} else {
+		r.due[name] = now.Add(reportEvery)
 	}
 	r.busy[name] = true
-	r.due[name] = now.Add(reportEvery)
-	return true
+	r.urgentDue[name] = now.Add(urgentEvery)
+	return all
 }
 
 // send reports the customers of one coordinator and takes in what it grants.
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -69,10 +69,12 @@
 	config *fleet.Config
 
 	mu sync.Mutex
-	// busy holds the coordinators with a report under way; due the time of the next one.
-	busy    map[string]bool
-	due     map[string]time.Time
-	leaving bool
+	// busy holds the coordinators with a report under way, due the time of the next one of all
+	// customers, urgentDue that of those that have run out of tokens.
+	busy      map[string]bool
+	due       map[string]time.Time
+	urgentDue map[string]time.Time
+	leaving   bool
 }
 
 // New returns a Runner that admits nothing until Run has been called.
@@ -81,10 +83,11 @@
 		o.Suspended = func() time.Duration { return 0 }
 	}
 	r := &Runner{
-		o:    o,
-		kick: make(chan struct{}, 1),
-		busy: make(map[string]bool),
-		due:  make(map[string]time.Time),
+		o:         o,
+		kick:      make(chan struct{}, 1),
+		busy:      make(map[string]bool),
+		due:       make(map[string]time.Time),
+		urgentDue: make(map[string]time.Time),
 	}
 	r.slots.Store(&slots{})
 	return r
