Quota: tokens that come in are divided by what each node asks for

Now each token that comes in is divided between the nodes that are short, and waits for them. TestScarceTokensAreShared passes (0.2 to 0.3 asked).

--- a/internal/controller/quota/pool.go
+++ b/internal/controller/quota/pool.go
@@ -17,9 +17,11 @@
 
 // holder is what the coordinator knows of one node.
 type holder struct {
-	// held is the number of tokens that the node may hold, short how many more it asked for.
+	// held is the number of tokens that the node may hold, short how many more it asked for,
+	// due how many of those in the bucket are for it while there are too few.
 	held  float64
 	short float64
+	due   float64
 	// lentUntil is the end of its loan.
 	lentUntil time.Time
 	heardAt   time.Time
@@ -61,8 +63,32 @@
 			brought += until.Sub(from).Seconds() * p.share
 		}
 	}
+	before := p.tokens
 	p.tokens += brought * p.limit.Rate
 	p.tokens = max(0, min(p.tokens, p.room(now)))
+	p.divide(p.tokens-before, now)
+}
+
+// divide shares tokens that came into the bucket between the nodes, by what each asks for.
+func (p *Pool) divide(came float64, now time.Time) {
+	all := p.short(now)
+	for _, h := range p.nodes {
+		if came > 0 && all > 0 && now.Sub(h.heardAt) <= LoanTerm {
+			h.due += came * h.short / all
+		}
+		h.due = min(h.due, h.short)
+	}
+}
+
+// short is how many tokens the nodes that were heard of late ask for.
+func (p *Pool) short(now time.Time) float64 {
+	all := 0.0
+	for _, h := range p.nodes {
+		if now.Sub(h.heardAt) <= LoanTerm {
+			all += h.short
+		}
+	}
+	return all
 }
 
 // room is how many tokens there may be beside those that nodes hold. It is negative once a
@@ -102,10 +128,11 @@
 	p.tokens += r.Returned
 	p.fill(now)
 	h.short = max(0, r.Wanted-r.Held)
-	granted := p.grant(r, now)
+	granted := p.grant(h, r, now)
 	p.tokens -= max(0, granted)
 	h.held += granted
 	h.short = max(0, h.short-granted)
+	h.due = min(h.short, max(0, h.due-granted))
 	return granted
 }
 
@@ -113,7 +140,7 @@
 // up what exceeds its part of the burst; one whose share is not lent here has none. Where the
 // bucket holds less than all nodes ask for, each gets its part: a node with many callers near it
 // takes nothing from those of the others.
-func (p *Pool) grant(r Report, now time.Time) float64 {
+func (p *Pool) grant(h *holder, r Report, now time.Time) float64 {
 	if room := p.room(now); room < 0 {
 		part := 0.0
 		if r.Lent {
@@ -124,14 +151,10 @@
 	if now.Before(p.opens) {
 		return 0
 	}
-	want, all := max(0, r.Wanted-r.Held), 0.0
-	for _, h := range p.nodes {
-		all += h.short
-	}
-	if all <= p.tokens {
-		return want
+	if p.short(now) <= p.tokens {
+		return h.short
 	}
-	return p.tokens * want / all
+	return min(h.short, h.due, p.tokens)
 }
 
 // Lent returns the part of the whole that is lent at now.
