--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -31,8 +31,11 @@
 const (
 	// followWait is how long the store may hold a feed's answer back, followTimeout bounds
 	// the whole call.
-	followWait    = 20 * time.Second
+	followWait    = 28 * time.Second
 	followTimeout = followWait + 3*time.Second
+	// gatherNodes is the pause after a change of the nodes' rows: nodes start and stop in
+	// groups, and each call that brings one row more is charged.
+	gatherNodes = 300 * time.Millisecond
 	// readTimeout bounds the read of a whole table.
 	readTimeout = 2 * time.Second
 	// backoffMin and backoffMax bound the pause after a call that failed, before jitter.
@@ -208,6 +211,9 @@
 		return err
 	}
 	r.update(name, r.o.Clock.Now(), func() bool { return t.apply(changes, version) })
+	if name == platform.TableNodes && len(changes) > 0 {
+		return r.o.Clock.Sleep(ctx, gatherNodes)
+	}
 	return nil
 }
 
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -33,7 +33,7 @@
 	// Length is how long a lease lasts without a renewal.
 	Length = 4 * time.Second
 	// renewEvery is the pause between two renewals.
-	renewEvery = time.Second
+	renewEvery = 1300 * time.Millisecond
 	// margin is how much earlier than its end the holder stops acting, and how much later
 	// another node takes the lease over.
 	margin = 500 * time.Millisecond
