--- a/cmd/crocusyoke/main.go
+++ b/cmd/crocusyoke/main.go
@@ -27,11 +27,13 @@
 		ServeHosted: func(ctx context.Context, file string) error {
 			return platform.Serve(ctx, file, node.NewLogger(os.Stdout))
 		},
-		Platform: node.OpenPlatform,
-		Peers:    node.OpenPeers,
-		Clock:    clock.Wall{},
-		Getenv:   os.Getenv,
-		Release:  release,
+		Hosted:      platform.OpenFleet,
+		CheckHosted: platform.CheckConfiguration,
+		Platform:    node.OpenPlatform,
+		Peers:       node.OpenPeers,
+		Clock:       clock.Wall{},
+		Getenv:      os.Getenv,
+		Release:     release,
 	}
 	os.Exit(cli.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, hooks))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/change"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/peer"
@@ -35,6 +36,12 @@
 	// ServeHosted runs a node with the settings file that the users' platform gives it; nil
 	// if that is not built in.
 	ServeHosted func(ctx context.Context, file string) error
+	// Hosted opens the way to a running fleet on the users' platform with the settings file of
+	// one of its VMs; nil if that is not built in.
+	Hosted func(file string) (platform.VMs, peer.Caller, error)
+	// CheckHosted checks the configuration that the users' operators write; nil if that is not
+	// built in.
+	CheckHosted func(file string) (*catalog.Configuration, error)
 	// Platform opens the platform's services.
 	Platform func(o Options) (platform.Platform, error)
 	// Peers opens the way to the nodes with the operator's certificate.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"crocusyoke/internal/audit"
+	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/change"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
@@ -93,9 +94,21 @@
 		Serve:    func(context.Context, *settings.Settings) error { return nil },
 		Platform: func(Options) (platform.Platform, error) { return b.store, nil },
 		Peers:    func(Options) (peer.Caller, error) { return b, nil },
-		Clock:    b,
-		Getenv:   func(name string) string { return b.env[name] },
-		Release:  "test",
+		Hosted: func(file string) (platform.VMs, peer.Caller, error) {
+			if file != "boot.toml" {
+				return nil, nil, errors.New("no such file")
+			}
+			return b.store, b, nil
+		},
+		CheckHosted: func(file string) (*catalog.Configuration, error) {
+			if file != "sound.json" {
+				return nil, errors.New("desired.json:3: unknown type")
+			}
+			return &catalog.Configuration{Version: 7, Customers: make([]fleet.Customer, 2)}, nil
+		},
+		Clock:   b,
+		Getenv:  func(name string) string { return b.env[name] },
+		Release: "test",
 	})
 	b.printed.WriteString(out.String())
 	return code, out.String()
@@ -245,6 +258,22 @@
 	must.ErrorContains(t, err, "fleet.toml:1: platfrom: unknown key")
 }
 
+// TestHostedFleet: on a VM of the users' platform, status and config check need no operator file.
+func TestHostedFleet(t *testing.T) {
+	b := newBench(t)
+	want := b.ok("status")
+	must.Eq(t, want, b.ok("status", "--hosted", "boot.toml"))
+	b.env[HostedFileVariable] = "boot.toml"
+	must.Eq(t, want, b.ok("status"))
+	code, output := b.run("status", "--hosted", "missing.toml")
+	must.Eq(t, ExitError, code)
+	must.StrContains(t, output, "no such file")
+	must.StrContains(t, b.ok("config", "check", "--hosted", "sound.json"), "2 customers")
+	code, output = b.run("config", "check", "--hosted", "desired.json")
+	must.Eq(t, ExitError, code)
+	must.StrContains(t, output, "desired.json:3: unknown type")
+}
+
 func TestAuditOfPromotions(t *testing.T) {
 	b := newBench(t)
 	entry := audit.Entry{ID: "1", Who: "n2", Changes: []fleet.Change{
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -34,13 +34,18 @@
 }
 
 func (a *app) checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var hosted bool
+	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a configuration file; nothing is sent",
 		Long: "Check a configuration file by itself; nothing is sent. A key without a hash, as config show\n" +
-			"writes it, passes: apply takes the hash from the configuration in force.",
+			"writes it, passes: apply takes the hash from the configuration in force. With --hosted the file\n" +
+			"is the document that operators of the users' platform write.",
 		Args: exactly(1),
 		RunE: func(_ *cobra.Command, args []string) error {
+			if hosted {
+				return a.checkHosted(args[0])
+			}
 			body, err := os.ReadFile(args[0])
 			if err != nil {
 				return err
@@ -57,6 +62,24 @@
 			})
 		},
 	}
+	cmd.Flags().BoolVar(&hosted, "hosted", false, "the file is the users' platform's document")
+	return cmd
+}
+
+func (a *app) checkHosted(file string) error {
+	if a.hooks.CheckHosted == nil {
+		return errors.New("the users' platform is not built in")
+	}
+	config, err := a.hooks.CheckHosted(file)
+	if err != nil {
+		return err
+	}
+	return a.print(checkResult{
+		Profiles:  len(config.Profiles),
+		Customers: len(config.Customers),
+		Services:  len(config.Services),
+		Groups:    len(config.Groups),
+	})
 }
 
 // fillForCheck stands in for the secrets that apply would take from the configuration
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -7,26 +7,26 @@
 	"github.com/spf13/cobra"
 
 	"crocusyoke/internal/change"
+	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/status"
 )
 
 func (a *app) statusCommand() *cobra.Command {
-	var node string
+	var node, hosted string
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show nodes, groups, shares and refusals",
-		Args:  exactly(0),
+		Long: "Show nodes, groups, shares and refusals. For a fleet on the users' platform run it on one of\n" +
+			"the fleet's VMs and name the settings file that the platform gave it: --hosted, or the variable\n" +
+			HostedFileVariable + ".",
+		Args: exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			store, o, err := a.openPlatform()
+			list, peers, err := a.openFleet(first(hosted, a.hooks.Getenv(HostedFileVariable)))
 			if err != nil {
 				return err
 			}
-			peers, err := a.openPeers(o)
-			if err != nil {
-				return err
-			}
-			vms, err := store.ListVMs(cmd.Context())
+			vms, err := list.ListVMs(cmd.Context())
 			if err != nil {
 				return err
 			}
@@ -39,9 +39,24 @@
 		},
 	}
 	cmd.Flags().StringVar(&node, "node", "", "ask one node only")
+	cmd.Flags().StringVar(&hosted, "hosted", "", "the settings file of a VM on the users' platform")
 	return cmd
 }
 
+// openFleet opens the list of nodes and the way to them: with the settings file of a hosted VM,
+// or, without one, as the operator's options say.
+func (a *app) openFleet(hosted string) (platform.VMs, peer.Caller, error) {
+	if hosted != "" && a.hooks.Hosted != nil {
+		return a.hooks.Hosted(hosted)
+	}
+	store, o, err := a.openPlatform()
+	if err != nil {
+		return nil, nil, err
+	}
+	peers, err := a.openPeers(o)
+	return store, peers, err
+}
+
 func only(vms []platform.VM, node string) []platform.VM {
 	if node == "" {
 		return vms
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -1,6 +1,6 @@
 // Package filter puts the filters of an entry node in their order.
 //
-// The order matters: nothing is charged to a customer before its key has been checked,
+// The order matters: latency is measured around all else, nothing is charged to a customer before its key has been checked,
 // a retry is not charged again, and the position that a request must see is fixed before
 // its first try.
 package filter
@@ -11,6 +11,7 @@
 
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
+	"crocusyoke/internal/filter/latency"
 	"crocusyoke/internal/filter/limit"
 	"crocusyoke/internal/filter/retry"
 	"crocusyoke/internal/filter/route"
@@ -44,6 +45,7 @@
 	Session *session.Filter
 	Retry   *retry.Filter
 	Route   *route.Filter
+	Latency *latency.Filter
 }
 
 // New builds a Chain.
@@ -57,7 +59,8 @@
 	}
 	c.Limit = limit.New(c.Session, o.Quota)
 	c.Auth = auth.New(c.Limit, o.Config, o.Fresh)
-	c.Handler = c.Auth
+	c.Latency = latency.New(c.Auth, o.Clock)
+	c.Handler = c.Latency
 	return c
 }
 
@@ -69,5 +72,6 @@
 	all.Set("retry_retried", &c.Retry.Retried)
 	all.Set("retry_exhausted", &c.Retry.Exhausted)
 	all.Set("route", &c.Route.Counts)
+	all.Set("latency", c.Latency.Vars())
 	return all
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -15,7 +15,7 @@
 		Domain:        n.settings.Node.Domain,
 		Run:           n.run,
 		Uptime:        n.clock.Now().Sub(n.started),
-		ConfigVersion: n.config.Version(),
+		ConfigVersion: n.versionInForce(),
 		ConfigFresh:   n.config.Fresh(),
 		Draining:      n.draining(),
 	}
@@ -122,3 +122,12 @@
 	})
 	return all
 }
+
+// versionInForce returns the number of the configuration in force as operators know it, or 0.
+func (n *Node) versionInForce() uint64 {
+	config := n.config.Current()
+	if config == nil {
+		return 0
+	}
+	return config.Version
+}
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -50,6 +50,13 @@
 	fetchTimeout = time.Second
 )
 
+// changeCounters names the counter of each table's changes.
+var changeCounters = map[string]string{
+	platform.TableConfiguration: "changes_configuration",
+	platform.TableTargets:       "changes_targets",
+	platform.TableNodes:         "changes_nodes",
+}
+
 // Options of a Runner.
 type Options struct {
 	Feed    platform.Feed
@@ -227,7 +234,7 @@
 		r.mu.Unlock()
 		return
 	}
-	r.Counts.Add("changes_"+name, 1)
+	r.Counts.Add(changeCounters[name], 1)
 	if name == platform.TableNodes {
 		rows := r.nodes.copy().Rows
 		r.mu.Unlock()
