A read of which a try may have run is never refused as not run

Cause, found by reading: a read that got no answer is run again by the owner, or by the entry's retries; when the last try found no target, its refusal, not run, was passed on. No write is affected: of these nothing of unknown fate is sent twice.

Change: the refusal of all tries says outcome unknown if one of them may have run, with the last refusal as its cause.

--- a/internal/filter/retry/retry.go
+++ b/internal/filter/retry/retry.go
@@ -79,6 +79,7 @@
 func (f *Filter) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
 	f.earn(req)
 	backoff := FirstBackoff
+	ran := false
 	for {
 		kind := req.Kind
 		resp, err := f.next.Serve(ctx, req)
@@ -86,8 +87,9 @@
 			return resp, nil
 		}
 		refusal := request.AsRefusal(err)
+		ran = ran || refusal.Code.Fate == request.Unknown
 		if !safe(kind, refusal) || refusal.RetryAfter > MaxBackoff || !f.wait(ctx, req, backoff) {
-			return nil, err
+			return nil, refusal.Knowing(ran)
 		}
 		if refusal.Code == request.CodeReplicaWrite {
 			toPrimary(req)
--- a/internal/filter/retry/retry_test.go
+++ b/internal/filter/retry/retry_test.go
@@ -111,3 +111,17 @@
 	must.False(t, clock.now.After(req.Deadline))
 	must.Positive(t, len(n.kinds)-1)
 }
+
+// TestFateOfAllTries: a read whose first try may have run is not refused as not run when a later
+// one finds no target; one of which nothing ran is.
+func TestFateOfAllTries(t *testing.T) {
+	for first, want := range map[*request.Code]request.Fate{
+		&request.CodeOutcomeUnknown: request.Unknown, &request.CodeNoOwner: request.NotRun,
+	} {
+		n := &next{codes: []*request.Code{first, &request.CodeOverRate}}
+		f, clock := filter(n)
+		_, err := f.Serve(context.Background(), ask(request.KindRead, clock, 1))
+		must.Len(t, 2, n.kinds)
+		must.Eq(t, want, request.AsRefusal(err).Code.Fate)
+	}
+}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -44,6 +44,8 @@
 	silence bool
 	// breaks makes the next exchange run and its answer get lost with the connection.
 	breaks bool
+	// onBreak is called when that happens; may be nil.
+	onBreak func()
 	// reused counts exchanges on a connection that a cancel request was sent for.
 	reused int
 	// hold, if set, delays the answer to a commit until it is closed.
@@ -270,7 +272,7 @@
 	c.silent = c.silent || f.silence
 	f.silence = false
 	mute := c.silent || f.cut
-	breaks := f.breaks
+	breaks, onBreak := f.breaks, f.onBreak
 	f.breaks = false
 	if c.doomed && query.String != "ROLLBACK" {
 		f.reused++
@@ -301,6 +303,9 @@
 		}
 	}
 	reply, hold := c.run(query.String)
+	if breaks && onBreak != nil {
+		onBreak()
+	}
 	if breaks {
 		return target.Reply{}, true, errFake
 	}
--- a/internal/owner/release_test.go
+++ b/internal/owner/release_test.go
@@ -93,15 +93,20 @@
 	})
 }
 
+// leave has a target leave in the configuration in force.
+func (h *harness) leave(index int) {
+	config := *h.group.Current()
+	group := config.Groups[0]
+	group.Targets = append([]fleet.Target(nil), group.Targets...)
+	group.Targets[index].Leaving = true
+	config.Groups = []fleet.Group{group}
+	config.Version++
+	h.group.config.Store(&config)
+}
+
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
-		config := *h.group.Current()
-		group := config.Groups[0]
-		group.Targets = append([]fleet.Target(nil), group.Targets...)
-		group.Targets[1].Leaving = true
-		config.Groups = []fleet.Group{group}
-		config.Version++
-		h.group.config.Store(&config)
+		h.leave(1)
 		for range 20 {
 			answer, err := h.serve(h.request(request.KindRead, "SELECT 1", time.Second))
 			must.NoError(t, err)
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -63,8 +63,9 @@
 	began time.Time
 	// primaryOnly is set once a replica's answer would not do.
 	primaryOnly bool
-	// lost is set once a read got no answer.
+	// lost is set once a read got no answer, ran once a try may have run.
 	lost bool
+	ran  bool
 
 	member   *member
 	replica  bool
@@ -81,8 +82,14 @@
 	for range maxRuns {
 		var response *request.Response
 		response, refusal = g.runOnce(ctx, r)
-		if response != nil || !r.mayRunAgain(refusal) || ctx.Err() != nil {
-			return response, refusal
+		if response != nil {
+			return response, nil
+		}
+		again := r.mayRunAgain(refusal)
+		refusal = refusal.Knowing(r.ran)
+		r.ran = r.ran || refusal.Code.Fate == request.Unknown
+		if !again || ctx.Err() != nil {
+			return nil, refusal
 		}
 		g.manager.counts.rerun.Add(1)
 	}
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -104,6 +104,15 @@
 	return r
 }
 
+// Knowing returns what is to be said after several tries: if an earlier one may have run, the
+// last one's refusal must not say that nothing did.
+func (r *Refusal) Knowing(ran bool) *Refusal {
+	if !ran || r.Code.Fate == Unknown {
+		return r
+	}
+	return Refuse(CodeOutcomeUnknown, r.Step, r.Peer, "an earlier try may have run").After(r.RetryAfter).Because(r)
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	text := fmt.Sprintf("%s (%s): %s", r.Code.Name, r.Code.Fate, r.Detail)
