--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -43,9 +43,8 @@
 	// silence makes the next exchange's connection silent for good.
 	silence bool
 	// breaks makes the next exchange run and its answer get lost with the connection.
-	breaks bool
-	// onBreak is called when that happens; may be nil.
-	onBreak func()
+	breaks  bool
+	onBreak func() // called when that happens
 	// reused counts exchanges on a connection that a cancel request was sent for.
 	reused int
 	// hold, if set, delays the answer to a commit until it is closed.
@@ -108,6 +107,7 @@
 	group := fleet.Group{Name: "ledger"}
 	for i := range 3 {
 		f := &fakeTarget{
+			onBreak:   func() {},
 			name:      fmt.Sprintf("db%d", i),
 			address:   fmt.Sprintf("127.0.0.1:%d", 9000+i),
 			role:      target.RoleReplica,
@@ -303,10 +303,8 @@
 		}
 	}
 	reply, hold := c.run(query.String)
-	if breaks && onBreak != nil {
-		onBreak()
-	}
 	if breaks {
+		onBreak()
 		return target.Reply{}, true, errFake
 	}
 	if hold != nil {
--- a/internal/owner/replaced_test.go
+++ b/internal/owner/replaced_test.go
@@ -28,3 +28,19 @@
 		must.Less(t, 5*time.Second, time.Since(began))
 	})
 }
+
+// TestReadThatRanIsNeverRefusedAsNotRun: a read ran without an answer and its second try finds
+// no target: it is not said that nothing ran.
+func TestReadThatRanIsNeverRefusedAsNotRun(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+		primary := h.group.targets[0]
+		leave := func() { h.leave(0) }
+		primary.set(func(f *fakeTarget) { f.breaks, f.onBreak = true, leave })
+		read := h.request(request.KindRead, "SELECT 1", 200*time.Millisecond)
+		read.TokenKnown = false
+		_, err := h.serve(read)
+		refused(t, err, request.CodeOutcomeUnknown)
+		must.ErrorContains(t, err, "no primary that a majority confirms")
+		must.Eq(t, 1, primary.count("SELECT 1"))
+	})
+}
