--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -9,8 +9,8 @@
 const (
 	// LoanTerm is how long a coordinator counts a share after a report that lends it.
 	LoanTerm = 350 * time.Millisecond
-	// ArrivalSlack is the longest that a report is on its way: one that arrives later lends
-	// nothing.
+	// ArrivalSlack is the longest that a report may be on its way: the calls that carry one are
+	// given up before.
 	ArrivalSlack = 160 * time.Millisecond
 	// TokenTerm is how long the tokens that a coordinator lets a node hold may exceed the
 	// node's part of the burst, counted from the report that they answer.
