PostgreSQL edge: refused and silent connections take no session's place

The limit was decided at accept, from all sockets: a login just refused, one in its handshake and one in its linger (up to lingerTimeout after the last message) each held a place of MaxConnections. The test reconnected before the refused sockets were gone; a caller refused in production that keeps its socket open held a place for as long. Change: a place is reserved when a startup message asks for a session and given back before the caller is told of its end.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -34,8 +34,9 @@
 	socket  net.Conn
 	frames  *frames
 	secure  bool
-	// surplus connections are refused.
-	surplus bool
+	// placed says that the connection holds one of the server's places. The server's
+	// mutex guards it.
+	placed bool
 
 	session  string
 	pid      uint32
@@ -74,7 +75,7 @@
 	reading, idle bool
 }
 
-func newConn(s *Server, socket net.Conn, surplus bool) *conn {
+func newConn(s *Server, socket net.Conn) *conn {
 	ctx, cancel := context.WithCancel(s.base)
 	context.AfterFunc(ctx, func() {
 		if s.base.Err() != nil {
@@ -86,7 +87,6 @@
 		options: &s.options,
 		socket:  socket,
 		frames:  newFrames(socket),
-		surplus: surplus,
 		tx:      txIdle,
 		ctx:     ctx,
 		cancel:  cancel,
@@ -107,6 +107,7 @@
 
 // release gives up all that is held for the connection.
 func (c *conn) release() {
+	c.server.vacate(c)
 	if c.session == "" {
 		return
 	}
@@ -175,6 +176,8 @@
 // fatal writes a refusal that ends the connection.
 func (c *conn) fatal(r *request.Refusal) {
 	c.server.Refused.Add(r.Code.Name, 1)
+	// A caller that is told of the end may connect again at once.
+	c.server.vacate(c)
 	c.write(refusal(nil, severityFatal, r))
 }
 
--- a/internal/pgfront/failure_test.go
+++ b/internal/pgfront/failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
@@ -295,6 +296,39 @@
 	must.Eq(t, "42501", stateOf(t, err))
 }
 
+// A caller that was refused, or has said nothing yet, may keep its socket open for long;
+// it has no session, so it takes none of the places.
+func TestPlacesAreForSessions(t *testing.T) {
+	f := newFront(t, func(o *Options) { o.MaxConnections = 2 })
+	for range 2 {
+		socket, err := net.Dial("tcp", f.address)
+		must.NoError(t, err)
+		defer socket.Close()
+		frontend := pgproto3.NewFrontend(socket, socket)
+		frontend.Send(&pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersion30,
+			Parameters:      map[string]string{"user": "kirana", "database": "nowhere"},
+		})
+		frontend.Send(&pgproto3.PasswordMessage{Password: testKey})
+		must.NoError(t, frontend.Flush())
+		_, err = frontend.Receive()
+		must.NoError(t, err)
+		refused, err := frontend.Receive()
+		must.NoError(t, err)
+		must.Eq(t, "3D000", refused.(*pgproto3.ErrorResponse).Code)
+		silent, err := net.Dial("tcp", f.address)
+		must.NoError(t, err)
+		defer silent.Close()
+	}
+	f.connect(t, "")
+	last := f.connect(t, "")
+	_, err := pgx.Connect(context.Background(), f.url(""))
+	must.Eq(t, "53300", stateOf(t, err))
+	must.NoError(t, last.Close(context.Background()))
+	eventually(t, func() bool { return f.Open.Value() == 1 })
+	f.connect(t, "")
+}
+
 func TestIdleTransactionIsEnded(t *testing.T) {
 	f := newFront(t, func(o *Options) { o.IdleTransactionTimeout = 20 * time.Millisecond })
 	conn := f.connect(t, "")
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -102,8 +102,11 @@
 
 	mu    sync.Mutex
 	conns map[uint32]*conn
-	// sockets counts connections, also those that have not shown a key yet.
-	sockets   int
+	// sockets counts connections, also those without a place: in their handshake, refused
+	// or about to close.
+	sockets int
+	// places counts the connections admitted and those whose key is being checked.
+	places    int
 	listeners []net.Listener
 	wait      sync.WaitGroup
 	once      sync.Once
@@ -163,7 +166,7 @@
 	}
 	go func() {
 		defer s.done()
-		c := newConn(s, socket, count > s.options.MaxConnections)
+		c := newConn(s, socket)
 		c.serve()
 	}()
 }
@@ -257,6 +260,29 @@
 	return all
 }
 
+// reserve takes one of the MaxConnections places for c. It reports false if none is free.
+func (s *Server) reserve(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.places >= s.options.MaxConnections {
+		s.TooMany.Add(1)
+		return false
+	}
+	s.places++
+	c.placed = true
+	return true
+}
+
+// vacate gives the place of c back, if it holds one.
+func (s *Server) vacate(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.placed {
+		c.placed = false
+		s.places--
+	}
+}
+
 // register gives a connection its identifiers.
 func (s *Server) register(c *conn) {
 	var random [20]byte
--- a/internal/pgfront/startup.go
+++ b/internal/pgfront/startup.go
@@ -143,8 +143,7 @@
 	if c.server.isDraining() {
 		return shuttingDown()
 	}
-	if c.surplus {
-		c.server.TooMany.Add(1)
+	if !c.server.reserve(c) {
 		return request.Refuse(request.CodeOverloaded, step, "", "too many connections")
 	}
 	service := parameters["database"]
