Line edge: a failed accept is not the end of service

Change: as at the PostgreSQL edge, a failed accept is counted (accepts_failed), logged within the log's bounds, and the next follows after 20 ms. Test: TestFailedAcceptIsNotTheEnd, failing before (timeout of the caller).

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
@@ -101,16 +103,20 @@
 	}
 }
 
-// play runs one session over statements and returns the answers.
-func play(t *testing.T, c *chain, key string, statements ...Statement) []string {
-	t.Helper()
-	codec := &script{startup: Startup{Service: "orders", Key: key}, statements: statements}
+func newServer(c *chain, codec Codec) *Server {
 	config := source{testConfig()}
-	s := New(Options{
+	return New(Options{
 		Node: "n1", Config: config, Chain: c, Auth: auth.New(c, config, nil), Clock: clock.Wall{},
 		Log: requestlog.New(log.NewNopLogger()), NewCodec: func(net.Conn) Codec { return codec },
 		Rollback: "UNDO", MaxConnections: 1,
 	})
+}
+
+// play runs one session over statements and returns the answers.
+func play(t *testing.T, c *chain, key string, statements ...Statement) []string {
+	t.Helper()
+	codec := &script{startup: Startup{Service: "orders", Key: key}, statements: statements}
+	s := newServer(c, codec)
 	near, far := net.Pipe()
 	defer far.Close()
 	s.serve(near)
@@ -191,3 +197,37 @@
 	must.Eq(t, "reject bad_key", strings.Join(play(t, c, "other", read), "|"))
 	must.SliceEmpty(t, c.seen)
 }
+
+// brokenOnce is a listener whose first connection can't be taken.
+type brokenOnce struct {
+	net.Listener
+	failed bool
+}
+
+func (l *brokenOnce) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// A node that lacks file descriptors for a moment goes on taking callers after it.
+func TestFailedAcceptIsNotTheEnd(t *testing.T) {
+	s := newServer(&chain{}, &script{startup: Startup{Service: "orders", Key: "k1"}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, &brokenOnce{Listener: listener}) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err = conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, "1", s.Counts.Get("sessions").String())
+	must.Eq(t, "1", s.Counts.Get("accepts_failed").String())
+	cancel()
+	must.NoError(t, <-served)
+}
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -36,3 +36,14 @@
 		"retry_after", refusal.RetryAfter, "config", config,
 	}})
 }
+
+// outcomeAcceptFailed is the outcome of a connection that could not be taken.
+const outcomeAcceptFailed = "accept_failed"
+
+// acceptFailed notes a connection that could not be taken.
+func (s *Server) acceptFailed(err error) {
+	s.Counts.Add("accepts_failed", 1)
+	if s.options.Log.Wants(outcomeAcceptFailed, s.options.Clock.Now()) {
+		s.options.Log.Write(requestlog.Entry{Outcome: outcomeAcceptFailed, Fields: []any{"step", step, "cause", err}})
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net"
 	"sync"
@@ -90,15 +91,25 @@
 	})()
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			break
 		}
+		if err != nil {
+			s.acceptFailed(err)
+			if s.options.Clock.Sleep(ctx, acceptPause) != nil {
+				break
+			}
+			continue
+		}
 		s.serve(conn)
 	}
 	s.wait.Wait()
 	return nil
 }
 
+// acceptPause follows a failed accept, such as one for want of file descriptors.
+const acceptPause = 20 * time.Millisecond
+
 // serve starts a session on conn.
 func (s *Server) serve(conn net.Conn) {
 	s.mu.Lock()
