Hosted nodes: identity by fingerprint, proved at the listed address

An operator's tool posed as a node, too, and could have sent all that a node may. Ruled out: refusing unlisted fingerprints. A restarted process would be refused until its row has come round (a write, and 300 ms of gathering), and for as long as the store is away. Change: the process's fingerprint stands in the node's row. A listed one is accepted at once; another one is compared with what the listed address presents to a dial of our own. A row that says anything else than this process is written anew (before: only a missing one).

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -59,7 +59,9 @@
 	next       int
 	nextProbe  time.Time
 	listedAt   time.Time
-	selfListed bool
+	// selfListed and selfCurrent are as in View.
+	selfListed  bool
+	selfCurrent bool
 	// doubted holds the suspect nodes, and some that are so no more.
 	doubted []*node
 	// generation counts changes of the View.
@@ -130,6 +132,7 @@
 			changed = c.list(vm, readAt) || changed
 		}
 	}
+	c.selfCurrent = slices.Contains(vms, c.self)
 	c.selfListed = listed[c.self.Name]
 	c.order = slices.DeleteFunc(c.order, func(name string) bool { return !listed[name] })
 	for name := range c.nodes {
@@ -153,7 +156,7 @@
 		at := c.rng.IntN(len(c.order) + 1)
 		c.order = slices.Insert(c.order, at, vm.Name)
 	}
-	n.Name, n.Address, n.Domain = vm.Name, vm.Address, vm.Domain
+	n.Name, n.Address, n.Domain, n.Fingerprint = vm.Name, vm.Address, vm.Domain, vm.Fingerprint
 	if vm.State == platform.VMLeaving && n.State < Leaving {
 		c.set(n, n.incarnation, Leaving, now)
 	}
@@ -316,7 +319,10 @@
 
 // View returns the picture as of the last event.
 func (c *Core) View() *View {
-	v := &View{Self: c.self.Name, ListedAt: c.listedAt, SelfListed: c.selfListed, Members: make([]Member, 0, len(c.nodes)+1)}
+	v := &View{
+		Self: c.self.Name, ListedAt: c.listedAt, SelfListed: c.selfListed, SelfCurrent: c.selfCurrent,
+		Members: make([]Member, 0, len(c.nodes)+1),
+	}
 	for _, n := range c.nodes {
 		v.Members = append(v.Members, n.Member)
 	}
--- a/internal/controller/membership/messages.go
+++ b/internal/controller/membership/messages.go
@@ -99,6 +99,8 @@
 	Address string
 	Domain  string
 	State   State
+	// Fingerprint is that of the node's certificate, as listed; empty if none is.
+	Fingerprint string
 }
 
 // View is an immutable picture of the listed nodes, sorted by name.
@@ -110,8 +112,10 @@
 	// ListedAt is when the read of the platform's list that Members comes from began; it
 	// is zero before the first one.
 	ListedAt time.Time
-	// SelfListed is true when that list held this node.
-	SelfListed bool
+	// SelfListed is true when that list held this node, SelfCurrent when it did with all
+	// that is true of this process.
+	SelfListed  bool
+	SelfCurrent bool
 }
 
 // Listed returns the names on the list; this node's only if it was there.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -104,11 +104,13 @@
 // assembleHosted builds every part and returns those that a node of another platform does
 // not have; nothing runs yet.
 func (n *Node) assembleHosted(h *Hosted, sockets *sockets) ([]part, error) {
-	tls, err := quicpeer.EphemeralTLS(n.settings.Node.Name)
+	tls, err := quicpeer.EphemeralTLS(n.settings.Node.Name, quicpeer.RoleNode)
 	if err != nil {
 		return nil, err
 	}
+	n.fingerprint = quicpeer.Fingerprint(tls)
 	n.peers = quicpeer.NewClient(tls, sockets.calls, n.clock, n.delayTo)
+	n.peers.Accept = n.acceptsAt
 	n.leases = lease.New(lease.Options{
 		Self:      n.settings.Node.Name,
 		Run:       n.run,
@@ -129,11 +131,11 @@
 	n.requests = requestlog.New(n.logger)
 	n.assembleHostedFront(h)
 	n.server = quicpeer.NewServer(n.settings.Node.Name, tls, n.clock, n.owner)
-	n.server.Allow = n.isListed
+	n.server.Allow = n.allows
 	n.server.ResetKey = quicpeer.ResetKeyOf(n.settings.Node.Name, n.settings.Peers.Address)
 	n.handleCalls()
 	return []part{
-		func(ctx context.Context) error { return nodes.Run(ctx, n.selfListed) },
+		func(ctx context.Context) error { return nodes.Run(ctx, n.selfCurrent) },
 		n.leases.Run,
 		n.requests.Run,
 	}, nil
@@ -228,18 +230,6 @@
 	})
 }
 
-func (n *Node) selfListed() bool { return n.membership.View().SelfListed }
-
-// isListed reports whether the node called name is listed at an IP address.
-func (n *Node) isListed(name, ip string) bool {
-	m, ok := n.membership.View().Member(name)
-	if !ok {
-		return false
-	}
-	host, _, err := net.SplitHostPort(m.Address)
-	return err == nil && host == ip
-}
-
 // toRemove returns the nodes that this one finds gone and is the one to remove.
 func (n *Node) toRemove() []string {
 	view := n.membership.View()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,8 @@
 	leases *lease.Keeper
 	// requests is the log of decisions on requests; nil where the front keeps none.
 	requests *requestlog.Log
+	// fingerprint is that of this process's certificate; empty where an authority signs it.
+	fingerprint string
 	// heldTerms is true for targets of which evidence.Rules.Held is true.
 	heldTerms bool
 	// cancel cancels a session's statement; nil where the protocol has no cancellation.
@@ -183,6 +185,8 @@
 		Address: n.settings.Peers.Address,
 		Domain:  n.settings.Node.Domain,
 		State:   platform.VMLive,
+
+		Fingerprint: n.fingerprint,
 	}
 }
 
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -20,6 +20,10 @@
 
 // Client calls other nodes over one connection each.
 type Client struct {
+	// Accept reports whether a node that answers at address may be called name; nil means
+	// always. Set it before the first call where no authority signs certificates.
+	Accept func(address, name string) bool
+
 	tls       *tls.Config
 	clock     clock.Clock
 	delay     DelayFunc
@@ -197,7 +201,40 @@
 	}
 	config := c.tls.Clone()
 	config.ServerName = remoteAddr.IP.String()
-	return c.transport.Dial(ctx, remoteAddr, config, quicConfig())
+	conn, err := c.transport.Dial(ctx, remoteAddr, config, quicConfig())
+	if err != nil {
+		return nil, err
+	}
+	p := identify(conn)
+	if c.Accept != nil && !c.Accept(address, p.Name) {
+		count.Add(countForbidden, 1)
+		_ = conn.CloseWithError(0, "another node is listed here")
+		return nil, Error.New("node %s answers at %s, where another is listed", p.Name, address)
+	}
+	return conn, nil
+}
+
+// Proves reports whether the node at address has the key of the certificate with this
+// fingerprint. A link may lead to a former process there, so it is dialed anew before it
+// says no.
+func (c *Client) Proves(ctx context.Context, address, fingerprint string) bool {
+	linked, err := c.connect(ctx, address)
+	if err != nil {
+		return false
+	}
+	if identify(linked).Fingerprint == fingerprint {
+		return true
+	}
+	anew, err := c.handshake(ctx, address)
+	if err != nil {
+		return false
+	}
+	defer anew.CloseWithError(0, "asked")
+	if identify(anew).Fingerprint != fingerprint {
+		return false
+	}
+	_ = linked.CloseWithError(0, "the process there is another now")
+	return true
 }
 
 func (c *Client) forget(address string, l *link) {
--- a/internal/peer/quicpeer/ephemeral.go
+++ b/internal/peer/quicpeer/ephemeral.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/hex"
 	"math/big"
 	"time"
 
@@ -17,10 +18,11 @@
 // ephemeralLife is how long a certificate made at start is valid.
 const ephemeralLife = 10 * 365 * 24 * time.Hour
 
-// EphemeralTLS makes a key and a certificate for a node that has no certificate files.
-// Links are encrypted; who is at the other end is decided by Server.Allow and by the
-// address that a Client was told.
-func EphemeralTLS(node string) (*tls.Config, error) {
+// EphemeralTLS makes a key and a certificate of the given role for a process of the node
+// that has no certificate files.
+// Links are encrypted; who is at the other end is decided by Server.Allow and
+// Client.Accept.
+func EphemeralTLS(node, role string) (*tls.Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -28,7 +30,7 @@
 	// The time of day may jump: the certificate must not depend on it.
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(1),
-		Subject:      pkix.Name{CommonName: node, OrganizationalUnit: []string{RoleNode}},
+		Subject:      pkix.Name{CommonName: node, OrganizationalUnit: []string{role}},
 		NotBefore:    time.Unix(0, 0),
 		NotAfter:     time.Now().Add(ephemeralLife),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
@@ -46,6 +48,20 @@
 	}, nil
 }
 
+// Fingerprint returns that of the first certificate of config, or an empty text without one.
+func Fingerprint(config *tls.Config) string {
+	if len(config.Certificates) == 0 {
+		return ""
+	}
+	return fingerprintOf(config.Certificates[0].Certificate[0])
+}
+
+// fingerprintOf returns the SHA-256 of a certificate in DER, in hexadecimal.
+func fingerprintOf(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
+
 // ResetKeyOf returns a reset key that every process of a node derives alike. Who knows it
 // can end links, not read or join them.
 func ResetKeyOf(node, address string) *quic.StatelessResetKey {
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -47,9 +47,9 @@
 // Server hears other nodes and operators.
 type Server struct {
 	self string
-	// Allow reports whether the node called name may connect from an IP address; nil means
-	// always. Set it before Serve where certificates prove nothing.
-	Allow func(name, ip string) bool
+	// Allow reports whether p may connect; nil means always. It may ask the node that is
+	// listed under p's name. Set it before Serve where no authority signs certificates.
+	Allow func(ctx context.Context, p Peer) bool
 	// ResetKey lets a node that starts again end the connections of its former process at
 	// once; nil where the next process can't know the key.
 	ResetKey *quic.StatelessResetKey
@@ -113,8 +113,8 @@
 
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
 	defer conn.CloseWithError(0, "done")
-	id := identify(conn.ConnectionState().TLS)
-	if !s.allowed(id, conn.RemoteAddr()) {
+	id := identify(conn)
+	if s.Allow != nil && !s.Allow(ctx, id) {
 		count.Add(countForbidden, 1)
 		return
 	}
@@ -127,15 +127,7 @@
 	}
 }
 
-func (s *Server) allowed(id identity, remote net.Addr) bool {
-	if s.Allow == nil {
-		return true
-	}
-	ip, _, err := net.SplitHostPort(remote.String())
-	return err == nil && s.Allow(id.name, ip)
-}
-
-func (s *Server) serveStream(ctx context.Context, id identity, stream *quic.Stream) {
+func (s *Server) serveStream(ctx context.Context, id Peer, stream *quic.Stream) {
 	defer stream.Close()
 	defer stream.CancelRead(0)
 	reader := newFrameReader(stream)
@@ -144,7 +136,7 @@
 		return
 	}
 	kind := streamKind(first)
-	if kind != streamCall && id.role != RoleNode {
+	if kind != streamCall && id.Role != RoleNode {
 		count.Add(countForbidden, 1)
 		return
 	}
@@ -160,7 +152,7 @@
 	}
 }
 
-func (s *Server) serveCall(ctx context.Context, id identity, reader *frameReader, stream *quic.Stream) {
+func (s *Server) serveCall(ctx context.Context, id Peer, reader *frameReader, stream *quic.Stream) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var call callRequest
@@ -174,16 +166,16 @@
 	}
 }
 
-func (s *Server) answerCall(ctx context.Context, id identity, call callRequest) callReply {
+func (s *Server) answerCall(ctx context.Context, id Peer, call callRequest) callReply {
 	h, ok := s.handlers[call.Kind]
 	if !ok {
 		return callReply{Error: "unknown kind of call"}
 	}
-	if id.role != RoleNode && !(h.operators && id.role == RoleOperator) {
+	if id.Role != RoleNode && !(h.operators && id.Role == RoleOperator) {
 		count.Add(countForbidden, 1)
 		return callReply{Error: "forbidden for this certificate"}
 	}
-	answer, err := h.serve(ctx, id.name, call.Payload)
+	answer, err := h.serve(ctx, id.Name, call.Payload)
 	if err != nil {
 		return callReply{Error: err.Error()}
 	}
--- a/internal/peer/quicpeer/tls.go
+++ b/internal/peer/quicpeer/tls.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
+
+	"github.com/quic-go/quic-go"
 )
 
 // protocol is the ALPN name and version of the nodes' protocol.
@@ -40,20 +43,31 @@
 	}, nil
 }
 
-// identity is who the other end's certificate says it is.
-type identity struct {
-	name string
-	role string
+// Peer is who is at the other end of a link, by the certificate that it presented.
+type Peer struct {
+	Name string
+	// Role is RoleNode or RoleOperator.
+	Role string
+	// Fingerprint is that of the certificate.
+	Fingerprint string
+	// IP is where it connects from, without a port.
+	IP string
 }
 
-func identify(state tls.ConnectionState) identity {
-	if len(state.PeerCertificates) == 0 {
-		return identity{}
+func identify(conn *quic.Conn) Peer {
+	p := Peer{}
+	if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil {
+		p.IP = host
+	}
+	certificates := conn.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 {
+		return p
 	}
-	subject := state.PeerCertificates[0].Subject
-	id := identity{name: subject.CommonName}
+	subject := certificates[0].Subject
+	p.Name = subject.CommonName
+	p.Fingerprint = fingerprintOf(certificates[0].Raw)
 	if len(subject.OrganizationalUnit) > 0 {
-		id.role = subject.OrganizationalUnit[0]
+		p.Role = subject.OrganizationalUnit[0]
 	}
-	return id
+	return p
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -92,6 +92,9 @@
 	Address string  `json:"address"`
 	Domain  string  `json:"domain"`
 	State   VMState `json:"state"`
+	// Fingerprint is that of the certificate which the node's process made at its start;
+	// empty where an authority signs certificates.
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
 
 // VMs is the platform's list of entry VMs.
--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -1,5 +1,6 @@
 // Package register lets nodes find each other through rows of their own: each node keeps
-// one row that says where it is. It stands in where the platform lists no VMs.
+// one row that says where it is and by which certificate it is known. It stands in where
+// the platform lists no VMs.
 //
 // Invariant: a node's row is written by the node itself, and deleted by another one only
 // while that one has found it gone for RemoveAfter; a node that finds its row missing
@@ -37,8 +38,9 @@
 
 // record is the value of a node's row.
 type record struct {
-	Address string `cbor:"1,keyasint"`
-	Domain  string `cbor:"2,keyasint"`
+	Address     string `cbor:"1,keyasint"`
+	Domain      string `cbor:"2,keyasint"`
+	Fingerprint string `cbor:"3,keyasint,omitempty"`
 }
 
 // Table is what the register needs of the store.
@@ -95,17 +97,20 @@
 		if cbor.Unmarshal(row.Value, &r) != nil {
 			continue
 		}
-		vms = append(vms, platform.VM{Name: name, Address: r.Address, Domain: r.Domain, State: platform.VMLive})
+		vms = append(vms, platform.VM{
+			Name: name, Address: r.Address, Domain: r.Domain, State: platform.VMLive, Fingerprint: r.Fingerprint,
+		})
 	}
 	return vms
 }
 
-// Run keeps this node's row until ctx ends.
-func (r *Register) Run(ctx context.Context, listed func() bool) error {
+// Run keeps this node's row until ctx ends. current reports whether the row says what is
+// true of this process.
+func (r *Register) Run(ctx context.Context, current func() bool) error {
 	pause := retryMin
 	for {
 		wait := checkEvery
-		if !listed() {
+		if !current() {
 			if err := r.write(ctx); err != nil {
 				_ = r.o.Logger.Log("event", "register", "err", err)
 				wait = pause/2 + time.Duration(r.o.Random.Int64N(int64(pause)))
@@ -126,7 +131,8 @@
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	key := keyPrefix + r.o.Self.Name
-	value, err := cbor.Marshal(record{Address: r.o.Self.Address, Domain: r.o.Self.Domain})
+	self := r.o.Self
+	value, err := cbor.Marshal(record{Address: self.Address, Domain: self.Domain, Fingerprint: self.Fingerprint})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/run/register/register_test.go
+++ b/internal/run/register/register_test.go
@@ -67,7 +67,8 @@
 		defer stop()
 		none := func() []string { return nil }
 		first, second := node(store, "n1", "1", none), node(store, "n2", "2", none)
-		go func() { _ = first.Run(ctx, listed(t, first)) }()
+		firstCtx, stopFirst := context.WithCancel(ctx)
+		go func() { _ = first.Run(firstCtx, listed(t, first)) }()
 		go func() { _ = second.Run(ctx, listed(t, second)) }()
 		time.Sleep(3 * time.Second)
 		store.LosePuts(platformtest.LossAfter, platformtest.LossBefore)
@@ -82,6 +83,13 @@
 		must.NoError(t, err)
 		must.SliceContains(t, vms, moved.self())
 		must.Len(t, 2, vms)
+		stopFirst()
+		restarted := node(store, "n1", "1", none)
+		restarted.o.Self.Fingerprint = "f2"
+		must.False(t, listed(t, restarted)())
+		go func() { _ = restarted.Run(ctx, listed(t, restarted)) }()
+		time.Sleep(time.Second)
+		must.True(t, listed(t, restarted)())
 	})
 }
 
