--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -51,14 +51,14 @@
 
 // Core is one node's membership. It is not safe for concurrent use.
 type Core struct {
-	self       platform.VM
-	version    uint64
-	rng        *rand.Rand
-	nodes      map[string]*node
-	order      []string
-	next       int
-	nextProbe  time.Time
-	listedAt   time.Time
+	self      platform.VM
+	version   uint64
+	rng       *rand.Rand
+	nodes     map[string]*node
+	order     []string
+	next      int
+	nextProbe time.Time
+	listedAt  time.Time
 	// selfListed and selfCurrent are as in View.
 	selfListed  bool
 	selfCurrent bool
