Membership: a fresh suspicion is told at once; who refuses a link runs

The owner's VM died at 3.0 s; five nodes found it suspect between 3.62 s and 4.00 s, each by itself, and the one that was to take over was the fourth. Suspicions travelled with the next probes only. Ruled out: shorter idle times of links (a slow VM would lose links).

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -290,16 +290,35 @@
 	return Send{}, nil, false
 }
 
-// OnUnreached records that neither this node nor those it asked reached name.
-func (c *Core) OnUnreached(name string, now time.Time) {
+// OnUnreached records that neither this node nor those it asked reached name. It returns the
+// probes that tell others at once if this is news here: what name served is to pass on.
+func (c *Core) OnUnreached(name string, now time.Time) []Send {
 	n := c.nodes[name]
-	if n == nil || n.State >= Leaving {
-		return
+	if n == nil || n.State >= Leaving || n.State != Alive && n.holdTill.IsZero() {
+		return nil
 	}
-	if n.State == Alive || !n.holdTill.IsZero() {
-		n.holdTill = time.Time{}
-		c.set(n, n.incarnation, Suspect, now)
+	fresh := n.State == Alive
+	n.holdTill = time.Time{}
+	c.set(n, n.incarnation, Suspect, now)
+	if !fresh {
+		return nil
 	}
+	return c.announce()
+}
+
+// announce returns probes of the nodes that seem alive, maxAnnounced at most, which carry what
+// is new.
+func (c *Core) announce() []Send {
+	var sends []Send
+	for _, name := range c.order {
+		if len(sends) == maxAnnounced {
+			break
+		}
+		if n := c.nodes[name]; n.State == Alive && n.failures == 0 {
+			sends = append(sends, c.probe(n, ""))
+		}
+	}
+	return sends
 }
 
 func (c *Core) set(n *node, incarnation uint64, state State, now time.Time) {
--- a/internal/controller/membership/core_test.go
+++ b/internal/controller/membership/core_test.go
@@ -219,3 +219,31 @@
 	must.Eq(t, 1, c.Heard(0, time.Hour, s.now))
 	must.Eq(t, 9, c.MaxVersion())
 }
+
+// TestSuspicionIsToldAtOnce: the first node that finds another one unreachable tells all who
+// seem alive, so that none of them has to find out by itself; a second find is no news.
+func TestSuspicionIsToldAtOnce(t *testing.T) {
+	s := simulate(8)
+	s.run(2 * time.Second)
+	dead := s.vms[3].Name
+	delete(s.cores, dead)
+	finder := s.cores[s.vms[0].Name]
+	news := finder.OnUnreached(dead, s.now)
+	must.Len(t, len(s.vms)-2, news)
+	must.SliceEmpty(t, finder.OnUnreached(dead, s.now))
+	for _, send := range news {
+		must.NotEq(t, dead, send.To)
+		must.True(t, s.probe(s.vms[0].Name, send))
+	}
+	for name, core := range s.cores {
+		m, ok := core.View().Member(dead)
+		must.True(t, ok)
+		must.Eq(t, Suspect, m.State, must.Sprint(name))
+	}
+}
+
+// TestSuspicionIsToldToFew: in a large fleet the news go to a bounded number of nodes.
+func TestSuspicionIsToldToFew(t *testing.T) {
+	s := simulate(200)
+	must.Len(t, maxAnnounced, s.cores[s.vms[0].Name].OnUnreached(s.vms[3].Name, s.now))
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 
+	"github.com/zeebo/errs"
+
 	"crocusyoke/internal/request"
 )
 
@@ -23,10 +25,14 @@
 	KindStatus                  // cli: a node's status
 )
 
+// Refused is the class of errors after which the other node is known to run: it ended the
+// connection on purpose, as one that does not know this node does.
+var Refused = errs.Class("refused by peer")
+
 // Caller calls other nodes.
 type Caller interface {
 	// Call sends request to the node at address and decodes its answer into reply.
-	// Both are CBOR-encodable structs. An error leaves the effect unknown.
+	// Both are CBOR-encodable structs. An error leaves the effect unknown; it may be Refused.
 	Call(ctx context.Context, address string, kind Kind, request, reply any) error
 }
 
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -102,7 +103,7 @@
 	}
 	answer, err := c.call(ctx, address, callRequest{Kind: kind, Payload: payload})
 	if err != nil {
-		return Error.New("call to %s: %w", address, err)
+		return Error.New("call to %s: %w", address, told(err))
 	}
 	if answer.Error != "" {
 		return Error.New("call to %s: %s", address, answer.Error)
@@ -113,6 +114,16 @@
 	return Error.Wrap(cbor.Unmarshal(answer.Payload, reply))
 }
 
+// told marks an error that the other end caused on purpose: it runs, and takes no calls from
+// this node.
+func told(err error) error {
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) && closed.Remote {
+		return peer.Refused.Wrap(err)
+	}
+	return err
+}
+
 func (c *Client) call(ctx context.Context, address string, call callRequest) (callReply, error) {
 	stream, err := c.open(ctx, address, streamCall)
 	if err != nil {
--- a/internal/peer/quicpeer/identity_test.go
+++ b/internal/peer/quicpeer/identity_test.go
@@ -94,9 +94,12 @@
 	})
 	stranger := startProcess(t, "n1", "127.0.0.1:0", nil)
 	must.NoError(t, known.probe(heard.address))
-	must.Error(t, stranger.probe(heard.address))
+	err := stranger.probe(heard.address)
+	must.True(t, peer.Refused.Has(err), must.Sprint(err))
 	careful := startProcess(t, "n1", "127.0.0.1:0", nil)
 	careful.client.Accept = func(_, name string) bool { return name == "n3" }
-	err := careful.probe(heard.address)
+	err = careful.probe(heard.address)
 	must.ErrorContains(t, err, "node n2 answers")
+	heard.stop()
+	must.False(t, peer.Refused.Has(stranger.probe(heard.address)))
 }
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -197,7 +197,7 @@
 
 // probe probes directly, then through others, and reports a node that none reached.
 func (r *Runner) probe(ctx context.Context, s membership.Send) {
-	if _, err := r.call(ctx, s, membership.ProbeTimeout); err == nil || ctx.Err() != nil {
+	if _, err := r.call(ctx, s, membership.ProbeTimeout); lives(err) || ctx.Err() != nil {
 		return
 	}
 	r.mu.Lock()
@@ -206,13 +206,17 @@
 	r.settle(ctx, s.To, indirect)
 }
 
+// lives reports whether a probe that ended with err shows that the node runs: one that does not
+// know this node yet refuses it.
+func lives(err error) bool { return err == nil || peer.Refused.Has(err) }
+
 // settle sends probes of a node that is in doubt, and reports it if none reached it.
 func (r *Runner) settle(ctx context.Context, name string, probes []membership.Send) {
 	reached := make(chan bool, len(probes))
 	for _, send := range probes {
 		r.wait.Go(func() {
 			reply, err := r.call(ctx, send, membership.IndirectTimeout)
-			reached <- err == nil && (reply.Reached || send.To == name)
+			reached <- lives(err) && (reply.Reached || send.To == name)
 		})
 	}
 	for range probes {
@@ -224,9 +228,12 @@
 		return
 	}
 	r.mu.Lock()
-	r.core.OnUnreached(name, r.o.Clock.Now())
+	news := r.core.OnUnreached(name, r.o.Clock.Now())
 	r.mu.Unlock()
 	r.publish()
+	for _, send := range news {
+		r.wait.Go(func() { _, _ = r.call(ctx, send, membership.ProbeTimeout) })
+	}
 }
 
 // Lost is told that the link to the node at address broke or went silent: whether the node is
