Lease: a correction of the row counts only under the lease it was made for

Cause, by reading: SetOrdered could arrive between the taking of a lease, when what a former holder announced is taken over, and the write of the row, which would then have lost it for the holder after. It carries the fence now. Test: TestAnnouncedOrderIsInherited, extended (a correction with an old fence changed the row before).

--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -174,13 +174,15 @@
 }
 
 // SetOrdered says up to which term promotions may have been called, for the next write of the
-// row.
-func (k *Keeper) SetOrdered(name string, term uint64) {
+// row. It is ignored once this node's lease is not the one with this fence: its row may say
+// more.
+func (k *Keeper) SetOrdered(name string, fence, term uint64) {
+	if held, err := k.Fence(name); err != nil || held != fence {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if l := k.leases[name]; l != nil {
-		l.ordered = term
-	}
+	k.leases[name].ordered = term
 }
 
 // tickEvery is the pause between two looks for what is due.
--- a/internal/run/lease/lease_test.go
+++ b/internal/run/lease/lease_test.go
@@ -221,10 +221,15 @@
 		again.Want("g", true)
 		time.Sleep(time.Second)
 		must.Eq(t, 7, inherited(t, again))
-		again.SetOrdered("g", 3)
-		time.Sleep(2 * renewEvery)
-		_, row, err := again.read(t.Context(), "g")
-		must.NoError(t, err)
-		must.Eq(t, 3, row.Ordered)
+		named := func() uint64 {
+			time.Sleep(2 * renewEvery)
+			_, row, err := again.read(t.Context(), "g")
+			must.NoError(t, err)
+			return row.Ordered
+		}
+		again.SetOrdered("g", fence(again)-1, 3)
+		must.Eq(t, 7, named())
+		again.SetOrdered("g", fence(again), 3)
+		must.Eq(t, 3, named())
 	})
 }
--- a/internal/run/promotion/lease.go
+++ b/internal/run/promotion/lease.go
@@ -14,8 +14,9 @@
 	State(group string) (fence, ordered uint64, err error)
 	// Announce writes into the row that a promotion to term may be called.
 	Announce(ctx context.Context, group string, term uint64) error
-	// SetOrdered corrects what the row names as ordered, from its next renewal on.
-	SetOrdered(group string, term uint64)
+	// SetOrdered corrects what the row names as ordered, from its next renewal on, while this
+	// node's lease is the one with this fence.
+	SetOrdered(group string, fence, term uint64)
 }
 
 // lease returns what is known of the group's lease.
--- a/internal/run/promotion/lease_test.go
+++ b/internal/run/promotion/lease_test.go
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func (l *row) SetOrdered(_ string, term uint64) {
+func (l *row) SetOrdered(_ string, _, term uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ordered = term
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -217,8 +217,10 @@
 	g.mu.Lock()
 	g.members = members(listed)
 	g.core.SetMembers(g.members)
+	var lease promotion.Lease
 	if r.options.Lease != nil {
-		g.core.SetLease(r.options.Clock.Now(), r.lease(g.name))
+		lease = r.lease(g.name)
+		g.core.SetLease(r.options.Clock.Now(), lease)
 	}
 	before := g.core.Phase()
 	actions := g.core.Tick(r.options.Clock.Now())
@@ -229,8 +231,8 @@
 	if before != after {
 		_ = r.options.Logger.Log("msg", "promotion step", "group", g.name, "from", before, "to", after, "state", state)
 	}
-	if r.options.Lease != nil && after == promotion.PhaseIdle {
-		r.options.Lease.SetOrdered(g.name, ordered)
+	if lease.Fence > 0 && after == promotion.PhaseIdle {
+		r.options.Lease.SetOrdered(g.name, lease.Fence, ordered)
 	}
 	r.carryOut(ctx, g, actions)
 }
