--- a/internal/controller/promotion/doc.go
+++ b/internal/controller/promotion/doc.go
@@ -11,6 +11,12 @@
 // argument, and neither does the platform's store: the record of a promotion is for
 // people and for nodes that start.
 //
+// Targets that keep a hold only until they restart, are let go, or any target is promoted
+// (Options.Held) need more. One node at a time orders, under a lease whose row names the term
+// of an order before its promotion is called; a later holder reads there what may have been
+// called. A call whose outcome is not known keeps its holds for HeldEffectMost, and its term
+// is not used again. Package evidence says what makes an answer true then.
+//
 // Any number of nodes may order at the same time: a target adopts a term for one orderer
 // only, and an order that fails to gather a majority is dropped. An orderer that was
 // paused between two steps is refused by every target that has adopted a higher term.
