--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -221,7 +221,7 @@
 func (c *fakeControl) Status(ctx context.Context) (target.Status, error) {
 	f := c.target
 	f.mu.Lock()
-	status := target.Status{Target: f.name, Role: f.role, Term: f.term, Last: f.last()}
+	status := target.Status{Target: f.name, Role: f.role, Term: f.term, Own: f.term, Last: f.last()}
 	cut, delay := f.cut, f.control
 	f.mu.Unlock()
 	if cut {
--- a/internal/owner/suspended_test.go
+++ b/internal/owner/suspended_test.go
@@ -7,9 +7,37 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 )
 
+// TestOwnerSuspendedBeforeTheAnswer: a suspension between a commit's answer by the target and
+// its confirmation leaves the outcome unknown, if no evidence from after it comes.
+func TestOwnerSuspendedBeforeTheAnswer(t *testing.T) {
+	var suspended atomic.Int64
+	change := func(o *Options) {
+		o.Suspended = func() time.Duration { return time.Duration(suspended.Load()) }
+		// Evidence from before the commit would do here.
+		o.HeldTerms, o.Sole = true, func(string, uint64) bool { return true }
+	}
+	withHarness(t, 5*time.Millisecond, change, func(h *harness) {
+		primary := h.group.targets[0]
+		primary.set(func(f *fakeTarget) { f.service = 100 * time.Millisecond })
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			for _, f := range h.group.targets {
+				f.set(func(f *fakeTarget) { f.control = time.Hour })
+			}
+			suspended.Store(int64(3 * time.Second))
+		}()
+		write := h.request(request.KindWrite, "INSERT suspended", 400*time.Millisecond)
+		write.Profile.Confirm = fleet.ConfirmTerm
+		_, err := h.serve(write)
+		refused(t, err, request.CodeOutcomeUnknown)
+		must.Eq(t, 1, primary.count("INSERT suspended"))
+	})
+}
+
 // TestSuspendedOwnerAsksAgain: a suspension that the owner's clock does not show makes its
 // evidence worthless: what was acknowledged by a primary meanwhile replaced is not passed on.
 func TestSuspendedOwnerAsksAgain(t *testing.T) {
