Quota: tokens on demand where nodes outnumber the burst; customers in partitions

Change: nodes hold spare tokens only while all of them together hold at most a quarter of the burst; otherwise tokens are granted for requests that wait, whole, first come first served, with backoff. Customers fall into partitions (1, 16, 64, 256) with one coordinator and 8 shareholders each above 32 nodes. A message names the customers that hold or want tokens; the others are lent by one flag.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -31,10 +31,10 @@
 )
 
 const (
-	// spareTokens is the number of tokens that a node holds in addition to those for its demand.
-	// It is limited to maxSpareShare of the node's share of the burst, but to no less than 1.
-	spareTokens   = 2.0
-	maxSpareShare = 0.25
+	// maxSpareTokens is the number of tokens that a node holds in addition to those for its demand.
+	// All nodes together hold at most maxSpareShare of the burst in this way.
+	maxSpareTokens = 2.0
+	maxSpareShare  = 0.25
 	// prefetchShare is the fraction of the burst that all nodes together hold at full demand.
 	// The rest stays in the bucket, so that the coordinator can grant tokens where demand rises.
 	prefetchShare = 0.6
@@ -78,13 +78,15 @@
 	// answer to the report sent at holdLimitAt.
 	holdLimit   float64
 	holdLimitAt time.Time
-	// share is the fraction of the customer's limit, from 0 to 1, that this node is entitled to.
-	// usesOwnShare is true while the node uses the share itself.
-	share        float64
+	// share is what this node is entitled to. usesOwnShare is true while the node uses the share
+	// itself.
+	share        Share
 	usesOwnShare bool
 	filledAt     time.Time
 
 	coordinator string
+	// knownHeld is the number of tokens that the coordinator believes this node to hold.
+	knownHeld float64
 	// lentUntil is when this node may use its lent share itself again. The coordinator stops
 	// counting the share as lent before that (see LoanSafetyMargin).
 	lentUntil time.Time
@@ -101,6 +103,12 @@
 	// coordinator started to grant less than half of that; it is zero if it grants enough.
 	requested         float64
 	underGrantedSince time.Time
+	// waiting is the number of requests that wait for a token. While tokens are granted on demand,
+	// the node asks for them again at nextAskAt at the earliest, askBackoff after an answer that
+	// granted too few.
+	waiting    int
+	nextAskAt  time.Time
+	askBackoff time.Duration
 }
 
 // NewAccount returns an Account without tokens.
@@ -117,24 +125,30 @@
 	a.limit = limit
 }
 
-// SetShare sets the fraction of the customer's limit that this node is entitled to, 0 to 1.
-func (a *Account) SetShare(share float64, now time.Time) {
+// SetShare sets what this node is entitled to.
+func (a *Account) SetShare(share Share, now time.Time) {
 	a.fill(now)
 	a.share = share
 }
 
+// AssumeLent makes the account treat its share as lent to the current coordinator: for a customer
+// that a new configuration contains, an earlier message of this node may have lent it already.
+func (a *Account) AssumeLent(now time.Time) { a.lentUntil = now.Add(LoanTTL + LoanSafetyMargin) }
+
 // SetCoordinator changes the node that the account reports to. Nothing is lent to a new
 // coordinator until it has answered a report: after this node has restarted, the coordinator
 // may be a dead node whose failure this node has not detected yet.
 func (a *Account) SetCoordinator(name string) {
 	if name != a.coordinator {
 		a.coordinator = name
+		a.knownHeld = 0
+		a.nextAskAt = time.Time{}
 		a.unanswered = maxUnanswered
 	}
 }
 
 // burstShare returns this node's share of the burst.
-func (a *Account) burstShare() float64 { return a.limit.Burst * a.share }
+func (a *Account) burstShare() float64 { return a.limit.Burst * a.share.Own }
 
 // fill adds the tokens that the node's own share has earned since the last call.
 func (a *Account) fill(now time.Time) {
@@ -144,7 +158,7 @@
 		return
 	}
 	if maxTokens := a.burstShare() - a.pending; a.tokens < maxTokens {
-		a.tokens = min(maxTokens, a.tokens+passed*a.limit.Rate*a.share)
+		a.tokens = min(maxTokens, a.tokens+passed*a.limit.Rate*a.share.Own)
 	}
 }
 
@@ -176,7 +190,7 @@
 		a.pending++
 		return true, 0
 	}
-	return false, a.retryAfter()
+	return false, max(a.retryAfter(), a.nextAskAt.Sub(now))
 }
 
 // Settle completes a successful Take: either the request ran, or it provably did not run and
@@ -197,8 +211,8 @@
 		return time.Minute
 	}
 	perToken := time.Duration(float64(time.Second) / a.limit.Rate)
-	if a.usesOwnShare && a.share > 0 {
-		perToken = time.Duration(float64(perToken) / a.share)
+	if a.usesOwnShare && a.share.Own > 0 {
+		perToken = time.Duration(float64(perToken) / a.share.Own)
 	}
 	return max(perToken, minRetryAfter)
 }
@@ -210,41 +224,7 @@
 func (a *Account) advance(now time.Time) {
 	a.fill(now)
 	a.enforceHoldLimit(now)
-	a.usesOwnShare = !now.Before(a.lentUntil) && a.share > 0
-}
-
-// recordDemand counts one request as demand.
-func (a *Account) recordDemand(now time.Time) {
-	a.decayDemand(now)
-	a.demand += 1 / demandTimeConstant.Seconds()
-}
-
-func (a *Account) decayDemand(now time.Time) {
-	if passed := now.Sub(a.demandAt); passed > 0 {
-		a.demand *= math.Exp(-passed.Seconds() / demandTimeConstant.Seconds())
-		a.demandAt = now
-	}
-}
-
-// Wanted returns how many tokens the node would like to hold, without pending ones. The field
-// of the same name in Report includes them.
-func (a *Account) Wanted(now time.Time) float64 {
-	a.decayDemand(now)
-	spare := min(spareTokens, max(1, maxSpareShare*a.limit.Burst*a.share))
-	return min(a.limit.Burst, spare+a.demand*a.prefetchSeconds())
-}
-
-// prefetchSeconds returns for how many seconds of demand the node holds tokens.
-func (a *Account) prefetchSeconds() float64 {
-	if a.limit.Rate <= 0 {
-		return 0
-	}
-	return min(maxPrefetchTime.Seconds(), prefetchShare*a.limit.Burst/a.limit.Rate)
-}
-
-// NeedsTokens reports whether the node should ask for tokens without delay.
-func (a *Account) NeedsTokens(now time.Time) bool {
-	return a.tokens < 1 || a.tokens < a.Wanted(now)/3
+	a.usesOwnShare = !now.Before(a.lentUntil) && a.share.Own > 0
 }
 
 // Tokens returns the number of tokens available now.
@@ -253,12 +233,6 @@
 	return a.tokens
 }
 
-// Demand returns the recent demand in requests per second.
-func (a *Account) Demand(now time.Time) float64 {
-	a.decayDemand(now)
-	return a.demand
-}
-
 // UsesOwnShare reports whether the node currently uses its own share.
 func (a *Account) UsesOwnShare(now time.Time) bool {
 	a.advance(now)
@@ -277,7 +251,7 @@
 	}
 	r := Report{Customer: customer}
 	if keep := wanted * returnThreshold; a.tokens > keep && a.unanswered < maxUnanswered {
-		r.Returned = math.Floor(a.tokens - wanted)
+		r.Returned = returnable(a.tokens, wanted)
 		a.tokens -= r.Returned
 	}
 	a.requested = wanted - a.tokens
@@ -291,6 +265,14 @@
 	return r
 }
 
+// returnable returns how many of tokens a node returns that would like to hold wanted.
+func returnable(tokens, wanted float64) float64 {
+	if wanted == 0 {
+		return tokens
+	}
+	return math.Floor(tokens - wanted)
+}
+
 // IsLentElsewhere reports whether the share is still lent to borrower, a former coordinator.
 func (a *Account) IsLentElsewhere(borrower string, now time.Time) bool {
 	return borrower != "" && borrower != a.coordinator && now.Before(a.lentUntil)
@@ -313,11 +295,14 @@
 	a.advance(now)
 }
 
+// IsShareholder reports whether the node is entitled to a share of the customer's limit.
+func (a *Account) IsShareholder() bool { return a.share.Own > 0 }
+
 // canLend reports whether the share may be lent to the current coordinator. This node must be
 // a shareholder, the coordinator must have answered the last report, and either the share was
 // last lent to this coordinator or the last loan has ended.
 func (a *Account) canLend(borrower string, now time.Time) bool {
-	if a.share <= 0 || a.unanswered >= maxUnanswered {
+	if a.share.Own <= 0 || a.unanswered >= maxUnanswered {
 		return false
 	}
 	return borrower == a.coordinator || !now.Before(a.lentUntil)
@@ -330,17 +315,29 @@
 	a.advance(now)
 	a.tokens += tokens
 	a.holdLimit, a.holdLimitAt = held+tokens, sentAt
+	a.knownHeld = a.holdLimit
 	a.enforceHoldLimit(now)
 	a.grantRate = a.TokenRate(now) + max(0, tokens)/demandTimeConstant.Seconds()
 	a.grantRateAt = now
-	switch {
-	case a.requested < 1 || tokens >= a.requested/2:
+	if a.requested < 1 || tokens >= a.requested/2 {
 		a.underGrantedSince = time.Time{}
-	case a.underGrantedSince.IsZero():
+		a.askBackoff, a.nextAskAt = 0, time.Time{}
+		return
+	}
+	if a.underGrantedSince.IsZero() {
 		a.underGrantedSince = now
 	}
+	a.askBackoff = min(maxAskBackoff, max(minAskBackoff, 2*a.askBackoff))
+	a.nextAskAt = now.Add(a.askBackoff)
 }
 
+// minAskBackoff and maxAskBackoff bound the time after which a node asks again for tokens that
+// are granted on demand, if the coordinator had too few.
+const (
+	minAskBackoff = 40 * time.Millisecond
+	maxAskBackoff = 400 * time.Millisecond
+)
+
 // overRateAfter is how long the coordinator must have granted too few tokens before the
 // customer counts as over its rate.
 const overRateAfter = 500 * time.Millisecond
@@ -348,6 +345,9 @@
 // IsOverRate reports whether the customer asks for more than its rate. Letting its requests
 // wait for tokens would then only delay their refusal.
 func (a *Account) IsOverRate(now time.Time) bool {
+	if a.share.grantsOnDemand(a.limit) {
+		return now.Before(a.nextAskAt) && a.askBackoff == maxAskBackoff
+	}
 	return !a.underGrantedSince.IsZero() && now.Sub(a.underGrantedSince) > overRateAfter
 }
 
@@ -355,7 +355,7 @@
 // node's own share earns while the node uses it.
 func (a *Account) TokenRate(now time.Time) float64 {
 	if a.usesOwnShare {
-		return a.limit.Rate * a.share
+		return a.limit.Rate * a.share.Own
 	}
 	passed := now.Sub(a.grantRateAt)
 	if passed <= 0 {
--- a/internal/controller/quota/account_test.go
+++ b/internal/controller/quota/account_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	a := NewAccount(now)
 	a.Configure(Limit{Rate: 100, Burst: 100}, now)
-	a.SetShare(0.5, now)
+	a.SetShare(Share{Own: 0.5, Each: 0.5, Nodes: 2}, now)
 	a.SetCoordinator("dead")
 	for range 10 {
 		must.False(t, a.Report("c", "", false, now).Lent)
@@ -36,7 +36,7 @@
 	now := time.Unix(1000, 0)
 	a := NewAccount(now)
 	a.Configure(Limit{Rate: 100, Burst: 100}, now)
-	a.SetShare(1, now)
+	a.SetShare(Share{Own: 1, Each: 1, Nodes: 1}, now)
 	a.SetCoordinator("n")
 	a.ApplyGrant(0, 0, now, now)
 	must.True(t, a.Report("c", "", false, now).Lent)
--- a/internal/controller/quota/bucket.go
+++ b/internal/controller/quota/bucket.go
@@ -1,15 +1,17 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Bucket is one customer's token bucket at its coordinator.
 type Bucket struct {
 	limit Limit
-	// sharePerHolder is the fraction of the customer's limit, from 0 to 1, that each shareholder is
-	// entitled to.
-	sharePerHolder float64
-	tokens         float64
-	filledAt       time.Time
+	// share states what each shareholder is entitled to.
+	share    Share
+	tokens   float64
+	filledAt time.Time
 	// grantsFrom is when the first tokens may be granted. This process does not know which tokens
 	// an earlier process of this coordinator granted, but by then no node holds them any more.
 	grantsFrom time.Time
@@ -46,10 +48,10 @@
 	b.limit = limit
 }
 
-// SetShare sets the fraction of the limit that each shareholder is entitled to, 0 to 1.
-func (b *Bucket) SetShare(share float64, now time.Time) {
+// SetShare sets what each shareholder is entitled to.
+func (b *Bucket) SetShare(share Share, now time.Time) {
 	b.fill(now)
-	b.sharePerHolder = share
+	b.share = share
 }
 
 // fill adds the tokens that the lent shares have earned since the last call, up to their part
@@ -65,7 +67,7 @@
 			continue
 		}
 		if until := earlier(now, n.lentUntil); until.After(from) {
-			earned += until.Sub(from).Seconds() * b.sharePerHolder
+			earned += until.Sub(from).Seconds() * b.share.Each
 		}
 	}
 	previous := b.tokens
@@ -146,12 +148,13 @@
 // each gives up those above its share of the burst. The share counts as 0 for a node whose
 // report does not lend it to this coordinator. If the bucket holds fewer tokens than all nodes
 // ask for, each gets only those reserved for it, so that a node with many callers cannot take
-// the tokens of other nodes.
+// the tokens of other nodes. Tokens that are granted on demand go to whoever asks first, whole
+// tokens only, since a reserved part of one serves no request.
 func (b *Bucket) grant(n *nodeState, r Report, now time.Time) float64 {
 	if headroom := b.headroom(now); headroom < 0 {
 		burstShare := 0.0
 		if r.Lent {
-			burstShare = b.limit.Burst * b.sharePerHolder
+			burstShare = b.limit.Burst * b.share.Each
 		}
 		return max(headroom, min(0, burstShare-r.Held))
 	}
@@ -161,6 +164,9 @@
 	if b.totalShortfall(now) <= b.tokens {
 		return n.shortfall
 	}
+	if b.share.grantsOnDemand(b.limit) {
+		return min(n.shortfall, math.Floor(b.tokens))
+	}
 	return min(n.shortfall, n.reserved, b.tokens)
 }
 
@@ -169,7 +175,7 @@
 	lent := 0.0
 	for _, n := range b.nodes {
 		if now.Before(n.lentUntil) {
-			lent += b.sharePerHolder
+			lent += b.share.Each
 		}
 	}
 	return lent
--- /dev/null
+++ b/internal/controller/quota/demand.go
@@ -0,0 +1,70 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// recordDemand counts one request as demand.
+func (a *Account) recordDemand(now time.Time) {
+	a.decayDemand(now)
+	a.demand += 1 / demandTimeConstant.Seconds()
+}
+
+func (a *Account) decayDemand(now time.Time) {
+	if passed := now.Sub(a.demandAt); passed > 0 {
+		a.demand *= math.Exp(-passed.Seconds() / demandTimeConstant.Seconds())
+		a.demandAt = now
+	}
+}
+
+// Demand returns the recent demand in requests per second.
+func (a *Account) Demand(now time.Time) float64 {
+	a.decayDemand(now)
+	return a.demand
+}
+
+// BeginWait records that a request waits for a token until EndWait is called.
+func (a *Account) BeginWait() { a.waiting++ }
+
+// EndWait records that a request no longer waits for a token.
+func (a *Account) EndWait() { a.waiting-- }
+
+// Waiting returns the number of requests that wait for a token.
+func (a *Account) Waiting() int { return a.waiting }
+
+// Wanted returns how many tokens the node would like to hold, without pending ones. The field
+// of the same name in Report includes them.
+func (a *Account) Wanted(now time.Time) float64 {
+	a.decayDemand(now)
+	expected := a.demand * a.prefetchSeconds()
+	if a.share.grantsOnDemand(a.limit) {
+		// A single request must not leave tokens at a node that may not see another one.
+		expected = math.Floor(max(0, expected-1)) + float64(a.waiting)
+	}
+	return min(a.limit.Burst, a.share.spareTokens(a.limit)+expected)
+}
+
+// prefetchSeconds returns for how many seconds of demand the node holds tokens.
+func (a *Account) prefetchSeconds() float64 {
+	if a.limit.Rate <= 0 {
+		return 0
+	}
+	return min(maxPrefetchTime.Seconds(), prefetchShare*a.limit.Burst/a.limit.Rate)
+}
+
+// NeedsTokens reports whether the node should ask for tokens without delay.
+func (a *Account) NeedsTokens(now time.Time) bool {
+	wanted := a.Wanted(now)
+	if !a.share.grantsOnDemand(a.limit) {
+		return a.tokens < 1 || a.tokens < wanted/3
+	}
+	return wanted >= 1 && a.tokens < max(1, wanted/3) && !now.Before(a.nextAskAt)
+}
+
+// IsIdle reports whether there is nothing to report about the customer but the loan of the
+// node's share: the node holds and wants no tokens, and the coordinator knows.
+func (a *Account) IsIdle(now time.Time) bool {
+	a.advance(now)
+	return a.held() == 0 && a.pending == 0 && a.knownHeld == 0 && a.Wanted(now) == 0
+}
--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -63,9 +63,9 @@
 	n.account, n.pool, n.borrower, n.paused, n.unsettled = NewAccount(s.now), NewBucket(s.now), "", false, nil
 	each := 1 / float64(len(s.nodes))
 	n.account.Configure(s.limit, s.now)
-	n.account.SetShare(each, s.now)
+	n.account.SetShare(Share{Own: each, Each: each, Nodes: len(s.nodes)}, s.now)
 	n.pool.Configure(s.limit, s.now)
-	n.pool.SetShare(each, s.now)
+	n.pool.SetShare(Share{Own: each, Each: each, Nodes: len(s.nodes)}, s.now)
 }
 
 func (s *simulation) take(i, count int) {
@@ -203,7 +203,7 @@
 	now := time.Unix(1000, 0)
 	p := NewBucket(now)
 	p.Configure(Limit{Rate: 100, Burst: 50}, now)
-	p.SetShare(0.25, now)
+	p.SetShare(Share{Each: 0.25, Nodes: 4}, now)
 	p.HandleReport("n1", Report{Lent: true}, now)
 	p.HandleReport("n2", Report{}, now)
 	if got := p.Tokens(now.Add(200 * time.Millisecond)); math.Abs(got-5) > 1e-9 {
@@ -219,9 +219,9 @@
 	limit := Limit{Rate: 100, Burst: 50}
 	p, a := NewBucket(now), NewAccount(now)
 	p.Configure(limit, now)
-	p.SetShare(0.5, now)
+	p.SetShare(Share{Each: 0.5, Nodes: 2}, now)
 	a.Configure(limit, now)
-	a.SetShare(0.5, now)
+	a.SetShare(Share{Own: 0.5, Each: 0.5, Nodes: 2}, now)
 	a.SetCoordinator("n1")
 	a.ApplyGrant(0, 0, now, now)
 	report := func() {
@@ -257,7 +257,7 @@
 	now := time.Unix(1000, 0)
 	p := NewBucket(now)
 	p.Configure(Limit{Rate: 100, Burst: 100}, now)
-	p.SetShare(0.5, now)
+	p.SetShare(Share{Each: 0.5, Nodes: 2}, now)
 	got := map[string]float64{}
 	for range 200 {
 		now = now.Add(20 * time.Millisecond)
--- a/internal/controller/quota/shares.go
+++ b/internal/controller/quota/shares.go
@@ -7,29 +7,101 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxShareholders is the maximum number of nodes that a customer's rate is split among.
-const MaxShareholders = 32
-
-// Share returns fractions of customer's limit, from 0 to 1. each is the fraction that every
-// shareholder is entitled to. own is the fraction that node is entitled to: it equals each if
-// node is a shareholder, otherwise it is 0. listed holds all nodes of the fleet.
-func Share(customer, node string, listed []string) (own, each float64) {
-	shareholders := listed
-	if len(listed) > MaxShareholders {
-		shareholders = slices.Clone(listed)
-		slices.SortFunc(shareholders, func(a, b string) int {
-			return cmp.Or(cmp.Compare(rank(customer, a), rank(customer, b)), cmp.Compare(a, b))
-		})
-		shareholders = shareholders[:MaxShareholders]
+const (
+	// maxSingleNodes is the largest number of nodes for which one coordinator serves all customers
+	// and every node is a shareholder. Larger fleets have several partitions of customers.
+	maxSingleNodes = 32
+	// MaxShareholders is the number of nodes among which the rates of a partition's customers are
+	// split if there is more than one partition.
+	MaxShareholders = 8
+)
+
+// partitionCounts are the numbers of partitions by fleet size. They grow in few large steps, since
+// each step moves all customers to other coordinators.
+var partitionCounts = []struct{ maxNodes, partitions int }{
+	{maxSingleNodes, 1},
+	{128, 16},
+	{512, 64},
+}
+
+// maxPartitions is the number of partitions in fleets larger than those in partitionCounts.
+const maxPartitions = 256
+
+// Partitions returns the number of partitions of customers in a fleet of the given number of
+// listed nodes. The customers of a partition have the same coordinator and the same shareholders.
+func Partitions(nodes int) int {
+	for _, size := range partitionCounts {
+		if nodes <= size.maxNodes {
+			return size.partitions
+		}
+	}
+	return maxPartitions
+}
+
+// PartitionOf returns the partition of a customer, from 0 to partitions-1.
+func PartitionOf(customer string, partitions int) int {
+	return int(xxhash.Sum64String(customer) % uint64(max(1, partitions)))
+}
+
+// Shareholders returns the nodes among which the rates of a partition's customers are split.
+// listed holds all nodes of the fleet. key identifies the partition.
+func Shareholders(key string, listed []string) []string {
+	if len(listed) <= maxSingleNodes {
+		return listed
+	}
+	ranked := make([]rankedNode, len(listed))
+	for i, node := range listed {
+		ranked[i] = rankedNode{node, xxhash.Sum64String(key + "\x00" + node)}
 	}
+	slices.SortFunc(ranked, func(a, b rankedNode) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
+	})
+	holders := make([]string, MaxShareholders)
+	for i := range holders {
+		holders[i] = ranked[i].name
+	}
+	return holders
+}
+
+type rankedNode struct {
+	name string
+	rank uint64
+}
+
+// Share is what a node is entitled to of the rate and burst of a customer.
+type Share struct {
+	// Own is the fraction, from 0 to 1, that the node is entitled to: Each if it is a shareholder,
+	// otherwise 0.
+	Own float64
+	// Each is the fraction that every shareholder is entitled to.
+	Each float64
+	// Nodes is the number of nodes in the fleet.
+	Nodes int
+}
+
+// ShareOf returns the Share of node in a fleet of the given number of nodes.
+func ShareOf(node string, shareholders []string, nodes int) Share {
 	if len(shareholders) == 0 {
-		return 0, 0
+		return Share{}
 	}
-	each = 1 / float64(len(shareholders))
+	share := Share{Each: 1 / float64(len(shareholders)), Nodes: nodes}
 	if slices.Contains(shareholders, node) {
-		own = each
+		share.Own = share.Each
+	}
+	return share
+}
+
+// spareTokens returns how many tokens a node holds in addition to those for its demand: at most
+// maxSpareTokens, and at all nodes together at most maxSpareShare of the burst. It is 0 if that is
+// less than one token a node. Tokens are then granted on demand, that is, for requests that wait
+// for them.
+func (s Share) spareTokens(limit Limit) float64 {
+	spare := min(maxSpareTokens, maxSpareShare*limit.Burst/float64(max(1, s.Nodes)))
+	if spare < 1 {
+		return 0
 	}
-	return own, each
+	return spare
 }
 
-func rank(customer, node string) uint64 { return xxhash.Sum64String(customer + "\x00" + node) }
+// grantsOnDemand reports whether the nodes hold no spare tokens.
+func (s Share) grantsOnDemand(limit Limit) bool { return s.spareTokens(limit) == 0 }
--- a/internal/run/quota/messages.go
+++ b/internal/run/quota/messages.go
@@ -9,6 +9,12 @@
 	// address.
 	To      string         `cbor:"2,keyasint"`
 	Reports []quota.Report `cbor:"3,keyasint"`
+	// LendsRest is true if the request also lends the sender's share of every customer of
+	// Partition that Reports does not contain. The sender holds no tokens of these customers and
+	// wants none. Partition is one of Partitions (see quota.PartitionOf).
+	LendsRest  bool `cbor:"4,keyasint,omitempty"`
+	Partition  int  `cbor:"5,keyasint,omitempty"`
+	Partitions int  `cbor:"6,keyasint,omitempty"`
 }
 
 // shareReply contains the tokens granted, one number for each report. A negative number means
--- /dev/null
+++ b/internal/run/quota/partition.go
@@ -0,0 +1,151 @@
+package quota
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"crocusyoke/internal/controller/membership"
+	"crocusyoke/internal/controller/quota"
+	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/ownership"
+)
+
+// partition is a set of customers with the same coordinator and the same shareholders.
+type partition struct {
+	index     int
+	customers []*customerQuota
+	// coordinator is the node that grants the customers' tokens, or "" if no node is alive.
+	coordinator string
+	share       quota.Share
+	// dueAt is when the next message about all customers is due. urgentDueAt is the earliest time
+	// for a message that is only about customers that are low on tokens. low holds these
+	// customers. wakeAt is the last time for which a wake-up of the loop was scheduled.
+	dueAt       time.Time
+	urgentDueAt time.Time
+	wakeAt      time.Time
+	low         map[*customerQuota]bool
+	// inFlight is true while a message about the partition is in flight. The Runner's mu guards
+	// it.
+	inFlight bool
+}
+
+// refresh applies the configuration in force and the current list of nodes.
+func (r *Runner) refresh(view *membership.View) {
+	now := r.now()
+	config := r.o.Config.Current()
+	if config == nil || config == r.config && view == r.view {
+		return
+	}
+	customersChanged := config != r.config && r.applyCustomers(config, now)
+	nodesChanged := r.view == nil || !hasSameNodes(r.view, view)
+	r.config, r.view = config, view
+	if customersChanged || nodesChanged {
+		r.assignPartitions(view, now)
+	}
+}
+
+// hasSameNodes reports whether two views agree on the listed and on the live nodes.
+func hasSameNodes(a, b *membership.View) bool {
+	return a.SelfListed == b.SelfListed && slices.EqualFunc(a.Members, b.Members, func(x, y membership.Member) bool {
+		return x.Name == y.Name && x.State == y.State
+	})
+}
+
+// applyCustomers applies the customers of config and reports whether they differ from those
+// before. A customer that config does not contain is no longer admitted.
+func (r *Runner) applyCustomers(config *fleet.Config, now time.Time) (changed bool) {
+	before := *r.customers.Load()
+	after := make(customerQuotas, len(config.Customers))
+	for i := range config.Customers {
+		c := &config.Customers[i]
+		s := before[c.Name]
+		if s == nil {
+			changed = true
+			s = newCustomerQuota(c.Name, now)
+			if len(before) > 0 {
+				s.account.AssumeLent(now)
+			}
+		}
+		s.setLimit(quota.Limit{Rate: c.Rate, Burst: c.Burst}, now)
+		after[c.Name] = s
+	}
+	r.customers.Store(&after)
+	return changed || len(after) != len(before)
+}
+
+func newCustomerQuota(customer string, now time.Time) *customerQuota {
+	return &customerQuota{
+		customer: customer,
+		account:  quota.NewAccount(now),
+		bucket:   quota.NewBucket(now),
+		granted:  make(chan struct{}),
+	}
+}
+
+func (s *customerQuota) setLimit(limit quota.Limit, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account.Configure(limit, now)
+	s.bucket.Configure(limit, now)
+}
+
+// assignPartitions assigns the customers to partitions, and these to coordinators and
+// shareholders. Partitions keep their times and messages in flight if their number is the same.
+func (r *Runner) assignPartitions(view *membership.View, now time.Time) {
+	listed := view.Listed()
+	live := ownershipNodes(view.Live())
+	count := quota.Partitions(len(listed))
+	if count != len(r.partitions) {
+		r.partitions = newPartitions(count)
+	}
+	for i, p := range r.partitions {
+		key := partitionKey(i, count)
+		p.customers = p.customers[:0]
+		p.coordinator = ownership.Owner("quota/"+key, "", live)
+		p.share = quota.ShareOf(r.o.Self, quota.Shareholders(key, listed), len(listed))
+	}
+	for _, s := range *r.customers.Load() {
+		p := r.partitions[quota.PartitionOf(s.customer, count)]
+		p.customers = append(p.customers, s)
+		s.join(p, now)
+	}
+}
+
+func newPartitions(count int) []*partition {
+	partitions := make([]*partition, count)
+	for i := range partitions {
+		partitions[i] = &partition{index: i, low: make(map[*customerQuota]bool)}
+	}
+	return partitions
+}
+
+// partitionKey identifies a partition for the choice of its coordinator and shareholders.
+func partitionKey(index, count int) string {
+	if count == 1 {
+		return ""
+	}
+	return fmt.Sprintf("%d/%d", index, count)
+}
+
+// join applies the coordinator and the shares of p.
+func (s *customerQuota) join(p *partition, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.coordinator == "" && s.borrower == "" {
+		// A loan that AssumeLent assumes is one to this coordinator.
+		s.borrower = p.coordinator
+	}
+	s.coordinator = p.coordinator
+	s.account.SetCoordinator(p.coordinator)
+	s.account.SetShare(p.share, now)
+	s.bucket.SetShare(p.share, now)
+}
+
+func ownershipNodes(members []membership.Member) []ownership.Node {
+	nodes := make([]ownership.Node, 0, len(members))
+	for _, m := range members {
+		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain})
+	}
+	return nodes
+}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -44,7 +44,6 @@
 // customerQuota is the quota state of one customer on this node.
 type customerQuota struct {
 	customer string
-	waiting  atomic.Int64
 
 	mu sync.Mutex
 	// account holds the tokens that this node may spend.
@@ -56,10 +55,11 @@
 	borrower string
 	// recallUnanswered is true if the borrower did not answer a report that recalled the loan.
 	recallUnanswered bool
-	// coordinator is the customer's coordinator according to seenView.
+	// coordinator is the customer's coordinator.
 	coordinator  string
-	seenView     *membership.View
 	usesOwnShare bool
+	// granted is closed and replaced when tokens are granted while requests wait for them.
+	granted chan struct{}
 }
 
 type customerQuotas map[string]*customerQuota
@@ -72,19 +72,17 @@
 	wake chan struct{}
 	wait sync.WaitGroup
 
-	// config is the configuration from which customers was built. Only the loop of Run uses
-	// it.
-	config *fleet.Config
+	// Only the loop of Run uses these fields. config and view are those from which customers and
+	// partitions were built.
+	config     *fleet.Config
+	view       *membership.View
+	partitions []*partition
 
 	mu sync.Mutex
-	// The keys of these maps are names of coordinators. inFlight is true while a message
-	// with reports is in flight to the coordinator. dueAt is when the next message about all
-	// its customers is due. urgentDueAt is the earliest time for the next message that is only
-	// about customers that are low on tokens.
-	inFlight    map[string]bool
-	dueAt       map[string]time.Time
-	urgentDueAt map[string]time.Time
-	leaving     bool
+	// low holds the customers for which a request found too few tokens, until the loop of Run
+	// has seen them.
+	low     map[*customerQuota]bool
+	leaving bool
 }
 
 // New returns a Runner that admits no requests until Run is called.
@@ -93,11 +91,9 @@
 		o.Suspended = func() time.Duration { return 0 }
 	}
 	r := &Runner{
-		o:           o,
-		wake:        make(chan struct{}, 1),
-		inFlight:    make(map[string]bool),
-		dueAt:       make(map[string]time.Time),
-		urgentDueAt: make(map[string]time.Time),
+		o:    o,
+		wake: make(chan struct{}, 1),
+		low:  make(map[*customerQuota]bool),
 	}
 	r.customers.Store(&customerQuotas{})
 	return r
@@ -125,11 +121,19 @@
 	lowOnTokens := s.account.NeedsTokens(now)
 	s.mu.Unlock()
 	if lowOnTokens {
-		r.Wake()
+		r.markLow(s)
 	}
 	return ok, retryAfter
 }
 
+// markLow makes the loop of Run ask for tokens of s as soon as that is allowed.
+func (r *Runner) markLow(s *customerQuota) {
+	r.mu.Lock()
+	r.low[s] = true
+	r.mu.Unlock()
+	r.Wake()
+}
+
 // Wake makes Run check at once for pending work, such as a new configuration.
 func (r *Runner) Wake() {
 	select {
@@ -161,7 +165,7 @@
 	retakeInterval = 10 * time.Millisecond
 	// minWaiters is the lower bound of maxWaiters for a customer within its rate, however
 	// few tokens were granted recently.
-	minWaiters = 2
+	minWaiters = 8
 	// unknownCustomerRetryAfter is the retryAfter for a customer that the configuration in
 	// force does not contain.
 	unknownCustomerRetryAfter = 100 * time.Millisecond
@@ -175,14 +179,14 @@
 		return false, unknownCustomerRetryAfter
 	}
 	ok, retryAfter = r.take(s, (*quota.Account).Take)
-	if ok || float64(s.waiting.Load()) >= r.maxWaiters(s) {
+	if ok || !s.beginWait(r.now()) {
 		return ok, retryAfter
 	}
-	s.waiting.Add(1)
-	defer s.waiting.Add(-1)
+	defer s.endWait()
 	increment("waits")
+	r.markLow(s)
 	for until := r.o.Clock.Now().Add(admitTimeout); !ok && r.o.Clock.Now().Before(until); {
-		if r.o.Clock.Sleep(ctx, retakeInterval) != nil {
+		if !s.awaitGrant(ctx) {
 			break
 		}
 		ok, retryAfter = r.take(s, (*quota.Account).RetryTake)
@@ -190,6 +194,49 @@
 	return ok, retryAfter
 }
 
+// beginWait reports whether one more request may wait for a token, and counts it if so.
+func (s *customerQuota) beginWait(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if float64(s.account.Waiting()) >= s.maxWaiters(now) {
+		return false
+	}
+	s.account.BeginWait()
+	return true
+}
+
+func (s *customerQuota) endWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account.EndWait()
+}
+
+// awaitGrant waits until tokens are granted, but at most for retakeInterval, since the node's own
+// share earns tokens without a grant. It returns false if ctx has ended.
+func (s *customerQuota) awaitGrant(ctx context.Context) bool {
+	s.mu.Lock()
+	granted := s.granted
+	s.mu.Unlock()
+	timer := time.NewTimer(retakeInterval)
+	defer timer.Stop()
+	select {
+	case <-granted:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// signalGranted wakes the requests that wait for a token. s.mu is held.
+func (s *customerQuota) signalGranted() {
+	if s.account.Waiting() == 0 {
+		return
+	}
+	close(s.granted)
+	s.granted = make(chan struct{})
+}
+
 // Settle completes a request that Admit or Take admitted. A request that provably did not
 // run is not charged.
 func (r *Runner) Settle(customer string, ran bool) {
@@ -206,14 +253,12 @@
 }
 
 // maxWaiters returns how many requests may wait for tokens: as many as are likely to get
-// one within admitTimeout, or none if the customer asks for much more than its rate.
-func (r *Runner) maxWaiters(s *customerQuota) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.account.IsOverRate(r.now()) {
+// one within admitTimeout, or none if the customer asks for much more than its rate. s.mu is held.
+func (s *customerQuota) maxWaiters(now time.Time) float64 {
+	if s.account.IsOverRate(now) {
 		return 0
 	}
-	return max(minWaiters, s.account.TokenRate(r.now())*admitTimeout.Seconds())
+	return max(minWaiters, s.account.TokenRate(now)*admitTimeout.Seconds())
 }
 
 // Status is the quota state of one customer, as shown to operators.
@@ -247,32 +292,3 @@
 	}
 	return out
 }
-
-// applyConfig applies the configuration in force. A customer that it no longer contains is
-// no longer admitted.
-func (r *Runner) applyConfig(now time.Time) {
-	config := r.o.Config.Current()
-	if config == nil || config == r.config {
-		return
-	}
-	r.config = config
-	before := *r.customers.Load()
-	after := make(customerQuotas, len(config.Customers))
-	for i := range config.Customers {
-		c := &config.Customers[i]
-		s := before[c.Name]
-		if s == nil {
-			s = &customerQuota{customer: c.Name, account: quota.NewAccount(now), bucket: quota.NewBucket(now)}
-		}
-		s.setLimit(quota.Limit{Rate: c.Rate, Burst: c.Burst}, now)
-		after[c.Name] = s
-	}
-	r.customers.Store(&after)
-}
-
-func (s *customerQuota) setLimit(limit quota.Limit, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.account.Configure(limit, now)
-	s.bucket.Configure(limit, now)
-}
