Catalog: few readers of the store, peers' deltas for all others

Change: in fleets above 12 nodes one node of each failure domain, at least 6, follows the tables (controller/reader); the others get compressed deltas from peers, whose replies to probes tell the versions of the last changes and how old the store's last confirmation is. A node's own row is compared with the copy at hand instead of being read.

--- a/internal/controller/membership/messages.go
+++ b/internal/controller/membership/messages.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -142,12 +143,13 @@
 
 // Member returns the member called name.
 func (v *View) Member(name string) (Member, bool) {
-	for _, m := range v.Members {
-		if m.Name == name {
-			return m, true
-		}
+	i, ok := slices.BinarySearchFunc(v.Members, name, func(m Member, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+	if !ok {
+		return Member{}, false
 	}
-	return Member{}, false
+	return v.Members[i], true
 }
 
 // MaxListReaders is the number of nodes that read the platform's list frequently on behalf of
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -15,6 +15,7 @@
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/controller/membership"
+	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/filter"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/front"
@@ -52,6 +53,8 @@
 	// statement of that protocol that ends a transaction.
 	NewCodec func(net.Conn) front.Codec
 	Rollback string
+	// FirstStart is true if the whole fleet starts for the first time.
+	FirstStart bool
 	// ReadyAddress and ReadyPath are the address and the HTTP path of the readiness endpoint
 	// that the platform queries.
 	ReadyAddress string
@@ -67,10 +70,6 @@
 // settingsPollInterval is the interval between checks for changed settings.
 const settingsPollInterval = 2 * time.Second
 
-// nodeListInterval is the interval between full reads of the nodes' rows, which are made in
-// addition to following the feed of these rows.
-const nodeListInterval = 10 * time.Second
-
 // RunHosted runs a hosted node until ctx ends and its graceful stop is done.
 func RunHosted(ctx context.Context, h *HostedOptions) error {
 	n := &Node{
@@ -123,10 +122,11 @@
 		Suspended:   clock.SuspendedTime,
 		Logger:      n.logger,
 	})
-	nodes := n.newRegister(h)
-	n.assembleMembership(nodes, nodeListInterval)
+	n.assembleMembership(nil)
 	config := n.newCatalog(h)
 	n.config = config
+	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
+	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
 	n.assembleQuota()
 	n.dialer = h.NewDialer(n.leases)
@@ -145,7 +145,17 @@
 	}, nil
 }
 
-func (n *Node) newRegister(h *HostedOptions) *register.Register {
+// readerNodes returns the live nodes of a View, from which the readers of the tables are chosen.
+func readerNodes(v *membership.View) []reader.Node {
+	live := v.Live()
+	nodes := make([]reader.Node, len(live))
+	for i, m := range live {
+		nodes[i] = reader.Node{Name: m.Name, Domain: m.Domain}
+	}
+	return nodes
+}
+
+func (n *Node) newRegister(h *HostedOptions, config *runcatalog.Runner) *register.Register {
 	return register.New(register.Options{
 		Self:           n.self(),
 		Table:          h.Store,
@@ -153,6 +163,8 @@
 		Logger:         n.logger,
 		Random:         mathrand.New(mathrand.NewPCG(seed(), seed())),
 		RemovableNodes: n.nodesToRemove,
+		KnownRow:       config.NodeRow,
+		FirstStart:     h.FirstStart,
 	})
 }
 
@@ -161,6 +173,8 @@
 		Feed:             h.Store,
 		Decoder:          h.Decoder,
 		ConfigurationKey: h.ConfigurationKey,
+		Self:             n.settings.Node.Name,
+		FirstStart:       h.FirstStart,
 		Peers:            n.peers,
 		Clock:            n.clock,
 		Logger:           n.logger,
@@ -172,12 +186,15 @@
 // peerUpdate is what a hosted node tells its peers about itself. It is attached to answers to
 // probes and sent as the payload of peer.KindUnfit.
 type peerUpdate struct {
-	// Version is the highest row version that the node knows of the platform's tables of
+	// Version is the version of the last change that the node knows of the platform's tables of
 	// configuration and targets. It is not set in payloads of peer.KindUnfit.
 	Version uint64 `cbor:"1,keyasint"`
 	// Unfit names the groups that the node is unfit to own, because it can't reach a target that
 	// may be the group's primary while peers can.
 	Unfit []string `cbor:"2,keyasint,omitempty"`
+	// Knowledge is what the node knows of the platform's tables. It is not set in payloads of
+	// peer.KindUnfit.
+	Knowledge runcatalog.Knowledge `cbor:"3,keyasint"`
 }
 
 // newCatalogExchange returns an exchange that attaches a peerUpdate to this node's answers to
@@ -186,7 +203,9 @@
 func newCatalogExchange(n *Node, config *runcatalog.Runner) configExchange {
 	return configExchange{
 		attach: func() []byte {
-			body, err := cbor.Marshal(peerUpdate{Version: config.Version(), Unfit: n.owners.unfitGroups()})
+			body, err := cbor.Marshal(peerUpdate{
+				Version: config.Version(), Unfit: n.owners.unfitGroups(), Knowledge: config.Knowledge(),
+			})
 			if err != nil {
 				return nil
 			}
@@ -198,9 +217,8 @@
 				return
 			}
 			n.owners.receiveUnfit(node, update.Unfit)
-			version := update.Version
 			if m, ok := n.membership.View().Member(node); ok {
-				config.ObservePeerVersion(context.Background(), m.Address, version)
+				config.ObservePeer(context.Background(), m.Address, update.Knowledge)
 			}
 		},
 		fetch: func(_ context.Context, _ string, payload []byte) (any, error) {
@@ -208,7 +226,7 @@
 			if err := cbor.Unmarshal(payload, &request); err != nil {
 				return nil, err
 			}
-			return config.AnswerFetch(request), nil
+			return config.AnswerFetch(request)
 		},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,7 +203,7 @@
 // assembleState builds the membership, configuration and quota components.
 func (n *Node) assembleState(store platform.Platform) {
 	s := n.settings
-	n.assembleMembership(store, 0)
+	n.assembleMembership(store)
 	config := configuration.New(configuration.Options{
 		Platform:   store,
 		Peers:      n.peers,
@@ -219,14 +219,15 @@
 	n.assembleQuota()
 }
 
-func (n *Node) assembleMembership(list platform.VMs, listInterval time.Duration) {
+// assembleMembership builds the membership component. list is nil if changes of the list are passed
+// to membership.Runner.SetListed.
+func (n *Node) assembleMembership(list platform.VMs) {
 	n.membership = membership.New(membership.Options{
 		Self:          n.self(),
 		Platform:      list,
 		Peers:         n.peers,
 		Clock:         n.clock,
 		Logger:        n.logger,
-		ListInterval:  listInterval,
 		ConfigVersion: func() uint64 { return n.config.Version() },
 		Attachment:    func() []byte { return n.exchange.attach() },
 		OnAttachment: func(node string, attached []byte, sentAt time.Time) {
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -135,13 +135,20 @@
 type fakePeers struct{ other *Runner }
 
 func (p fakePeers) Call(_ context.Context, _ string, _ peer.Kind, request, reply any) error {
-	*reply.(*FetchReply) = p.other.AnswerFetch(request.(FetchRequest))
-	return nil
+	answer, err := p.other.AnswerFetch(request.(FetchRequest))
+	*reply.(*FetchReply) = answer
+	return err
 }
 
 func startRunner(t *testing.T, f *fakeFeed, p peer.Caller) *Runner {
+	t.Helper()
+	return startRunnerAs(t, "self", f, p)
+}
+
+func startRunnerAs(t *testing.T, self string, f *fakeFeed, p peer.Caller) *Runner {
 	t.Helper()
 	r := New(Options{
+		Self: self,
 		Feed: f, Decoder: fakeDecoder{}, ConfigurationKey: "config", Peers: p, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
 		Random: rand.New(rand.NewPCG(1, 1)),
 	})
@@ -252,10 +259,12 @@
 		r := startRunner(t, downFeed, fakePeers{other})
 		synctest.Wait()
 		must.Nil(t, r.Current())
-		r.ObservePeerVersion(t.Context(), "other", other.Version())
+		r.ObservePeer(t.Context(), "other", other.Knowledge())
 		time.Sleep(2 * peerFetchDelay)
 		must.Eq(t, 1, r.Current().Version)
 		must.Eq(t, "t1 t2", r.targetNames())
-		must.Eq(t, FetchReply{}, r.AnswerFetch(FetchRequest{KnownVersion: r.Version()}))
+		answer, err := r.AnswerFetch(FetchRequest{KnownVersion: r.Version()})
+		must.NoError(t, err)
+		must.Eq(t, FetchReply{}, answer)
 	})
 }
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -40,15 +40,12 @@
 // Options configures a Runner.
 type Options struct {
 	// Self is this node as the platform lists it.
-	Self     platform.VM
+	Self platform.VM
+	// Platform is where the list is read; nil if it is passed to SetListed instead.
 	Platform platform.VMs
 	Peers    peer.Caller
 	Clock    clock.Clock
 	Logger   log.Logger
-	// ListInterval is the time between two reads of the list. If it is zero, the interval
-	// depends on the size of the fleet and on whether this node is a list reader. A longer
-	// interval suffices where changes of the list are passed to SetListed.
-	ListInterval time.Duration
 	// ConfigVersion returns the configuration version in force; may be nil.
 	ConfigVersion func() uint64
 	// Attachment returns the data to attach to each response to a probe; may be nil.
@@ -101,7 +98,9 @@
 // Run probes until ctx ends and returns after its last call has ended.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
-	r.wait.Go(func() { r.pollList(ctx) })
+	if r.o.Platform != nil {
+		r.wait.Go(func() { r.pollList(ctx) })
+	}
 	r.wait.Go(func() { r.probeLostLinks(ctx) })
 	for {
 		for _, send := range r.tick() {
@@ -134,9 +133,6 @@
 
 // listInterval returns the time between two reads of the list by this node.
 func (r *Runner) listInterval() time.Duration {
-	if r.o.ListInterval > 0 {
-		return r.o.ListInterval
-	}
 	view := r.View()
 	for _, m := range view.ListReaders() {
 		if m.Name == view.Self {
--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -34,6 +34,13 @@
 	// checkInterval is the delay between two checks whether this node's row is current and
 	// whether rows of gone nodes must be deleted.
 	checkInterval = time.Second
+	// rewriteDelay is how long after a successful write the row may be missing from what this
+	// node knows of the table before it is written again.
+	rewriteDelay = 6 * time.Second
+	// knownRowAttempts and knownRowInterval are how often and how far apart KnownRow is called
+	// until the table has been read.
+	knownRowAttempts = 10
+	knownRowInterval = 30 * time.Millisecond
 	// retryMin and retryMax bound the delay after a failed write, before jitter.
 	retryMin = 100 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -63,6 +70,11 @@
 	// responsible for deleting. A row is deleted once RemovableNodes has named its node for
 	// RemoveAfter.
 	RemovableNodes func() []string
+	// KnownRow returns the row with the given key as this node knows it, without a call to the
+	// store. known is false as long as the table has not been read. It may be nil.
+	KnownRow func(key string) (row platform.Row, known bool)
+	// FirstStart is true if the whole fleet starts for the first time, so that there is no row yet.
+	FirstStart bool
 }
 
 // Register maintains this node's row and reads the rows of the others.
@@ -73,6 +85,9 @@
 	// the time of the failure instead, so the next attempt follows after RemoveAfter. Only
 	// Run uses it.
 	goneSince map[string]time.Time
+	// mustRead is true if the last write failed, so that the row may differ from what this node
+	// knows. Only Run uses it.
+	mustRead bool
 }
 
 var _ platform.VMs = (*Register)(nil)
@@ -115,15 +130,18 @@
 // read, describes this process.
 func (r *Register) Run(ctx context.Context, isCurrent func() bool) error {
 	pause := retryMin
+	var writtenAt time.Time
 	for {
 		wait := checkInterval
-		if !isCurrent() {
+		isRecent := !writtenAt.IsZero() && r.o.Clock.Now().Sub(writtenAt) < rewriteDelay
+		if !isCurrent() && !isRecent {
 			if err := r.writeRow(ctx); err != nil {
 				_ = r.o.Logger.Log("event", "register", "err", err)
 				wait = pause/2 + time.Duration(r.o.Random.Int64N(int64(pause)))
 				pause = min(2*pause, retryMax)
 			} else {
 				pause = retryMin
+				writtenAt = r.o.Clock.Now()
 			}
 		}
 		r.deleteGoneRows(ctx)
@@ -143,17 +161,47 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	row, err := r.o.Table.Get(ctx, key)
-	if err != nil && !platform.ErrNotFound.Has(err) {
+	row, err := r.currentRow(ctx, key)
+	if err != nil {
 		return err
 	}
-	if err == nil && string(row.Value) == string(value) {
+	if string(row.Value) == string(value) {
 		return nil
 	}
 	_, err = r.o.Table.Put(ctx, key, row.Version, value)
+	r.mustRead = err != nil
 	return err
 }
 
+// currentRow returns the row as it is known without a call, or as the store has it if the last
+// write failed. The row is empty if it does not exist.
+func (r *Register) currentRow(ctx context.Context, key string) (platform.Row, error) {
+	if r.o.KnownRow != nil && !r.mustRead {
+		if row, known := r.awaitKnownRow(ctx, key); known || r.o.FirstStart {
+			return row, nil
+		}
+	}
+	row, err := r.o.Table.Get(ctx, key)
+	if platform.ErrNotFound.Has(err) {
+		return platform.Row{}, nil
+	}
+	return row, err
+}
+
+// awaitKnownRow returns the row as it is known without a call. After a restart it waits a little
+// for the table to be read.
+func (r *Register) awaitKnownRow(ctx context.Context, key string) (row platform.Row, known bool) {
+	for range knownRowAttempts {
+		if row, known = r.o.KnownRow(key); known || r.o.FirstStart {
+			return row, known
+		}
+		if r.o.Clock.Sleep(ctx, knownRowInterval) != nil {
+			break
+		}
+	}
+	return platform.Row{}, false
+}
+
 // deleteGoneRows deletes the rows of nodes that have been gone for RemoveAfter.
 func (r *Register) deleteGoneRows(ctx context.Context) {
 	now := r.o.Clock.Now()
