Links: calls of large fleets over connections without keep-alive; far probes to few nodes

Probes outside the cell go to four nodes that change slowly; the shuffled round is rarer in several cells. Quota partitions 8, 32, 128.

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -95,9 +95,13 @@
 	stride       int
 	// byID maps the IDs of this cell's nodes to the nodes. An ID that several nodes share maps
 	// to nil.
-	byID         map[uint32]*node
-	digests      []cellDigest
-	probeTurn    int
+	byID      map[uint32]*node
+	digests   []cellDigest
+	probeTurn int
+	// far holds the names of the nodes that are probed regardless of their cells. farTurn counts
+	// these probes.
+	far          []string
+	farTurn      int
 	observations []Observation
 	// maxVersion is the highest known configuration version.
 	maxVersion uint64
--- a/internal/controller/membership/spread.go
+++ b/internal/controller/membership/spread.go
@@ -29,9 +29,15 @@
 	// Every shuffledPeriod-th probe goes to the next node of a shuffled round, which probes each
 	// node of the cell once in random order.
 	shuffledPeriod = 8
-	// Every anyNodePeriod-th probe in a fleet of several cells goes to any node instead of one
-	// of the same cell.
-	anyNodePeriod = 3
+	// shuffledPeriodCells replaces shuffledPeriod in a fleet of several cells, where each probe of
+	// another node costs a new connection.
+	shuffledPeriodCells = 32
+	// Every farPeriod-th probe in a fleet of several cells goes to one of farPeers nodes, chosen
+	// among all, instead of one of the same cell. After farRotation such probes one of them is
+	// replaced.
+	farPeriod   = 3
+	farPeers    = 4
+	farRotation = 16
 )
 
 // cellDigest is the digest of one cell that was last received. heardAt is the time of the
@@ -92,13 +98,17 @@
 // cell within about twice the logarithm of the cell's size, counted in probes of one node.
 // The other probes follow shuffled rounds. If the node at the next distance did not answer its
 // last probe, the probe also follows the shuffled round instead. With more than one cell, some
-// probes go to any node.
+// probes go to nodes anywhere.
 func (c *Core) nextProbeNode() *node {
 	c.probeTurn++
-	if len(c.cellPeers) == 0 || c.cellCount > 1 && c.probeTurn%anyNodePeriod == 0 {
-		return c.nodes[c.names[c.rng.IntN(len(c.names))]]
+	if len(c.cellPeers) == 0 || c.cellCount > 1 && c.probeTurn%farPeriod == 0 {
+		return c.nextFarNode()
 	}
-	if c.probeTurn%shuffledPeriod != 1 {
+	period := shuffledPeriod
+	if c.cellCount > 1 {
+		period = shuffledPeriodCells
+	}
+	if c.probeTurn%period != 1 {
 		if n := c.nextByStride(); n.failures == 0 {
 			return n
 		}
@@ -111,6 +121,24 @@
 	return c.shuffled[c.shuffledNext-1]
 }
 
+// nextFarNode returns the next of the nodes that are probed regardless of their cells. They change
+// slowly, so that the connections to them are used again. One that did not answer its last probe is
+// replaced.
+func (c *Core) nextFarNode() *node {
+	at := c.farTurn % farPeers
+	c.farTurn++
+	if len(c.far) < farPeers {
+		c.far = append(c.far, c.anyName())
+		at = len(c.far) - 1
+	}
+	if n := c.nodes[c.far[at]]; n == nil || n.failures > 0 || c.farTurn%farRotation == 0 {
+		c.far[at] = c.anyName()
+	}
+	return c.nodes[c.far[at]]
+}
+
+func (c *Core) anyName() string { return c.names[c.rng.IntN(len(c.names))] }
+
 // nextByStride returns the cell peer at the next distance after this node.
 func (c *Core) nextByStride() *node {
 	if c.stride > len(c.cellPeers) || c.stride == 0 {
--- a/internal/controller/quota/shares.go
+++ b/internal/controller/quota/shares.go
@@ -20,12 +20,12 @@
 // each step moves all customers to other coordinators.
 var partitionCounts = []struct{ maxNodes, partitions int }{
 	{maxSingleNodes, 1},
-	{128, 16},
-	{512, 64},
+	{128, 8},
+	{512, 32},
 }
 
 // maxPartitions is the number of partitions in fleets larger than those in partitionCounts.
-const maxPartitions = 256
+const maxPartitions = 128
 
 // Partitions returns the number of partitions of customers in a fleet of the given number of
 // listed nodes. The customers of a partition have the same coordinator and the same shareholders.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -114,6 +114,7 @@
 	n.fingerprint = quicpeer.Fingerprint(tls)
 	n.peers = quicpeer.NewClient(tls, sockets.calls, n.clock, n.delayTo)
 	n.peers.Accept = n.canAnswerAt
+	n.peers.SeparateCalls = func() bool { return len(n.membership.View().Members) > reader.MaxAllReaders }
 	n.leases = lease.New(lease.Options{
 		Self:        n.settings.Node.Name,
 		Incarnation: n.incarnation,
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -20,20 +20,43 @@
 // exchanged with address.
 type DelayFunc func(address string) time.Duration
 
-// Client calls other nodes over one connection to each address.
+// linkUse is what a connection is used for.
+type linkUse uint8
+
+const (
+	// useSessions is for sessions, and for calls too unless Client.SeparateCalls says otherwise.
+	// The connection is kept alive, so that its loss is noticed without traffic.
+	useSessions linkUse = iota
+	// useCalls is for calls only.
+	useCalls
+)
+
+// linkKey identifies a link.
+type linkKey struct {
+	address string
+	use     linkUse
+}
+
+// Client calls other nodes over one connection to each address, or over two if calls have their
+// own.
 type Client struct {
 	// Accept reports whether the node that answers at address may have the given name; nil
 	// accepts every name. It must be set before the first call if no authority signs
 	// certificates.
 	Accept func(address, name string) bool
 
+	// SeparateCalls reports whether calls use connections of their own, which are not kept alive.
+	// In a large fleet a node calls too many others to keep all connections alive. nil means
+	// no. It must be set before the first call.
+	SeparateCalls func() bool
+
 	tls       *tls.Config
 	clock     clock.Clock
 	delay     DelayFunc
 	transport *quic.Transport
 
 	mu     sync.Mutex
-	links  map[string]*link
+	links  map[linkKey]*link
 	onLost func(address string)
 }
 
@@ -75,7 +98,7 @@
 		clock:     c,
 		delay:     delay,
 		transport: &quic.Transport{Conn: packets},
-		links:     make(map[string]*link),
+		links:     make(map[linkKey]*link),
 	}
 }
 
@@ -128,7 +151,25 @@
 }
 
 func (c *Client) roundTrip(ctx context.Context, address string, call callRequest) (callReply, error) {
-	stream, err := c.openStream(ctx, address, streamCall)
+	key := c.callKey(address)
+	answer, err := c.callOver(ctx, key, call)
+	if key.use == useCalls && ctx.Err() != nil {
+		c.closeLink(key)
+	}
+	return answer, err
+}
+
+// callKey returns the key of the link for calls to address.
+func (c *Client) callKey(address string) linkKey {
+	if c.SeparateCalls != nil && c.SeparateCalls() {
+		return linkKey{address, useCalls}
+	}
+	return linkKey{address, useSessions}
+}
+
+// callOver makes a call over the link with the given key.
+func (c *Client) callOver(ctx context.Context, key linkKey, call callRequest) (callReply, error) {
+	stream, err := c.openStream(ctx, key, streamCall)
 	if err != nil {
 		return callReply{}, err
 	}
@@ -157,9 +198,10 @@
 	return c.clock.Sleep(ctx, d)
 }
 
-// openStream opens a stream of the given kind to address, over a new connection if needed.
-func (c *Client) openStream(ctx context.Context, address string, kind streamKind) (*quic.Stream, error) {
-	conn, err := c.connect(ctx, address)
+// openStream opens a stream of the given kind over the link with the given key, which is
+// opened if needed.
+func (c *Client) openStream(ctx context.Context, key linkKey, kind streamKind) (*quic.Stream, error) {
+	conn, err := c.connect(ctx, key)
 	if err != nil {
 		return nil, err
 	}
@@ -173,15 +215,15 @@
 	return stream, nil
 }
 
-// connect returns the open connection to address, or opens one. Concurrent callers share one
-// attempt.
-func (c *Client) connect(ctx context.Context, address string) (*quic.Conn, error) {
+// connect returns the open connection of the link with the given key, or opens one. Concurrent
+// callers share one attempt.
+func (c *Client) connect(ctx context.Context, key linkKey) (*quic.Conn, error) {
 	c.mu.Lock()
-	l := c.links[address]
+	l := c.links[key]
 	if l == nil || l.isLost() {
 		l = &link{ready: make(chan struct{})}
-		c.links[address] = l
-		go c.dial(address, l)
+		c.links[key] = l
+		go c.dial(key, l)
 	}
 	c.mu.Unlock()
 	select {
@@ -192,16 +234,24 @@
 	}
 }
 
-func (c *Client) dial(address string, l *link) {
+func (c *Client) dial(key linkKey, l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	l.conn, l.err = c.handshake(ctx, address)
+	l.conn, l.err = c.handshake(ctx, key)
 	close(l.ready)
 	if l.err != nil {
-		c.removeLink(address, l)
+		c.removeLink(key, l)
 		return
 	}
-	c.watchLink(address, l)
+	c.watchLink(key, l)
+}
+
+// closeLink closes the link with the given key because a call over it was not answered in time: the
+// connection may have gone silent while a new one works.
+func (c *Client) closeLink(key linkKey) {
+	if conn := c.openConn(key); conn != nil {
+		_ = conn.CloseWithError(0, "call not answered")
+	}
 }
 
 // notifyLost calls the function that OnConnectionLost set, if any.
@@ -214,14 +264,15 @@
 	}
 }
 
-func (c *Client) handshake(ctx context.Context, address string) (*quic.Conn, error) {
+func (c *Client) handshake(ctx context.Context, key linkKey) (*quic.Conn, error) {
+	address := key.address
 	remoteAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
 	}
 	config := c.tls.Clone()
 	config.ServerName = remoteAddr.IP.String()
-	conn, err := c.transport.Dial(ctx, remoteAddr, config, quicConfig())
+	conn, err := c.transport.Dial(ctx, remoteAddr, config, clientConfig(key.use))
 	if err != nil {
 		return nil, err
 	}
@@ -241,11 +292,12 @@
 // can yield false. A new connection that confirms the key replaces the existing one. HoldsKey
 // also returns false if the new connection fails.
 func (c *Client) HoldsKey(ctx context.Context, address, fingerprint string) bool {
-	current := c.openConn(address)
+	key := c.callKey(address)
+	current := c.openConn(key)
 	if current != nil && identify(current).Fingerprint == fingerprint {
 		return true
 	}
-	fresh, err := c.handshake(ctx, address)
+	fresh, err := c.handshake(ctx, key)
 	if err != nil {
 		return false
 	}
@@ -253,49 +305,51 @@
 		_ = fresh.CloseWithError(0, "asked")
 		return false
 	}
-	c.replaceLink(address, fresh)
+	c.replaceLink(key, fresh)
 	if current != nil {
 		_ = current.CloseWithError(0, "the process there is another now")
 	}
 	return true
 }
 
-// openConn returns the open connection to address, or nil if there is none.
-func (c *Client) openConn(address string) *quic.Conn {
+// openConn returns the open connection of the link with the given key, or nil if there is none.
+func (c *Client) openConn(key linkKey) *quic.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.links[address]
+	l := c.links[key]
 	if l == nil || !l.isOpen() {
 		return nil
 	}
 	return l.conn
 }
 
-// replaceLink makes conn the connection that is used for address.
-func (c *Client) replaceLink(address string, conn *quic.Conn) {
+// replaceLink makes conn the connection of the link with the given key.
+func (c *Client) replaceLink(key linkKey, conn *quic.Conn) {
 	l := &link{ready: make(chan struct{}), conn: conn}
 	close(l.ready)
 	c.mu.Lock()
-	c.links[address] = l
+	c.links[key] = l
 	c.mu.Unlock()
-	c.watchLink(address, l)
+	c.watchLink(key, l)
 }
 
-// watchLink counts the connection of l as dialed. When the connection ends, it removes l and
-// notifies the function that OnConnectionLost set.
-func (c *Client) watchLink(address string, l *link) {
+// watchLink counts the connection of l as dialed. When the connection ends, it removes l and, if
+// the connection was kept alive, notifies the function that OnConnectionLost set.
+func (c *Client) watchLink(key linkKey, l *link) {
 	counters.Add(counterConnectionsDialed, 1)
 	context.AfterFunc(l.conn.Context(), func() {
 		counters.Add(counterConnectionsLost, 1)
-		c.removeLink(address, l)
-		c.notifyLost(address)
+		c.removeLink(key, l)
+		if key.use == useSessions {
+			c.notifyLost(key.address)
+		}
 	})
 }
 
-func (c *Client) removeLink(address string, l *link) {
+func (c *Client) removeLink(key linkKey, l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.links[address] == l {
-		delete(c.links, address)
+	if c.links[key] == l {
+		delete(c.links, key)
 	}
 }
--- a/internal/peer/quicpeer/identity_test.go
+++ b/internal/peer/quicpeer/identity_test.go
@@ -73,7 +73,7 @@
 		return verifier.client.HoldsKey(ctx, first.address, Fingerprint(config))
 	}
 	must.True(t, proves(first.config))
-	link, err := verifier.client.connect(context.Background(), first.address)
+	link, err := verifier.client.connect(context.Background(), linkKey{first.address, useSessions})
 	must.NoError(t, err)
 	must.False(t, proves(impostor))
 	must.NoError(t, link.Context().Err())
--- a/internal/peer/quicpeer/quicpeer_test.go
+++ b/internal/peer/quicpeer/quicpeer_test.go
@@ -247,7 +247,7 @@
 	h := c.Open(address)
 	_, err := h.Serve(context.Background(), newRequest("s", 1, "x"))
 	must.NoError(t, err)
-	conn, err := c.connect(context.Background(), address)
+	conn, err := c.connect(context.Background(), linkKey{address, useSessions})
 	must.NoError(t, err)
 	must.NoError(t, conn.CloseWithError(1, "lost track"))
 	<-conn.Context().Done()
--- a/internal/peer/quicpeer/remote.go
+++ b/internal/peer/quicpeer/remote.go
@@ -105,7 +105,7 @@
 	stream.SetReadDeadline(r.client.clock.Now().Add(cancelTimeout))
 	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
 	defer done()
-	cancelStream, err := r.client.openStream(ctx, r.address, streamCancel)
+	cancelStream, err := r.client.openStream(ctx, linkKey{r.address, useSessions}, streamCancel)
 	if err != nil {
 		return
 	}
@@ -121,7 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	stream, err := r.client.openStream(ctx, r.address, streamSession)
+	stream, err := r.client.openStream(ctx, linkKey{r.address, useSessions}, streamSession)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -17,10 +17,13 @@
 
 // Timeouts and limits of a connection.
 const (
-	// IdleTimeout is how long a connection may be silent before it is closed.
+	// IdleTimeout is how long a connection that carries sessions may be silent before it is closed.
 	IdleTimeout = 600 * time.Millisecond
-	// KeepAliveInterval is the interval between keep-alive packets on an idle connection.
+	// KeepAliveInterval is the interval between keep-alive packets on such a connection.
 	KeepAliveInterval = 200 * time.Millisecond
+	// controlIdleTimeout is how long a connection that carries only calls stays open unused. It
+	// has no keep-alive packets: a call that is not answered shows that it is dead.
+	controlIdleTimeout = 20 * time.Second
 	// handshakeTimeout is the timeout for opening a connection.
 	handshakeTimeout = 2 * time.Second
 	// maxStreams is the maximum number of streams that a peer may have open at once on a
@@ -33,11 +36,12 @@
 	connectionWindow = 64 << 20
 )
 
-func quicConfig() *quic.Config {
+// serverConfig returns the configuration of accepted connections. The idle timeout of a connection
+// is the lower one of both ends, so the client decides.
+func serverConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       handshakeTimeout,
-		MaxIdleTimeout:             IdleTimeout,
-		KeepAlivePeriod:            KeepAliveInterval,
+		MaxIdleTimeout:             controlIdleTimeout,
 		MaxIncomingStreams:         maxStreams,
 		MaxIncomingUniStreams:      -1,
 		MaxStreamReceiveWindow:     streamWindow,
@@ -45,6 +49,16 @@
 	}
 }
 
+// clientConfig returns the configuration of dialed connections for use.
+func clientConfig(use linkUse) *quic.Config {
+	config := serverConfig()
+	if use == useSessions {
+		config.MaxIdleTimeout = IdleTimeout
+		config.KeepAlivePeriod = KeepAliveInterval
+	}
+	return config
+}
+
 // Server serves the calls and sessions of other nodes, and the calls of operators.
 type Server struct {
 	self string
@@ -94,7 +108,7 @@
 // streams that are being served.
 func (s *Server) Serve(ctx context.Context, packets net.PacketConn) error {
 	transport := &quic.Transport{Conn: packets, StatelessResetKey: s.ResetKey}
-	listener, err := transport.Listen(s.tls, quicConfig())
+	listener, err := transport.Listen(s.tls, serverConfig())
 	if err != nil {
 		return Error.Wrap(err)
 	}
