Contain panics over messages and rows: they end their own call, session, exchange or row

Handlers of peers' calls release their locks by deferred calls now. Counted by step under panics, logged with the stack.

--- /dev/null
+++ b/internal/contain/contain.go
@@ -0,0 +1,34 @@
+// Package contain turns a panic while one message is handled into an error, so that a malformed
+// message or an unexpected value ends its own request or connection and not the process.
+//
+// It is for functions that hold no lock while they may panic, or release it by a deferred call: a
+// lock that stays held would do more harm than a restart.
+package contain
+
+import (
+	"expvar"
+	"runtime/debug"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of the errors that panics are turned into.
+var Error = errs.Class("panic")
+
+// Panics counts the contained panics of this process by step.
+var Panics = new(expvar.Map)
+
+// maxStack is the number of bytes of a panic's stack that its error contains.
+const maxStack = 2000
+
+// Call returns the results of f, or an error with the stack if f panics. step names what f does.
+func Call[T any](step string, f func() (T, error)) (value T, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			Panics.Add(step, 1)
+			stack := debug.Stack()
+			err = Error.New("%s: %v\n%s", step, cause, stack[:min(len(stack), maxStack)])
+		}
+	}()
+	return f()
+}
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -47,6 +47,16 @@
 	}})
 }
 
+// outcomePanic is the log outcome of input of a caller that made the codec panic.
+const outcomePanic = "panic"
+
+// logPanic logs input that made the codec panic. The session ends, the process does not.
+func (s *session) logPanic(err error) {
+	if s.server.options.Log.Allow(outcomePanic, s.server.options.Clock.Now()) {
+		s.server.options.Log.Write(requestlog.Entry{Session: s.id, Outcome: outcomePanic, Fields: []any{"step", step, "cause", err}})
+	}
+}
+
 // outcomeAcceptFailed is the log outcome of a connection that could not be accepted.
 const outcomeAcceptFailed = "accept_failed"
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 )
@@ -61,8 +62,11 @@
 // open; if not, the caller has been told why where possible.
 func (s *session) admit() bool {
 	_ = s.conn.SetReadDeadline(time.Now().Add(HandshakeTimeout))
-	startup, err := s.codec.Startup()
+	startup, err := contain.Call("read startup", s.codec.Startup)
 	if err != nil {
+		if contain.Error.Has(err) {
+			s.logPanic(err)
+		}
 		if ErrProtocol.Has(err) {
 			s.reject(protocolRefusal(err.Error()))
 		}
@@ -95,7 +99,7 @@
 
 // serveNext reads and serves one statement. It reports false when the session is over.
 func (s *session) serveNext(ctx context.Context) bool {
-	statement, err := s.codec.Next()
+	statement, err := contain.Call("read statement", s.codec.Next)
 	if err != nil {
 		s.handleReadError(err)
 		return false
@@ -114,6 +118,9 @@
 // handleReadError refuses input that violates the protocol. Any other error means that the
 // caller has closed the connection, or that the connection broke.
 func (s *session) handleReadError(err error) {
+	if contain.Error.Has(err) {
+		s.logPanic(err)
+	}
 	if !ErrProtocol.Has(err) {
 		if !errors.Is(err, io.EOF) {
 			s.server.Counts.Add("sessions_broken", 1)
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/run/membership"
 	"crocusyoke/internal/run/quota"
 	"crocusyoke/internal/status"
@@ -41,6 +42,7 @@
 
 // publishVars publishes the counters of the node's components through expvar.
 func (n *Node) publishVars() {
+	expvar.Publish("panics", contain.Panics)
 	expvar.Publish("configuration", n.config.Vars())
 	expvar.Publish("owner", n.owner.Vars())
 	expvar.Publish("callers", n.front.Vars())
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
@@ -106,10 +107,21 @@
 			return g.options.IdempotentBegin(ctx, conn.Conn, req)
 		}
 	}
-	reply, sent, err := conn.Exchange(ctx, req.Messages)
+	reply, sent, err := exchangeContained(ctx, conn, req.Messages)
 	return reply, false, sent, err
 }
 
+// exchangeContained exchanges messages on conn. A panic over the target's answer becomes an error;
+// the messages then count as sent.
+func exchangeContained(ctx context.Context, conn *pool.Conn, messages []byte) (reply target.Reply, sent bool, err error) {
+	reply, err = contain.Call("exchange", func() (target.Reply, error) {
+		answer, wasSent, err := conn.Exchange(ctx, messages)
+		sent = wasSent
+		return answer, err
+	})
+	return reply, sent || contain.Error.Has(err), err
+}
+
 // returnConn returns conn to m's pool, or closes it if its state is uncertain.
 func (g *group) returnConn(m *member, conn *pool.Conn, o *exchangeResult) {
 	if o.err == nil && !o.cancelled && o.reply.TxStatus == 'I' {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
@@ -96,7 +97,7 @@
 		before := g.options.Suspended()
 		sentAt = g.now()
 		m.recordPollSent(sentAt)
-		status, err = control.Status(ctx)
+		status, err = contain.Call("poll", func() (target.Status, error) { return control.Status(ctx) })
 		if err == nil && g.options.Suspended()-before > suspensionTolerance {
 			err = Error.New("poll of %s: VM was suspended before the answer arrived", m.target.Name)
 		}
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/request"
 )
@@ -192,7 +193,7 @@
 		counters.Add(counterForbidden, 1)
 		return callReply{Error: "forbidden for this certificate"}
 	}
-	answer, err := h.serve(ctx, caller.Name, call.Payload)
+	answer, err := contain.Call("serve call", func() (any, error) { return h.serve(ctx, caller.Name, call.Payload) })
 	if err != nil {
 		return callReply{Error: err.Error()}
 	}
--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -88,14 +88,7 @@
 }
 
 func (r *Runner) answerDeltas(followed Versions) (FetchReply, error) {
-	r.mu.Lock()
-	all := deltas{
-		Configuration: r.configuration.deltaSince(followed.Configuration),
-		Targets:       r.targets.deltaSince(followed.Targets),
-		Nodes:         r.nodes.deltaSince(followed.Nodes),
-	}
-	r.mu.Unlock()
-	body, err := cbor.Marshal(all)
+	body, err := cbor.Marshal(r.deltasSince(followed))
 	if err != nil {
 		return FetchReply{}, Error.Wrap(err)
 	}
@@ -103,6 +96,16 @@
 	return FetchReply{Deltas: body}, err
 }
 
+func (r *Runner) deltasSince(followed Versions) deltas {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return deltas{
+		Configuration: r.configuration.deltaSince(followed.Configuration),
+		Targets:       r.targets.deltaSince(followed.Targets),
+		Nodes:         r.nodes.deltaSince(followed.Nodes),
+	}
+}
+
 func compress(body []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.DefaultCompression)
--- a/internal/run/catalog/reader_test.go
+++ b/internal/run/catalog/reader_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/platform"
 )
@@ -86,3 +87,39 @@
 		must.Eq(t, 7, r.Current().Version)
 	})
 }
+
+// panickingDecoder panics over the value "panic".
+type panickingDecoder struct{ fakeDecoder }
+
+func (d panickingDecoder) Configuration(value []byte) (*catalog.Configuration, error) {
+	if string(value) == "panic" {
+		panic("malformed configuration")
+	}
+	return d.fakeDecoder.Configuration(value)
+}
+
+func (d panickingDecoder) Target(key string, value []byte) (catalog.Target, bool) {
+	if string(value) == "panic" {
+		panic("malformed target")
+	}
+	return d.fakeDecoder.Target(key, value)
+}
+
+// TestRowsThatMakeTheDecoderPanic checks that rows over which the decoder panics are left out, and
+// that later rows take effect.
+func TestRowsThatMakeTheDecoderPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFeed()
+		setInitialRows(f)
+		r := startRunner(t, f, nil)
+		synctest.Wait()
+		f.set(platform.TableTargets, "bad", "panic", false)
+		f.set(platform.TableConfiguration, "config", "panic", false)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, r.Current().Version)
+		must.Eq(t, "t1 t2", r.targetNames())
+		f.set(platform.TableConfiguration, "config", "9", false)
+		time.Sleep(time.Second)
+		must.Eq(t, 9, r.Current().Version)
+	})
+}
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -21,6 +21,7 @@
 
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
@@ -372,13 +373,26 @@
 func (r *Runner) decodedTargets() map[string]catalog.Target {
 	out := make(map[string]catalog.Target, len(r.targets.rows))
 	for key, row := range r.targets.rows {
-		if t, ok := r.o.Decoder.Target(key, row.Value); ok {
+		if t, ok := r.decodeTarget(key, row); ok {
 			out[key] = t
 		}
 	}
 	return out
 }
 
+// decodeTarget decodes a target's row. A row that cannot be decoded names no target to use.
+func (r *Runner) decodeTarget(key string, row platform.Row) (t catalog.Target, ok bool) {
+	t, err := contain.Call("decode target", func() (catalog.Target, error) {
+		decoded, valid := r.o.Decoder.Target(key, row.Value)
+		ok = valid
+		return decoded, nil
+	})
+	if err != nil {
+		_ = r.o.Logger.Log("event", "target unreadable", "target", key, "row_version", row.Version, "err", err)
+	}
+	return t, ok && err == nil
+}
+
 // retainRemoved moves targets whose rows were removed to r.removed, where they stay for
 // removedTargetRetention unless their rows are written again. before is the result of
 // decodedTargets before the change. The caller holds r.mu.
@@ -441,7 +455,9 @@
 
 // decodeConfiguration decodes the configuration's row. The caller holds r.mu.
 func (r *Runner) decodeConfiguration(row platform.Row) {
-	decoded, err := r.o.Decoder.Configuration(row.Value)
+	decoded, err := contain.Call("decode configuration", func() (*catalog.Configuration, error) {
+		return r.o.Decoder.Configuration(row.Value)
+	})
 	switch {
 	case err != nil:
 		_ = r.o.Logger.Log("event", "configuration unreadable", "row_version", row.Version, "err", err)
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -149,7 +149,7 @@
 	t.Helper()
 	r := New(Options{
 		Self: self,
-		Feed: f, Decoder: fakeDecoder{}, ConfigurationKey: "config", Peers: p, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
+		Feed: f, Decoder: panickingDecoder{}, ConfigurationKey: "config", Peers: p, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
 		Random: rand.New(rand.NewPCG(1, 1)),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -274,9 +274,7 @@
 	if err := cbor.Unmarshal(payload, &p); err != nil {
 		return nil, Error.New("probe: %w", err)
 	}
-	r.mu.Lock()
-	r.controller.OnProbe(p, r.o.Clock.Now())
-	r.mu.Unlock()
+	r.handleGossip(p)
 	reply := membership.Reply{Reached: p.Through != "" && r.canReach(ctx, p.Through)}
 	r.publish()
 	if r.o.Attachment != nil {
@@ -288,6 +286,12 @@
 	return reply, nil
 }
 
+func (r *Runner) handleGossip(p membership.Probe) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.controller.OnProbe(p, r.o.Clock.Now())
+}
+
 // canReach probes a node on behalf of another one and reports whether it answered.
 func (r *Runner) canReach(ctx context.Context, name string) bool {
 	r.mu.Lock()
