Owners: groups go to the larger VMs, with a limit for each

Change: a node's row states its capacity; where capacities differ, nodes of at least half of the largest own the groups, none more than 1.5 times the mean (2 at least), in the preferred failure domain if one there is free. Equal VMs: unchanged.

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -110,7 +110,7 @@
 // New returns the Core of the node self. incarnation must be higher than that of any earlier
 // process of the same name. rng randomizes the order and the times of probes.
 func New(self platform.VM, incarnation uint64, rng *rand.Rand) *Core {
-	own := &node{Member: Member{Name: self.Name, Address: self.Address, Domain: self.Domain}}
+	own := &node{Member: Member{Name: self.Name, Address: self.Address, Domain: self.Domain, Capacity: self.Capacity}}
 	own.incarnation = incarnation
 	c := &Core{self: self, ownNode: own, rng: rng, nodes: map[string]*node{}}
 	c.enqueue(own)
@@ -179,7 +179,8 @@
 		at := c.rng.IntN(len(c.names) + 1)
 		c.names = slices.Insert(c.names, at, vm.Name)
 	}
-	n.Name, n.Address, n.Domain, n.Fingerprint = vm.Name, vm.Address, vm.Domain, vm.Fingerprint
+	n.Name, n.Address, n.Domain = vm.Name, vm.Address, vm.Domain
+	n.Fingerprint, n.Capacity = vm.Fingerprint, vm.Capacity
 	if vm.State == platform.VMLeaving && n.State < Leaving {
 		c.setState(n, n.incarnation, Leaving, now)
 	}
--- a/internal/controller/membership/messages.go
+++ b/internal/controller/membership/messages.go
@@ -112,6 +112,8 @@
 	// Fingerprint is the fingerprint of the node's certificate in the platform's list. It is
 	// empty if the list has none.
 	Fingerprint string
+	// Capacity is the node's processor, in thousandths of a core; 0 if it is not known.
+	Capacity int
 }
 
 // View is an immutable snapshot of the listed nodes, sorted by name.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,6 +197,7 @@
 		State:   platform.VMLive,
 
 		Fingerprint: n.fingerprint,
+		Capacity:    n.settings.Node.Capacity,
 	}
 }
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -112,13 +112,16 @@
 			// would own.
 			continue
 		}
-		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain})
+		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain, Capacity: m.Capacity})
 	}
-	table := make(ownerTable, len(config.Groups))
-	for _, g := range config.Groups {
-		name := ownership.Owner(g.Name, homeDomain(g), o.unfit.fitNodes(g.Name, nodes))
+	groups := make([]ownership.Group, len(config.Groups))
+	for i, g := range config.Groups {
+		groups[i] = ownership.Group{Name: g.Name, Domain: homeDomain(g), Nodes: o.unfit.fitNodes(g.Name, nodes)}
+	}
+	table := make(ownerTable, len(groups))
+	for group, name := range ownership.Assign(groups, nodes) {
 		member, _ := view.Member(name)
-		table[g.Name] = ownerLocation{name: name, address: member.Address}
+		table[group] = ownerLocation{name: name, address: member.Address}
 	}
 	previous := *o.table.Swap(&table)
 	o.applyOwnership(previous, table)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -11,6 +11,8 @@
 type Node struct {
 	Name   string
 	Domain string
+	// Capacity is the node's processor, in thousandths of a core; 0 if it is not known.
+	Capacity int
 }
 
 // Owner returns the name of the node that owns group, or "" if nodes is empty. Nodes in
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -99,6 +99,8 @@
 	// Fingerprint is the SHA-256, in hexadecimal, of the certificate that the node's process
 	// generated when it started; empty if an authority signs the certificates.
 	Fingerprint string `json:"fingerprint,omitempty"`
+	// Capacity is the VM's processor, in thousandths of a core; 0 if it is not known.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // VMs is the platform's list of the VMs that run nodes.
--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -51,6 +51,7 @@
 	Address     string `cbor:"1,keyasint"`
 	Domain      string `cbor:"2,keyasint"`
 	Fingerprint string `cbor:"3,keyasint,omitempty"`
+	Capacity    int    `cbor:"4,keyasint,omitempty"`
 }
 
 // Table is the part of the store that the register needs.
@@ -121,6 +122,7 @@
 		}
 		vms = append(vms, platform.VM{
 			Name: name, Address: r.Address, Domain: r.Domain, State: platform.VMLive, Fingerprint: r.Fingerprint,
+			Capacity: r.Capacity,
 		})
 	}
 	return vms
@@ -157,7 +159,9 @@
 	defer cancel()
 	key := keyPrefix + r.o.Self.Name
 	self := r.o.Self
-	value, err := cbor.Marshal(record{Address: self.Address, Domain: self.Domain, Fingerprint: self.Fingerprint})
+	value, err := cbor.Marshal(record{
+		Address: self.Address, Domain: self.Domain, Fingerprint: self.Fingerprint, Capacity: self.Capacity,
+	})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,9 @@
 	Deployment string `toml:"deployment"`
 	// Drain is the time limit of a graceful stop.
 	Drain fleet.Duration `toml:"drain"`
+	// Capacity is the VM's processor, in thousandths of a core; 0 if all VMs are equal. Larger VMs
+	// own the groups.
+	Capacity int `toml:"capacity"`
 }
 
 // Callers configures the endpoint that callers connect to.
