--- a/internal/run/catalog/reader_test.go
+++ b/internal/run/catalog/reader_test.go
@@ -25,9 +25,8 @@
 
 // nonReader returns the name of a node that is not a reader.
 func nonReader(nodes []reader.Node) string {
-	role := reader.NewRole("", time.Time{}, rand.New(rand.NewPCG(1, 1)))
 	for _, n := range nodes {
-		role = reader.NewRole(n.Name, time.Time{}, rand.New(rand.NewPCG(1, 1)))
+		role := reader.NewRole(n.Name, time.Time{}, rand.New(rand.NewPCG(1, 1)))
 		if role.SetNodes(nodes); !role.IsReader() {
 			return n.Name
 		}
