--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,7 +1,9 @@
-// Package ownership chooses the owner of a database group by rendezvous hashing over the
-// live nodes. Nodes with the same view of the live nodes choose the same owner. When a node
-// joins, only the groups that it gains change their owner; when it leaves, only the groups
-// that it owned do. The choice is advisory: views may differ between nodes, so several nodes
+// Package ownership chooses the owners of the database groups by rendezvous hashing over the
+// live nodes. Nodes with the same view of the live nodes choose the same owners. Where all nodes
+// have the same capacity, a node that joins changes only the owners of the groups that it gains,
+// and one that leaves only those of the groups that it owned. Where capacities differ, the larger
+// nodes own the groups, up to a limit for each, and a few other groups may move too. The choice is
+// advisory: views may differ between nodes, so several nodes
 // may consider themselves the owner, and no safety property depends on a single owner.
 package ownership
 
