--- a/internal/peer/quicpeer/calls_test.go
+++ b/internal/peer/quicpeer/calls_test.go
@@ -14,8 +14,9 @@
 // error, and that the next call over the same connection is served.
 func TestPanicInHandlerEndsOnlyItsCall(t *testing.T) {
 	a := newAuthority(t)
-	address, s := startServer(t, a, &stubOwner{})
-	s.Handle(peer.KindConfig, false, func(_ context.Context, _ string, payload []byte) (any, error) { return payload[100], nil })
+	address, _ := startServer(t, a, &stubOwner{}, func(s *Server) {
+		s.Handle(peer.KindConfig, false, func(_ context.Context, _ string, payload []byte) (any, error) { return payload[100], nil })
+	})
 	c := newTestClient(t, a, "a", RoleNode)
 	var reply any
 	err := c.Call(t.Context(), address, peer.KindConfig, "x", &reply)
@@ -27,11 +28,12 @@
 // one uses a new connection, where calls have connections of their own.
 func TestSilentCallConnectionIsReplaced(t *testing.T) {
 	a := newAuthority(t)
-	address, s := startServer(t, a, &stubOwner{})
 	release := make(chan struct{})
-	s.Handle(peer.KindConfig, false, func(context.Context, string, []byte) (any, error) {
-		<-release
-		return nil, nil
+	address, _ := startServer(t, a, &stubOwner{}, func(s *Server) {
+		s.Handle(peer.KindConfig, false, func(context.Context, string, []byte) (any, error) {
+			<-release
+			return nil, nil
+		})
 	})
 	defer close(release)
 	c := newTestClient(t, a, "a", RoleNode)
--- a/internal/peer/quicpeer/quicpeer_test.go
+++ b/internal/peer/quicpeer/quicpeer_test.go
@@ -72,12 +72,16 @@
 	return packets
 }
 
-// startServer starts a server that passes requests to o, and returns its address.
-func startServer(t testing.TB, a *authority, o request.Handler) (string, *Server) {
+// startServer starts a server that passes requests to o, and returns its address. prepare is
+// called with the server before it serves.
+func startServer(t testing.TB, a *authority, o request.Handler, prepare ...func(*Server)) (string, *Server) {
 	packets := listenUDP(t)
 	s := NewServer("b", a.config("b", RoleNode), clock.Wall{}, o)
 	s.Handle(peer.KindProbe, false, func(_ context.Context, from string, _ []byte) (any, error) { return from, nil })
 	s.Handle(peer.KindStatus, true, func(_ context.Context, from string, _ []byte) (any, error) { return from, nil })
+	for _, f := range prepare {
+		f(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx, packets) }()
