--- a/internal/peer/quicpeer/calls_test.go
+++ b/internal/peer/quicpeer/calls_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	must.Error(t, c.Call(ctx, address, peer.KindConfig, "x", &reply))
-	<-first.Context().Done()
+	must.Error(t, first.Context().Err(), must.Sprint("the connection must be closed at once, not by its idle timeout"))
 	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
 	must.Nil(t, c.openConn(linkKey{address, useSessions}))
 }
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -131,23 +131,25 @@
 	return cbor.Unmarshal(payload, reply)
 }
 
-type source struct{ config *fleet.Config }
+// source provides the configuration that the fleet has at the moment.
+type source struct{ fleet *testFleet }
 
-func (s source) Current() *fleet.Config { return s.config }
+func (s source) Current() *fleet.Config { return s.fleet.config.Load() }
 
 // testFleet is a fleet of nodes in one process.
 type testFleet struct {
 	platform *fakePlatform
 	network  *network
-	config   *fleet.Config
+	config   atomic.Pointer[fleet.Config]
 }
 
 func newFleet(customers ...fleet.Customer) *testFleet {
-	return &testFleet{
+	f := &testFleet{
 		platform: &fakePlatform{vms: map[string]platform.VM{}},
 		network:  &network{nodes: map[string]*node{}, cut: map[string]bool{}, traffic: map[peer.Kind]traffic{}},
-		config:   &fleet.Config{Version: 1, Customers: customers},
 	}
+	f.config.Store(&fleet.Config{Version: 1, Customers: customers})
+	return f
 }
 
 // start starts a node; its address is its name.
@@ -159,7 +161,7 @@
 		Self: vm, Platform: f.platform, Peers: n, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
 	})
 	n.quota = quota.New(quota.Options{
-		Self: name, Peers: n, View: n.membership.View, Config: source{f.config},
+		Self: name, Peers: n, View: n.membership.View, Config: source{f},
 		Clock: clock.Wall{}, Logger: log.NewNopLogger(),
 	})
 	f.network.mu.Lock()
