--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -35,6 +35,9 @@
 	register.Table
 	platform.Objects
 	platform.Feed
+	// OnNewEra registers f to be called when a response has a higher era than all before. The era
+	// counts how often the store was restored from a copy. f must not block.
+	OnNewEra(f func(era uint64))
 }
 
 // HostedOptions holds the settings and dependencies of a hosted node. A hosted node runs on a
@@ -123,6 +126,7 @@
 		Suspended:   clock.SuspendedTime,
 		Logger:      n.logger,
 	})
+	h.Store.OnNewEra(n.logStoreEra)
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
 	n.config = config
@@ -146,6 +150,12 @@
 	}, nil
 }
 
+// logStoreEra logs that the store has been restored from a copy, or that its first response has
+// arrived.
+func (n *Node) logStoreEra(era uint64) {
+	_ = n.logger.Log("event", "store era", "era", era)
+}
+
 // readerNodes returns the live nodes of a View, from which the readers of the tables are chosen.
 func readerNodes(v *membership.View) []reader.Node {
 	live := v.Live()
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -77,7 +77,7 @@
 		needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
 		if lost != (err != nil) {
 			lost = err != nil
-			_ = r.o.Logger.Log("event", "feed", "table", name, "lost", lost, "err", err)
+			_ = r.o.Logger.Log("event", "feed", "table", name, "lost", lost, "version", r.followedVersion(t), "err", err)
 		}
 		if err == nil {
 			if !reading {
@@ -93,6 +93,13 @@
 	}
 }
 
+// followedVersion returns the version up to which t was followed.
+func (r *Runner) followedVersion(t *table) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.followedVersion
+}
+
 // awaitFirstStart waits before the first read of a table on the first start of the whole fleet.
 func (r *Runner) awaitFirstStart(ctx context.Context, name string, t *table) {
 	if r.o.Clock.Sleep(ctx, firstStartDelay) != nil || name == platform.TableNodes {
@@ -160,10 +167,22 @@
 		return err
 	}
 	r.confirm(sentAt)
+	r.logUnusedRead(name, t, version)
 	r.updateTable(name, sentAt, func() bool { return t.replace(Snapshot{Rows: rows, Version: version}) })
 	return nil
 }
 
+// logUnusedRead logs that a read returned an older version of a table than is known, so that it is
+// not applied.
+func (r *Runner) logUnusedRead(name string, t *table, version uint64) {
+	known := r.followedVersion(t)
+	if version >= known {
+		return
+	}
+	r.Counters.Add("reads_unused", 1)
+	_ = r.o.Logger.Log("event", "read unused", "table", name, "version", version, "known_version", known)
+}
+
 func (r *Runner) followChanges(ctx context.Context, name string, t *table) error {
 	r.mu.Lock()
 	after := t.followedVersion
