--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,17 +24,21 @@
 // Row is one row of the table service.
 type Row struct {
 	Key string `json:"key"`
-	// Version is the number of writes to the row, or 0 if the row does not exist.
+	// Version is assigned by the store with each write of the row; 0 if the row does not exist.
+	// It is comparable only within one era.
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
 	// StoreTime is the reading of the store's monotonic clock when it answered; zero if the
 	// store does not report it.
 	StoreTime time.Duration `json:"-"`
+	// Era is the store's era when it answered; 0 if the store does not state it.
+	Era uint64 `json:"-"`
 }
 
 // Table is the transactional table service.
 type Table interface {
-	// Get returns the row, or ErrNotFound or ErrOutage.
+	// Get returns the row, or ErrNotFound or ErrOutage. With ErrNotFound, only the Era of the row
+	// is set.
 	Get(ctx context.Context, key string) (Row, error)
 	// List returns the rows whose key starts with prefix, sorted by key.
 	List(ctx context.Context, prefix string) ([]Row, error)
@@ -60,15 +64,16 @@
 	Deleted bool
 }
 
-// Feed reads whole tables and the changes to them. All tables share one sequence of versions.
+// Feed reads whole tables and the changes to them. All tables share one sequence of revisions.
 type Feed interface {
-	// Read returns a table's rows and the version that they reflect. The result may be older
+	// Read returns a table's rows and the revision that they reflect. The result may be older
 	// than that of an earlier call.
-	Read(ctx context.Context, table string) ([]Row, uint64, error)
-	// Follow returns the changes to a table after the version after, in order, and the version
-	// to pass to the next call. It waits for the first change for at most the duration wait. It fails with
-	// ErrHistoryExpired if the changes are no longer kept.
-	Follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Read(ctx context.Context, table string) ([]Row, Revision, error)
+	// Follow returns the changes to a table after the revision after, in order, and the revision
+	// to pass to the next call. It waits for the first change for at most the duration wait. If
+	// the returned revision is of another era than after, the changes do not continue from after.
+	// It fails with ErrHistoryExpired if the changes are no longer kept.
+	Follow(ctx context.Context, table string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
 // Objects is the object store.
--- a/internal/platform/platformtest/fake.go
+++ b/internal/platform/platformtest/fake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -28,7 +29,9 @@
 
 // Fake is an in-memory platform. It implements platform.Platform.
 type Fake struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era is 1 at first and grows with each Restore.
+	era       uint64
 	rows      map[string]platform.Row
 	objects   map[string][]byte
 	vms       []platform.VM
@@ -41,7 +44,7 @@
 
 // New returns an empty platform.
 func New() *Fake {
-	return &Fake{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Fake{era: 1, rows: map[string]platform.Row{}, objects: map[string][]byte{}}
 }
 
 // SetOutage begins or ends an outage of all services.
@@ -72,9 +75,31 @@
 	f.clock = clock
 }
 
-// withStoreTime returns row with StoreTime set from the clock, if there is one. The caller holds
-// f.mu.
-func (f *Fake) withStoreTime(row platform.Row) platform.Row {
+// Copy is a copy of a Fake's rows and objects at one moment.
+type Copy struct {
+	rows    map[string]platform.Row
+	objects map[string][]byte
+}
+
+// Copy returns a copy of the platform as it is now.
+func (f *Fake) Copy() Copy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Copy{maps.Clone(f.rows), maps.Clone(f.objects)}
+}
+
+// Restore replaces the rows and objects by those of a copy and begins a new era.
+func (f *Fake) Restore(c Copy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.rows, f.objects = maps.Clone(c.rows), maps.Clone(c.objects)
+}
+
+// answered returns row as an answer contains it, with the era, and with StoreTime set from the
+// clock, if there is one. The caller holds f.mu.
+func (f *Fake) answered(row platform.Row) platform.Row {
+	row.Era = f.era
 	if f.clock != nil {
 		row.StoreTime = f.clock()
 	}
@@ -112,9 +137,9 @@
 	}
 	row, ok := f.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound.New("row %s", key)
+		return f.answered(row), platform.ErrNotFound.New("row %s", key)
 	}
-	return f.withStoreTime(row), nil
+	return f.answered(row), nil
 }
 
 // List implements platform.Table.
@@ -127,7 +152,7 @@
 	var rows []platform.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
+			rows = append(rows, f.answered(row))
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
@@ -154,7 +179,7 @@
 	if loss == LossAfter {
 		return platform.Row{}, platform.ErrOutcomeUnknown.New("put %s", key)
 	}
-	return f.withStoreTime(row), nil
+	return f.answered(row), nil
 }
 
 func (f *Fake) runBeforePut() {
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -162,13 +162,13 @@
 	defer cancel()
 	r.Counters.Add("table_reads", 1)
 	sentAt := r.o.Clock.Now()
-	rows, version, err := r.o.Feed.Read(ctx, name)
+	rows, revision, err := r.o.Feed.Read(ctx, name)
 	if err != nil {
 		return err
 	}
 	r.confirm(sentAt)
-	r.logUnusedRead(name, t, version)
-	r.updateTable(name, sentAt, func() bool { return t.replace(Snapshot{Rows: rows, Version: version}) })
+	r.logUnusedRead(name, t, revision.Version)
+	r.updateTable(name, sentAt, func() bool { return t.replace(Snapshot{Rows: rows, Version: revision.Version}) })
 	return nil
 }
 
@@ -194,13 +194,13 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
 	r.Counters.Add("feed_calls", 1)
-	changes, version, err := r.o.Feed.Follow(ctx, name, after, wait)
+	changes, revision, err := r.o.Feed.Follow(ctx, name, platform.Revision{Version: after}, wait)
 	if err != nil {
 		return err
 	}
 	now := r.o.Clock.Now()
 	r.confirm(now)
-	r.updateTable(name, now, func() bool { return t.apply(changes, version) })
+	r.updateTable(name, now, func() bool { return t.apply(changes, revision.Version) })
 	if len(changes) == 0 {
 		return nil
 	}
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +34,35 @@
 	// staleAt is the version of the stale rows.
 	staleAt   uint64
 	forgotten uint64
+	// era counts the restores from a copy.
+	era uint64
+}
+
+// feedCopy is a copy of a fakeFeed at one moment.
+type feedCopy struct {
+	rows    map[string]map[string]platform.Row
+	history map[string][]platform.Change
+	version uint64
+}
+
+func (f *fakeFeed) copy() feedCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := feedCopy{map[string]map[string]platform.Row{}, map[string][]platform.Change{}, f.version}
+	for table, rows := range f.rows {
+		c.rows[table] = maps.Clone(rows)
+		c.history[table] = slices.Clone(f.history[table])
+	}
+	return c
+}
+
+// restore replaces the contents by those of a copy and begins a new era. Calls that are held
+// stay held until the next change.
+func (f *fakeFeed) restore(c feedCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.rows, f.history, f.version = c.rows, c.history, c.version
 }
 
 func newFakeFeed() *fakeFeed {
@@ -73,45 +104,48 @@
 	return rows
 }
 
-func (f *fakeFeed) Read(_ context.Context, table string) ([]platform.Row, uint64, error) {
+func (f *fakeFeed) Read(_ context.Context, table string) ([]platform.Row, platform.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, platform.ErrOutage.New("injected")
+		return nil, platform.Revision{}, platform.ErrOutage.New("injected")
 	}
 	if f.stale != nil {
-		return f.stale[table], f.staleAt, nil
+		return f.stale[table], platform.Revision{Era: f.era, Version: f.staleAt}, nil
 	}
-	return f.rowsOf(table), f.version, nil
+	return f.rowsOf(table), platform.Revision{Era: f.era, Version: f.version}, nil
 }
 
-func (f *fakeFeed) Follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (f *fakeFeed) Follow(
+	ctx context.Context, table string, from platform.Revision, wait time.Duration,
+) ([]platform.Change, platform.Revision, error) {
+	after := from.Version
 	deadline := time.After(wait)
-	for {
+	for called := true; ; called = false {
 		f.mu.Lock()
-		changed, down, forgotten := f.changed, f.down, after < f.forgotten
+		changed, down, forgotten := f.changed, f.down, after < f.forgotten || called && after > f.version
 		var changes []platform.Change
 		for _, c := range f.history[table] {
 			if c.Version > after {
 				changes = append(changes, c)
 			}
 		}
-		version := f.version
+		revision := platform.Revision{Era: f.era, Version: f.version}
 		f.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, platform.ErrOutage.New("injected")
+			return nil, platform.Revision{}, platform.ErrOutage.New("injected")
 		case forgotten:
-			return nil, 0, platform.ErrHistoryExpired.New("injected")
+			return nil, platform.Revision{}, platform.ErrHistoryExpired.New("injected")
 		case len(changes) > 0:
-			return changes, version, nil
+			return changes, revision, nil
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			return nil, version, nil
+			return nil, revision, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, platform.Revision{}, ctx.Err()
 		}
 	}
 }
--- a/internal/run/register/register_test.go
+++ b/internal/run/register/register_test.go
@@ -130,3 +130,25 @@
 		must.SliceContains(t, store.keys(), "node/n2")
 	})
 }
+
+// TestRowLostInARestoreIsMissing checks that a node whose row a restore has lost writes it again at
+// once, also if it has written it just before.
+func TestRowLostInARestoreIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeTable{Fake: platformtest.New()}
+		lost := store.Copy()
+		r := newTestRegister(store, "n1", "1", func() []string { return nil })
+		r.o.KnownRow = func(key string) (platform.Row, bool) {
+			row, _ := store.Get(t.Context(), key)
+			return row, true
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = r.Run(ctx, isListed(t, r)) }()
+		time.Sleep(time.Second / 2)
+		must.True(t, isListed(t, r)())
+		store.Restore(lost)
+		time.Sleep(2 * time.Second)
+		must.True(t, isListed(t, r)())
+	})
+}
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -54,7 +55,9 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era is stated in every response. It is 1 at first and grows with each Restore.
+	era     uint64
 	version uint64
 	rows    map[rowKey]Row
 	blobs   map[string][]byte
@@ -70,6 +73,7 @@
 func NewStore() *Store {
 	s := &Store{
 		closed:      make(chan struct{}),
+		era:         1,
 		rows:        make(map[rowKey]Row),
 		blobs:       make(map[string][]byte),
 		changed:     make(chan struct{}),
@@ -135,6 +139,35 @@
 	s.compactedVersion = s.version
 }
 
+// Copy is a copy of a Store at one moment.
+type Copy struct {
+	version          uint64
+	rows             map[rowKey]Row
+	blobs            map[string][]byte
+	history          []Row
+	compactedVersion uint64
+}
+
+// Copy returns a copy of the store as it is now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{
+		version: s.version, rows: maps.Clone(s.rows), blobs: maps.Clone(s.blobs),
+		history: slices.Clone(s.history), compactedVersion: s.compactedVersion,
+	}
+}
+
+// Restore replaces the contents by those of a copy and begins a new era, in which the versions after
+// the copy are assigned again. Feed calls that are held stay held until the next change.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.rows, s.blobs = c.version, maps.Clone(c.rows), maps.Clone(c.blobs)
+	s.history, s.compactedVersion = slices.Clone(c.history), c.compactedVersion
+}
+
 // apply writes and deletes rows under one new version and wakes waiting feed calls. The
 // caller holds s.mu.
 func (s *Store) apply(writes, deletes []Row) {
@@ -157,7 +190,7 @@
 func (s *Store) withFault(handler http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		fault := s.chooseFault(r)
+		fault, era := s.chooseFault(r), s.era
 		s.calls[strings.TrimSuffix(r.URL.Path, "/"+r.PathValue("id"))]++
 		s.mu.Unlock()
 		switch fault {
@@ -177,6 +210,7 @@
 			handler(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		default:
+			w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 			handler(w, r)
 		}
 	}
@@ -261,6 +295,7 @@
 		s.mu.Lock()
 		rows, compacted := s.changesSince(query.Get("table"), after)
 		version, changed := s.version, s.changed
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
@@ -286,7 +321,7 @@
 // changesSince returns a table's changes after a version. It reports compacted if some of them
 // may have been discarded by Forget. The caller holds s.mu.
 func (s *Store) changesSince(table string, after uint64) (rows []Row, compacted bool) {
-	if after < s.compactedVersion {
+	if after < s.compactedVersion || after > s.version {
 		return nil, true
 	}
 	for _, row := range s.history {
