Catalog: revisions are compared by the store's era, documents by their writers' versions

Cause: a table's place in the store's sequence was compared by its version alone. After a restore versions go back and are given out again, so full reads were turned down as late answers until the counter had passed the old version, and what was written meanwhile was missed for good. Class: versions compared across a restore, which starts another sequence.

Now a revision is (era, version). Deltas, reads and feeds of an earlier era are not applied, tables of an earlier era are read again at once, held feeds are ended as soon as a new era is seen in any response or told by a peer. What the writers number themselves decides on content: the newest configuration by the operator's version, also from peers, and a target's entry by its start and sequence. Rows of targets and nodes that the copy lacks are kept until their writers can have written them again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,6 +7,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,15 @@
 	Domain  string
 	Slots   int
 	Leaving bool
+	// StartedAt is when the target's process started, by its own clock, and Sequence numbers what
+	// that process has said about itself. Both are 0 if the entry does not state them.
+	StartedAt time.Time
+	Sequence  uint64
+}
+
+// Precedes reports whether t is an earlier entry of its target than other.
+func (t Target) Precedes(other Target) bool {
+	return cmp.Or(t.StartedAt.Compare(other.StartedAt), cmp.Compare(t.Sequence, other.Sequence)) < 0
 }
 
 // Decoder decodes the platform's encodings of the configuration and of targets.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -126,10 +126,10 @@
 		Suspended:   clock.SuspendedTime,
 		Logger:      n.logger,
 	})
-	h.Store.OnNewEra(n.logStoreEra)
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
 	n.config = config
+	h.Store.OnNewEra(func(era uint64) { config.ObserveEra(era, "store") })
 	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
 	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
@@ -150,12 +150,6 @@
 	}, nil
 }
 
-// logStoreEra logs that the store has been restored from a copy, or that its first response has
-// arrived.
-func (n *Node) logStoreEra(era uint64) {
-	_ = n.logger.Log("event", "store era", "era", era)
-}
-
 // readerNodes returns the live nodes of a View, from which the readers of the tables are chosen.
 func readerNodes(v *membership.View) []reader.Node {
 	live := v.Live()
--- /dev/null
+++ b/internal/run/catalog/era.go
@@ -0,0 +1,61 @@
+package catalog
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+
+	"crocusyoke/internal/platform"
+)
+
+// errLateAnswer means that the store has answered in an earlier era than the latest one observed.
+var errLateAnswer = errs.Class("late answer")
+
+// eraFromStore is the source of an era that a response of the store has stated.
+const eraFromStore = "store"
+
+// ObserveEra is called with the era of a response of the store, or with the one that a peer has
+// told. If it is later than all before, the tables that were followed in an earlier era have to be
+// read again, and the calls that follow them are ended: the store may never answer them, since it
+// assigns versions again. source names where the era was observed.
+func (r *Runner) ObserveEra(era uint64, source string) {
+	r.mu.Lock()
+	if era <= r.era {
+		r.mu.Unlock()
+		return
+	}
+	former, end := r.era, r.endEra
+	r.era = era
+	r.eraContext, r.endEra = context.WithCancel(context.Background())
+	r.mu.Unlock()
+	end()
+	_ = r.o.Logger.Log("event", "store era", "era", era, "former", former, "source", source)
+}
+
+// withinEra returns a context that ends with ctx or as soon as a later era is observed. The caller
+// must call the returned function.
+func (r *Runner) withinEra(ctx context.Context) (context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	era := r.eraContext
+	r.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(era, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// isOutdated reports whether t was followed in an earlier era than the latest one observed.
+func (r *Runner) isOutdated(t *table) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.isKnown() && t.followed.Era < r.era
+}
+
+// isLate reports whether an answer at revision is from an earlier era than the latest one observed.
+func (r *Runner) isLate(revision platform.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return revision.Era < r.era
+}
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -57,7 +57,6 @@
 	}
 	backoff := backoffMin
 	needsRead := true
-	lost := false
 	for ctx.Err() == nil {
 		if r.reliesOnPeers(t) {
 			needsRead = false
@@ -65,39 +64,48 @@
 			continue
 		}
 		var err error
-		reading := needsRead
+		reading := needsRead || r.isOutdated(t)
+		inEra, release := r.withinEra(ctx)
 		if reading {
 			err = r.readTable(ctx, name, t)
 		} else {
-			err = r.followChanges(ctx, name, t)
+			err = r.followChanges(inEra, name, t)
 		}
 		if ctx.Err() != nil {
+			release()
 			return
 		}
 		needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
-		if lost != (err != nil) {
-			lost = err != nil
-			_ = r.o.Logger.Log("event", "feed", "table", name, "lost", lost, "version", r.followedVersion(t), "err", err)
+		r.noteLost(name, t, err)
+		switch {
+		case err == nil && !reading:
+			backoff = backoffMin
+		case err != nil:
+			r.Counters.Add("feed_errors", 1)
+			_ = r.o.Clock.Sleep(inEra, r.jitter(backoff))
+			backoff = min(2*backoff, r.maxBackoff())
 		}
-		if err == nil {
-			if !reading {
-				backoff = backoffMin
-			}
-			continue
-		}
-		r.Counters.Add("feed_errors", 1)
-		if r.o.Clock.Sleep(ctx, r.jitter(backoff)) != nil {
-			return
-		}
-		backoff = min(2*backoff, r.maxBackoff())
+		release()
 	}
 }
 
-// followedVersion returns the version up to which t was followed.
-func (r *Runner) followedVersion(t *table) uint64 {
+// noteLost records whether the last call about t has failed, with err, and logs changes of that.
+func (r *Runner) noteLost(name string, t *table, err error) {
+	r.mu.Lock()
+	changed := t.lost != (err != nil)
+	t.lost = err != nil
+	version := t.followed.Version
+	r.mu.Unlock()
+	if changed {
+		_ = r.o.Logger.Log("event", "feed", "table", name, "lost", err != nil, "version", version, "err", err)
+	}
+}
+
+// followed returns the revision up to which t was followed.
+func (r *Runner) followed(t *table) platform.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return t.followedVersion
+	return t.followed
 }
 
 // awaitFirstStart waits before the first read of a table on the first start of the whole fleet.
@@ -117,14 +125,14 @@
 func (r *Runner) followsItself(t *table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return t.followedVersion > 0 || r.knowsNodes && r.role.IsReader()
+	return t.isKnown() || r.knowsNodes && r.role.IsReader()
 }
 
 // reliesOnPeers reports whether the node has a copy of t that its peers keep up to date.
 func (r *Runner) reliesOnPeers(t *table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return t.followedVersion > 0 && !r.role.ShouldFollow(r.o.Clock.Now())
+	return t.isKnown() && !r.role.ShouldFollow(r.o.Clock.Now())
 }
 
 func (r *Runner) maxBackoff() time.Duration {
@@ -136,12 +144,14 @@
 	return standInBackoffMax
 }
 
-// NodeRow returns the row of the table of nodes with the given key, as this node knows it. known is
-// false as long as the table has not been read.
+// NodeRow returns the row of the table of nodes with the given key, as this node knows it; only its
+// Era is set if there is none. known is false as long as the table has not been read.
 func (r *Runner) NodeRow(key string) (row platform.Row, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.nodes.rows[key], r.nodes.followedVersion > 0
+	row = r.nodes.rows[key]
+	row.Era = r.nodes.followed.Era
+	return row, r.nodes.isKnown()
 }
 
 // confirm records that the store has answered a call that was sent at sentAt.
@@ -166,26 +176,33 @@
 	if err != nil {
 		return err
 	}
+	r.ObserveEra(revision.Era, eraFromStore)
+	if r.isLate(revision) {
+		return errLateAnswer.New("table %s of era %d", name, revision.Era)
+	}
 	r.confirm(sentAt)
-	r.logUnusedRead(name, t, revision.Version)
-	r.updateTable(name, sentAt, func() bool { return t.replace(Snapshot{Rows: rows, Version: revision.Version}) })
+	r.logUnusedRead(name, t, revision)
+	r.updateTable(name, t, sentAt, func() bool {
+		return t.replace(Snapshot{Rows: rows, Version: revision.Version, Era: revision.Era})
+	})
 	return nil
 }
 
-// logUnusedRead logs that a read returned an older version of a table than is known, so that it is
+// logUnusedRead logs that a read returned an older state of a table than is known, so that it is
 // not applied.
-func (r *Runner) logUnusedRead(name string, t *table, version uint64) {
-	known := r.followedVersion(t)
-	if version >= known {
+func (r *Runner) logUnusedRead(name string, t *table, revision platform.Revision) {
+	known := r.followed(t)
+	if !revision.Precedes(known) {
 		return
 	}
 	r.Counters.Add("reads_unused", 1)
-	_ = r.o.Logger.Log("event", "read unused", "table", name, "version", version, "known_version", known)
+	_ = r.o.Logger.Log("event", "read unused", "table", name, "era", revision.Era, "version", revision.Version,
+		"known_era", known.Era, "known_version", known.Version)
 }
 
 func (r *Runner) followChanges(ctx context.Context, name string, t *table) error {
 	r.mu.Lock()
-	after := t.followedVersion
+	after := t.followed
 	wait := followWait
 	if r.role.PeersRely() && name == platform.TableConfiguration {
 		wait = reliedFollowWait
@@ -194,13 +211,17 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
 	r.Counters.Add("feed_calls", 1)
-	changes, revision, err := r.o.Feed.Follow(ctx, name, platform.Revision{Version: after}, wait)
+	changes, revision, err := r.o.Feed.Follow(ctx, name, after, wait)
 	if err != nil {
 		return err
 	}
+	r.ObserveEra(revision.Era, eraFromStore)
+	if revision.Era != after.Era {
+		return platform.ErrHistoryExpired.New("table %s: followed in era %d, the store is in era %d", name, after.Era, revision.Era)
+	}
 	now := r.o.Clock.Now()
 	r.confirm(now)
-	r.updateTable(name, now, func() bool { return t.apply(changes, revision.Version) })
+	r.updateTable(name, t, now, func() bool { return t.apply(changes, revision) })
 	if len(changes) == 0 {
 		return nil
 	}
--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -13,11 +13,13 @@
 	"crocusyoke/internal/platform"
 )
 
-// Versions holds a version of each table.
+// Versions holds a version of each table. A version is 0 if the node knows none in Era.
 type Versions struct {
 	Configuration uint64 `cbor:"1,keyasint,omitempty"`
 	Targets       uint64 `cbor:"2,keyasint,omitempty"`
 	Nodes         uint64 `cbor:"3,keyasint,omitempty"`
+	// Era is the latest era of the store that the node has observed.
+	Era uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Knowledge is what a node tells its peers about its tables.
@@ -27,6 +29,9 @@
 	// ConfirmedAgeMillis is how long ago the store last confirmed the tables to the node or to
 	// one whose knowledge reached it.
 	ConfirmedAgeMillis uint32 `cbor:"2,keyasint"`
+	// ConfigurationVersion is the operator's version of the newest configuration that the node
+	// knows. The store may have lost it in a restore.
+	ConfigurationVersion uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // FetchRequest asks a node for its tables.
@@ -38,6 +43,8 @@
 	Followed Versions `cbor:"2,keyasint"`
 	// WantsDeltas is true if the answer is to contain Deltas.
 	WantsDeltas bool `cbor:"3,keyasint,omitempty"`
+	// ConfigurationVersion is as in Knowledge.
+	ConfigurationVersion uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // FetchReply holds the snapshots, which are empty if the node knows no higher version, or the
@@ -54,6 +61,11 @@
 	Configuration Delta `cbor:"1,keyasint"`
 	Targets       Delta `cbor:"2,keyasint"`
 	Nodes         Delta `cbor:"3,keyasint"`
+	// Document is the newest configuration that the node knows; empty if it is among the changes
+	// or the requesting node knows it.
+	Document []byte `cbor:"4,keyasint,omitempty"`
+	// DocumentEra is the era in which Document was found in the table.
+	DocumentEra uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // maxDeltasBytes bounds the size of a decompressed answer.
@@ -66,18 +78,20 @@
 	defer r.mu.Unlock()
 	return Knowledge{
 		Changed: Versions{
-			Configuration: r.configuration.changedVersion,
-			Targets:       r.targets.changedVersion,
-			Nodes:         r.nodes.changedVersion,
+			Configuration: r.configuration.changedVersionIn(r.era),
+			Targets:       r.targets.changedVersionIn(r.era),
+			Nodes:         r.nodes.changedVersionIn(r.era),
+			Era:           r.era,
 		},
-		ConfirmedAgeMillis: uint32(r.role.ConfirmedAge(now).Milliseconds()),
+		ConfirmedAgeMillis:   uint32(r.role.ConfirmedAge(now).Milliseconds()),
+		ConfigurationVersion: r.document.version(),
 	}
 }
 
 // AnswerFetch returns the response to request.
 func (r *Runner) AnswerFetch(request FetchRequest) (FetchReply, error) {
 	if request.WantsDeltas {
-		return r.answerDeltas(request.Followed)
+		return r.answerDeltas(request)
 	}
 	if r.Version() <= request.KnownVersion {
 		return FetchReply{}, nil
@@ -87,8 +101,8 @@
 	return FetchReply{Configuration: r.configuration.snapshot(), Targets: r.targets.snapshot()}, nil
 }
 
-func (r *Runner) answerDeltas(followed Versions) (FetchReply, error) {
-	body, err := cbor.Marshal(r.deltasSince(followed))
+func (r *Runner) answerDeltas(request FetchRequest) (FetchReply, error) {
+	body, err := cbor.Marshal(r.deltasFor(request))
 	if err != nil {
 		return FetchReply{}, Error.Wrap(err)
 	}
@@ -96,14 +110,22 @@
 	return FetchReply{Deltas: body}, err
 }
 
-func (r *Runner) deltasSince(followed Versions) deltas {
+func (r *Runner) deltasFor(request FetchRequest) deltas {
+	followed := request.Followed
+	since := func(version uint64) platform.Revision {
+		return platform.Revision{Era: followed.Era, Version: version}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return deltas{
-		Configuration: r.configuration.deltaSince(followed.Configuration),
-		Targets:       r.targets.deltaSince(followed.Targets),
-		Nodes:         r.nodes.deltaSince(followed.Nodes),
+	d := deltas{
+		Configuration: r.configuration.deltaSince(since(followed.Configuration)),
+		Targets:       r.targets.deltaSince(since(followed.Targets)),
+		Nodes:         r.nodes.deltaSince(since(followed.Nodes)),
+	}
+	if r.document.version() > request.ConfigurationVersion && !d.Configuration.contains(r.document.value) {
+		d.Document, d.DocumentEra = r.document.value, r.document.era
 	}
+	return d
 }
 
 func compress(body []byte) ([]byte, error) {
@@ -130,33 +152,42 @@
 // after some time, which depends on how it gets the tables, it fetches them from that node. Only
 // one fetch is pending at a time; reports that arrive meanwhile are ignored.
 func (r *Runner) ObservePeer(ctx context.Context, address string, k Knowledge) {
+	r.ObserveEra(k.Changed.Era, address)
 	r.mu.Lock()
-	r.role.Confirm(r.o.Clock.Now().Add(-time.Duration(k.ConfirmedAgeMillis) * time.Millisecond))
-	lacks := r.lacks(k.Changed)
+	if k.Changed.Era == r.era {
+		r.role.Confirm(r.o.Clock.Now().Add(-time.Duration(k.ConfirmedAgeMillis) * time.Millisecond))
+	}
+	lacks := r.lacks(k)
 	start := lacks && !r.fetching
 	r.fetching = r.fetching || lacks
-	delay := r.fetchDelay(k.Changed)
+	delay := r.fetchDelay(k)
 	r.mu.Unlock()
 	if start {
-		r.wait.Go(func() { r.fetchFromPeer(ctx, address, k.Changed, delay) })
+		r.wait.Go(func() { r.fetchFromPeer(ctx, address, k, delay) })
 	}
 }
 
-// lacks reports whether this node lacks one of the given changes. The caller holds r.mu.
-func (r *Runner) lacks(changed Versions) bool {
-	return r.lacksConfiguration(changed) || changed.Nodes > r.nodes.followedVersion
+// lacks reports whether this node lacks something of k. The caller holds r.mu.
+func (r *Runner) lacks(k Knowledge) bool {
+	return r.lacksConfiguration(k) || k.Changed.Era == r.era && k.Changed.Nodes > r.nodes.versionIn(r.era)
 }
 
-// lacksConfiguration is lacks for the tables of configuration and targets. The caller holds r.mu.
-func (r *Runner) lacksConfiguration(changed Versions) bool {
-	return changed.Configuration > r.configuration.followedVersion || changed.Targets > r.targets.followedVersion
+// lacksConfiguration is lacks without the table of nodes. A version of an earlier era is not
+// comparable, but the operator's version of the configuration is. The caller holds r.mu.
+func (r *Runner) lacksConfiguration(k Knowledge) bool {
+	if k.ConfigurationVersion > r.document.version() {
+		return true
+	}
+	changed := k.Changed
+	return changed.Era == r.era &&
+		(changed.Configuration > r.configuration.versionIn(r.era) || changed.Targets > r.targets.versionIn(r.era))
 }
 
-// fetchDelay returns how long the changes may reach this node otherwise before it fetches them.
-// The caller holds r.mu.
-func (r *Runner) fetchDelay(changed Versions) time.Duration {
+// fetchDelay returns how long what this node lacks of k may reach it otherwise before it fetches
+// it. The caller holds r.mu.
+func (r *Runner) fetchDelay(k Knowledge) time.Duration {
 	switch {
-	case !r.lacksConfiguration(changed):
+	case !r.lacksConfiguration(k):
 		return nodesFetchDelay
 	case r.role.IsReader():
 		return peerFetchDelay
@@ -165,7 +196,7 @@
 	}
 }
 
-func (r *Runner) fetchFromPeer(ctx context.Context, address string, changed Versions, delay time.Duration) {
+func (r *Runner) fetchFromPeer(ctx context.Context, address string, k Knowledge, delay time.Duration) {
 	defer func() {
 		r.mu.Lock()
 		r.fetching = false
@@ -174,7 +205,7 @@
 	if r.o.Clock.Sleep(ctx, delay) != nil {
 		return
 	}
-	request, lacks := r.fetchRequest(changed)
+	request, lacks := r.fetchRequest(k)
 	if !lacks {
 		return
 	}
@@ -192,8 +223,8 @@
 }
 
 // fetchRequest returns the request for what this node lacks. lacks is false if it no longer lacks
-// any of the given changes.
-func (r *Runner) fetchRequest(changed Versions) (request FetchRequest, lacks bool) {
+// anything of k.
+func (r *Runner) fetchRequest(k Knowledge) (request FetchRequest, lacks bool) {
 	known := r.Version()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -201,11 +232,13 @@
 		KnownVersion: known,
 		WantsDeltas:  true,
 		Followed: Versions{
-			Configuration: r.configuration.followedVersion,
-			Targets:       r.targets.followedVersion,
-			Nodes:         r.nodes.followedVersion,
+			Configuration: r.configuration.versionIn(r.era),
+			Targets:       r.targets.versionIn(r.era),
+			Nodes:         r.nodes.versionIn(r.era),
+			Era:           r.era,
 		},
-	}, r.lacks(changed)
+		ConfigurationVersion: r.document.version(),
+	}, r.lacks(k)
 }
 
 func (r *Runner) mergeReply(reply FetchReply) error {
@@ -225,13 +258,26 @@
 	r.mergeDelta(platform.TableConfiguration, r.configuration, all.Configuration)
 	r.mergeDelta(platform.TableTargets, r.targets, all.Targets)
 	r.mergeDelta(platform.TableNodes, r.nodes, all.Nodes)
+	r.mergeDocument(all.Document, all.DocumentEra)
 	return nil
 }
 
+// mergeDocument puts a peer's configuration in force if it is newer than the known one.
+func (r *Runner) mergeDocument(value []byte, era uint64) {
+	if len(value) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.takeDocument(value, platform.Revision{Era: era}) {
+		r.publish()
+	}
+}
+
 func (r *Runner) mergeSnapshot(name string, t *table, c Snapshot) {
-	r.updateTable(name, r.o.Clock.Now(), func() bool { return t.replace(c) })
+	r.updateTable(name, t, r.o.Clock.Now(), func() bool { return t.replace(c) })
 }
 
 func (r *Runner) mergeDelta(name string, t *table, d Delta) {
-	r.updateTable(name, r.o.Clock.Now(), func() bool { return t.applyDelta(d) })
+	r.updateTable(name, t, r.o.Clock.Now(), func() bool { return t.applyDelta(d) })
 }
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -1,50 +1,91 @@
 package catalog
 
 import (
+	"bytes"
+
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/platform"
 )
 
-// publish derives the configuration from the tables, puts it in force and notifies the
-// subscribers. If the configuration's row cannot be decoded or has no higher version than
-// the last one that was decoded, publish uses that last one. The caller holds r.mu.
-func (r *Runner) publish() {
-	row, ok := r.configuration.rows[r.o.ConfigurationKey]
-	if !ok {
-		return
+// document is the newest known document of the operator's configuration, by the version that the
+// operator has assigned. It may be newer than the row of the table if a restore of the store has
+// lost that row.
+type document struct {
+	decoded *catalog.Configuration
+	value   []byte
+	// era is the store's era in which the document was found in the table.
+	era uint64
+}
+
+// version returns the operator's version of the document; 0 if none is known.
+func (d *document) version() uint64 {
+	if d.decoded == nil {
+		return 0
 	}
-	if row.Version != r.decodedRowVersion {
-		r.decodedRowVersion = row.Version
-		r.decodeConfiguration(row)
+	return d.decoded.Version
+}
+
+// isReplacedBy reports whether a document that was found in era replaces d. The operator's versions
+// increase. Only a restore lets a version be assigned again, if the operator has not written it
+// again as it was.
+func (d *document) isReplacedBy(next *catalog.Configuration, value []byte, era uint64) bool {
+	if next.Version == d.version() {
+		return era > d.era && !bytes.Equal(value, d.value)
 	}
-	if r.decoded == nil {
+	return next.Version > d.version()
+}
+
+// publish derives the configuration from the tables, puts it in force and notifies the
+// subscribers. The caller holds r.mu.
+func (r *Runner) publish() {
+	r.decodeConfigurationRow()
+	if r.document.decoded == nil {
 		return
 	}
 	var targets []catalog.Target
 	for _, t := range r.decodedTargets() {
 		targets = append(targets, t)
 	}
-	for _, g := range r.removed {
-		targets = append(targets, g.target)
+	for _, kept := range r.retained {
+		if kept.rowVersion == 0 {
+			targets = append(targets, kept.target)
+		}
 	}
-	config := catalog.BuildConfig(r.decoded, targets)
+	config := catalog.BuildConfig(r.document.decoded, targets)
 	r.current.Store(config)
 	for _, f := range r.subscribers {
 		f(config)
 	}
 }
 
-// decodeConfiguration decodes the configuration's row. The caller holds r.mu.
-func (r *Runner) decodeConfiguration(row platform.Row) {
+// decodeConfigurationRow decodes the configuration's row if it has changed. The caller holds r.mu.
+func (r *Runner) decodeConfigurationRow() {
+	row, ok := r.configuration.rows[r.o.ConfigurationKey]
+	revision := platform.Revision{Era: r.configuration.followed.Era, Version: row.Version}
+	if !ok || revision == r.decodedRow {
+		return
+	}
+	r.decodedRow = revision
+	r.takeDocument(row.Value, revision)
+}
+
+// takeDocument decodes a document of the configuration and takes it unless the known one is newer.
+// It reports whether the document was taken. The caller holds r.mu.
+func (r *Runner) takeDocument(value []byte, revision platform.Revision) bool {
 	decoded, err := contain.Call("decode configuration", func() (*catalog.Configuration, error) {
-		return r.o.Decoder.Configuration(row.Value)
+		return r.o.Decoder.Configuration(value)
 	})
-	switch {
-	case err != nil:
-		_ = r.o.Logger.Log("event", "configuration unreadable", "row_version", row.Version, "err", err)
-	case r.decoded == nil || decoded.Version > r.decoded.Version:
-		_ = r.o.Logger.Log("event", "configuration", "version", decoded.Version, "row_version", row.Version)
-		r.decoded = decoded
+	if err != nil {
+		_ = r.o.Logger.Log("event", "configuration unreadable", "row_version", revision.Version, "era", revision.Era, "err", err)
+		return false
+	}
+	if !r.document.isReplacedBy(decoded, value, revision.Era) {
+		_ = r.o.Logger.Log("event", "configuration kept", "version", r.document.version(), "offered", decoded.Version,
+			"row_version", revision.Version, "era", revision.Era)
+		return false
 	}
+	_ = r.o.Logger.Log("event", "configuration", "version", decoded.Version, "row_version", revision.Version, "era", revision.Era)
+	r.document = document{decoded: decoded, value: value, era: revision.Era}
+	return true
 }
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -5,12 +5,16 @@
 //
 // Invariant: within one run of the process, neither the version of the configuration nor
 // any row of the list of targets reverts to an older state, whatever the feed, a full read
-// or a peer returns.
+// or a peer returns. What a table is followed up to is compared by its revision: after the store
+// was restored from a copy, its versions go back and are assigned again, in a later era. What its
+// writer numbers, such as a configuration or an entry of a target, is compared by the writer's own
+// numbers, which a restore does not change.
 package catalog
 
 import (
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -32,10 +36,6 @@
 var Error = errs.Class("catalog")
 
 const (
-	// removedTargetRetention is how long a target is kept in the configuration after its row
-	// was removed. A row is also removed while its writer cannot reach the store, and is
-	// written again within this time.
-	removedTargetRetention = 3 * time.Second
 	// peerFetchDelay is how long a peer may know a newer row before a node that follows the
 	// tables itself fetches it from the peer. nodesFetchDelay is how long any node waits if only
 	// rows of nodes are newer.
@@ -85,26 +85,33 @@
 	configuration *table
 	targets       *table
 	nodes         *table
-	decoded       *catalog.Configuration
-	// decodedRowVersion is the version of the configuration's row that was last decoded.
-	decodedRowVersion uint64
-	// removed holds the targets whose rows were removed less than removedTargetRetention
-	// ago, and the times of the removals.
-	removed     map[string]removedTarget
-	subscribers []func(*fleet.Config)
-	fetching    bool
+	// era is the latest era of the store that was observed. eraContext ends, by endEra, when a
+	// later one is observed.
+	era        uint64
+	eraContext context.Context
+	endEra     context.CancelFunc
+	document   document
+	// decodedRow is the revision of the configuration's row that was last decoded.
+	decodedRow platform.Revision
+	// retained holds the targets that are kept although their rows are missing or older.
+	retained map[string]retainedTarget
+	// running ends, by stop, when Run ends.
+	running context.Context
+	stop    context.CancelFunc
+	// retainedNodes holds the rows of nodes that a restore has lost, until nodesRetainedUntil.
+	retainedNodes      map[string]platform.Row
+	nodesRetainedUntil time.Time
+	subscribers        []func(*fleet.Config)
+	fetching           bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
 	// when role is based on them.
 	knowsNodes bool
 }
 
-type removedTarget struct {
-	target    catalog.Target
-	removedAt time.Time
-}
-
 // New returns a Runner with empty tables.
 func New(o Options) *Runner {
+	eraContext, endEra := context.WithCancel(context.Background())
+	running, stop := context.WithCancel(context.Background())
 	return &Runner{
 		o:             o,
 		random:        o.Random,
@@ -112,7 +119,12 @@
 		configuration: newTable(),
 		targets:       newTable(),
 		nodes:         newTable(),
-		removed:       make(map[string]removedTarget),
+		eraContext:    eraContext,
+		endEra:        endEra,
+		running:       running,
+		stop:          stop,
+		retained:      make(map[string]retainedTarget),
+		retainedNodes: make(map[string]platform.Row),
 	}
 }
 
@@ -157,6 +169,7 @@
 // Run follows the tables until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
+	defer r.stop()
 	r.wait.Go(func() { r.followTable(ctx, platform.TableConfiguration, r.configuration) })
 	r.wait.Go(func() { r.followTable(ctx, platform.TableTargets, r.targets) })
 	r.wait.Go(func() { r.followTable(ctx, platform.TableNodes, r.nodes) })
@@ -166,40 +179,61 @@
 
 // updateTable applies change to a table and publishes the result if anything changed. The
 // rows were current at time at, which is used only for the table of nodes.
-func (r *Runner) updateTable(name string, at time.Time, change func() bool) {
-	r.mu.Lock()
-	before := r.decodedTargets()
-	changed := change()
-	if !changed {
-		r.mu.Unlock()
+func (r *Runner) updateTable(name string, t *table, at time.Time, change func() bool) {
+	if name == platform.TableNodes {
+		r.updateNodes(at, change)
 		return
 	}
-	r.Counters.Add(changeCounters[name], 1)
-	if name == platform.TableNodes {
-		rows := r.nodes.snapshot().Rows
-		r.mu.Unlock()
-		if r.o.OnNodesChanged != nil {
-			r.o.OnNodesChanged(rows, at)
-		}
-		r.mu.Lock()
-		r.knowsNodes = true
-		r.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	former, before := t.followed, r.decodedTargets()
+	if !change() {
 		return
 	}
-	r.retainRemoved(before)
+	r.Counters.Add(changeCounters[name], 1)
+	restored := r.noteRestored(name, t, former)
+	r.retainTargets(before, restored && name == platform.TableTargets)
 	r.publish()
+}
+
+// updateNodes is updateTable for the table of nodes.
+func (r *Runner) updateNodes(at time.Time, change func() bool) {
+	r.mu.Lock()
+	former, before := r.nodes.followed, maps.Clone(r.nodes.rows)
+	changed := change()
+	if changed && r.noteRestored(platform.TableNodes, r.nodes, former) {
+		r.retainNodes(before)
+	}
 	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	r.Counters.Add(changeCounters[platform.TableNodes], 1)
+	r.notifyNodes(at)
 }
 
-// decodedTargets returns the targets whose rows can be decoded. The caller holds r.mu.
-func (r *Runner) decodedTargets() map[string]catalog.Target {
-	out := make(map[string]catalog.Target, len(r.targets.rows))
-	for key, row := range r.targets.rows {
-		if t, ok := r.decodeTarget(key, row); ok {
-			out[key] = t
-		}
+// noteRestored reports whether t, which was followed up to former before, now has the rows of a
+// store that was restored since.
+func (r *Runner) noteRestored(name string, t *table, former platform.Revision) bool {
+	if former.Version == 0 || former.Era == t.followed.Era {
+		return false
 	}
-	return out
+	_ = r.o.Logger.Log("event", "table restored", "table", name, "era", t.followed.Era, "version", t.followed.Version,
+		"former_version", former.Version, "rows", len(t.rows))
+	return true
+}
+
+// notifyNodes passes the rows of the nodes on, which were current at time at.
+func (r *Runner) notifyNodes(at time.Time) {
+	r.mu.Lock()
+	rows := r.knownNodes()
+	r.mu.Unlock()
+	if r.o.OnNodesChanged != nil {
+		r.o.OnNodesChanged(rows, at)
+	}
+	r.mu.Lock()
+	r.knowsNodes = true
+	r.mu.Unlock()
 }
 
 // decodeTarget decodes a target's row. A row that cannot be decoded names no target to use.
@@ -214,34 +248,3 @@
 	}
 	return t, ok && err == nil
 }
-
-// retainRemoved moves targets whose rows were removed to r.removed, where they stay for
-// removedTargetRetention unless their rows are written again. before is the result of
-// decodedTargets before the change. The caller holds r.mu.
-func (r *Runner) retainRemoved(before map[string]catalog.Target) {
-	now := r.o.Clock.Now()
-	for key, t := range before {
-		if _, still := r.targets.rows[key]; !still {
-			r.removed[key] = removedTarget{t, now}
-			r.wait.Go(r.dropRemoved)
-		}
-	}
-	for key := range r.targets.rows {
-		delete(r.removed, key)
-	}
-}
-
-// dropRemoved waits for removedTargetRetention, then drops the targets that were removed at
-// least that long ago.
-func (r *Runner) dropRemoved() {
-	_ = r.o.Clock.Sleep(context.Background(), removedTargetRetention)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.o.Clock.Now()
-	for key, g := range r.removed {
-		if now.Sub(g.removedAt) >= removedTargetRetention {
-			delete(r.removed, key)
-			r.publish()
-		}
-	}
-}
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -17,6 +17,7 @@
 
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
 )
@@ -62,7 +63,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.era++
-	f.rows, f.history, f.version = c.rows, c.history, c.version
+	f.rows, f.history, f.version = map[string]map[string]platform.Row{}, map[string][]platform.Change{}, c.version
+	for table, rows := range c.rows {
+		f.rows[table] = maps.Clone(rows)
+		f.history[table] = slices.Clone(c.history[table])
+	}
 }
 
 func newFakeFeed() *fakeFeed {
@@ -150,19 +155,25 @@
 	}
 }
 
-// fakeDecoder decodes a configuration as its version and a target as its address.
+// fakeDecoder decodes a configuration as its version, which may be followed by a space and any text,
+// and a target as its address, which may be followed by "#" and the entry's sequence number.
 type fakeDecoder struct{}
 
 func (fakeDecoder) Configuration(value []byte) (*catalog.Configuration, error) {
-	version, err := strconv.ParseUint(string(value), 10, 64)
+	number, text, _ := strings.Cut(string(value), " ")
+	version, err := strconv.ParseUint(number, 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	return &catalog.Configuration{Version: version, Groups: []catalog.Group{{Name: "g"}}}, nil
+	return &catalog.Configuration{
+		Version: version, Groups: []catalog.Group{{Name: "g"}}, Services: []fleet.Service{{Name: text}},
+	}, nil
 }
 
 func (fakeDecoder) Target(key string, value []byte) (catalog.Target, bool) {
-	return catalog.Target{Name: key, Group: "g", Address: string(value)}, len(value) > 0
+	address, number, _ := strings.Cut(string(value), "#")
+	sequence, _ := strconv.ParseUint(number, 10, 64)
+	return catalog.Target{Name: key, Group: "g", Address: address, Sequence: sequence}, len(value) > 0
 }
 
 // fakePeers answers every call with the snapshots of another Runner.
@@ -174,18 +185,22 @@
 	return err
 }
 
-func startRunner(t *testing.T, f *fakeFeed, p peer.Caller) *Runner {
+func startRunner(t *testing.T, f *fakeFeed, p peer.Caller, change ...func(*Options)) *Runner {
 	t.Helper()
-	return startRunnerAs(t, "self", f, p)
+	return startRunnerAs(t, "self", f, p, change...)
 }
 
-func startRunnerAs(t *testing.T, self string, f *fakeFeed, p peer.Caller) *Runner {
+func startRunnerAs(t *testing.T, self string, f *fakeFeed, p peer.Caller, change ...func(*Options)) *Runner {
 	t.Helper()
-	r := New(Options{
+	o := Options{
 		Self: self,
 		Feed: f, Decoder: panickingDecoder{}, ConfigurationKey: "config", Peers: p, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
 		Random: rand.New(rand.NewPCG(1, 1)),
-	})
+	}
+	for _, f := range change {
+		f(&o)
+	}
+	r := New(o)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
