Leases: a restore neither makes two holders nor gives out a fence twice

Cause: the same class, versions and numbers that a restore gives out again. Row versions decide a conditional write, the row's content who holds the lease, the row's fence the next one, and its ordered term what a former holder may have called.

Now the rows of a lease are other ones in each era, fences carry the era above their number, a holder continues its lease in the new era, and another node takes a lost one over only when it has known the era for the longest time a lease and what was called under it last. Promotions that a lost row may have named are taken as unknown until every target has answered a later poll.

--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -22,9 +22,13 @@
 }
 
 // nextTerm returns the term of a new attempt. With Options.HeldTerms it is above every term for which
-// a Promote command may have been sent. If the outcome of such a command is unknown, its holds are
+// a Promote command may have been sent; if that is unknown, above the one in which a target out of
+// reach may be. If the outcome of such a command is unknown, its holds are
 // therefore for a lower term and do not count for the new attempt.
 func (g *Group) nextTerm() uint64 {
+	if g.options.HeldTerms && g.orderedTermUnknown {
+		return max(g.orderedTerm, g.maxOwnTerm()) + 2
+	}
 	if g.options.HeldTerms {
 		return max(g.orderedTerm, g.maxOwnTerm()) + 1
 	}
@@ -60,6 +64,9 @@
 	// OrderedTerm is the term that the lease's row contained when this node acquired the lease:
 	// the highest term for which a former holder may have sent a Promote command.
 	OrderedTerm uint64
+	// OrderedTermUnknown is true if the row was lost, so that former holders may have sent Promote
+	// commands for higher terms. The deadlines of all of these have passed.
+	OrderedTermUnknown bool
 }
 
 // SetLease sets the current state of the lease. A node without the lease places no hold, because
@@ -75,6 +82,17 @@
 	if g.orderedTerm > g.maxOwnTerm() {
 		g.setPromoteDeadline(now)
 	}
+	if lease.OrderedTermUnknown {
+		g.orderedTermUnknown = true
+		g.promoteDeadline = later(g.promoteDeadline, now)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // setPromoteDeadline starts the time in which a Promote command may take effect. Holds are kept
@@ -87,7 +105,7 @@
 func (g *Group) reconcile(now time.Time) {
 	highest := g.maxOwnTerm()
 	g.promoteDeadline = g.pendingPromoteDeadline()
-	if g.orderedTerm <= highest || now.Before(g.promoteDeadline) {
+	if g.orderedTerm <= highest && !g.orderedTermUnknown || now.Before(g.promoteDeadline) {
 		return
 	}
 	for _, m := range g.members {
@@ -95,18 +113,25 @@
 			return
 		}
 	}
-	g.orderedTerm = highest
+	g.orderedTerm, g.orderedTermUnknown = highest, false
 }
 
 // OrderedTerm returns the ordered term: the highest term for which a Promote command may have been
 // sent, as far as this node knows.
 func (g *Group) OrderedTerm() uint64 { return g.orderedTerm }
 
+// KnowsOrderedTerm reports whether no former holder of the lease may have sent a Promote command for
+// a higher term than OrderedTerm.
+func (g *Group) KnowsOrderedTerm() bool { return !g.orderedTermUnknown }
+
 // IsSoleOrderer reports whether this node alone may promote a target and every Promote command sent
 // so far is accounted for. For that, no command may be for a term above highest, which is the
 // highest term known to the caller, and each command must have taken effect or have passed its
 // deadline. fence is the current fencing token of this node's lease, or 0 if the node holds none.
 func (g *Group) IsSoleOrderer(now time.Time, fence, highest uint64) bool {
+	if g.orderedTermUnknown {
+		return false
+	}
 	return fence > 0 && fence == g.leaseFence && g.orderedTerm <= highest && !now.Before(g.pendingPromoteDeadline())
 }
 
@@ -114,6 +139,9 @@
 // If the command for the highest ordered term has taken effect, only earlier commands can be
 // pending, so it returns the deadline from before the current attempt sent its command.
 func (g *Group) pendingPromoteDeadline() time.Time {
+	if g.orderedTermUnknown {
+		return g.promoteDeadline
+	}
 	if g.orderedTerm > 0 && g.orderedTerm <= g.maxOwnTerm() {
 		return g.attempt.prevPromoteDeadline
 	}
--- a/internal/controller/promotion/held_test.go
+++ b/internal/controller/promotion/held_test.go
@@ -168,6 +168,27 @@
 	must.False(t, h.group.IsSoleOrderer(h.now, 0, 1))
 }
 
+// TestLostLeaseRowHidesPromotion checks that a lease holder to whom a restore of the store may have
+// hidden promotions of former holders is the sole orderer only once every target has answered a poll
+// sent later, and that it uses no term in which a target out of reach may be.
+func TestLostLeaseRowHidesPromotion(t *testing.T) {
+	h := newHeldHarness(t)
+	h.unreachable["r2"] = true
+	h.advance(time.Second)
+	h.group.SetLease(h.now, LeaseState{Fence: 7, OrderedTermUnknown: true})
+	h.advance(time.Second)
+	must.False(t, h.group.IsSoleOrderer(h.now, 7, 1))
+	must.False(t, h.group.KnowsOrderedTerm())
+	must.Eq(t, 3, h.group.nextTerm())
+	h.unreachable["r2"] = false
+	h.advance(time.Second)
+	must.True(t, h.group.IsSoleOrderer(h.now, 7, 1))
+	must.True(t, h.group.KnowsOrderedTerm())
+	must.Eq(t, 2, h.group.nextTerm())
+	h.group.SetLease(h.now, LeaseState{Fence: 7, OrderedTermUnknown: true})
+	must.True(t, h.group.IsSoleOrderer(h.now, 7, 1))
+}
+
 // TestReturnedPrimaryIsKept checks that an attempt is abandoned and the replicas are released if
 // the primary returns before the Promote command is sent.
 func TestReturnedPrimaryIsKept(t *testing.T) {
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -49,11 +49,14 @@
 	promoteDeadline time.Time // a Promote command may take effect until then
 	leaseFence      uint64    // fencing token of this node's newest lease
 	orderedTerm     uint64    // highest term for which a Promote command may have been sent
-	noPrimarySince  time.Time // zero while the highest term has a primary
-	enabled         bool
-	mayPromote      bool // this node holds the lease, or none is needed
-	timeline        Timeline
-	counters        Counters
+	// orderedTermUnknown is true from when this node got the lease with that state until every
+	// target has answered a later poll.
+	orderedTermUnknown bool
+	noPrimarySince     time.Time // zero while the highest term has a primary
+	enabled            bool
+	mayPromote         bool // this node holds the lease, or none is needed
+	timeline           Timeline
+	counters           Counters
 }
 
 // Counters counts a group's decisions: rounds of peer queries, attempts started, promotions that
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -15,6 +15,7 @@
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/controller/membership"
+	"crocusyoke/internal/controller/promotion"
 	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/filter"
 	"crocusyoke/internal/fleet"
@@ -124,12 +125,16 @@
 		Table:       h.Store,
 		Clock:       n.clock,
 		Suspended:   clock.SuspendedTime,
+		RestoreWait: lease.TTL + promotion.HeldMaxPromoteDelay + time.Second,
 		Logger:      n.logger,
 	})
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
 	n.config = config
-	h.Store.OnNewEra(func(era uint64) { config.ObserveEra(era, "store") })
+	h.Store.OnNewEra(func(era uint64) {
+		config.ObserveEra(era, "store")
+		n.leases.ObserveEra(era)
+	})
 	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
 	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
--- /dev/null
+++ b/internal/run/lease/era.go
@@ -0,0 +1,72 @@
+package lease
+
+import (
+	"strconv"
+
+	"crocusyoke/internal/platform"
+)
+
+const (
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
+	// eraFenceShift is the position of the era in a fence, above the number within the era.
+	eraFenceShift = 32
+)
+
+// sameEra reports whether a lease has the same row in two eras. An era is 0 if it is not known yet
+// or if the store states none.
+func sameEra(a, b uint64) bool { return max(a, firstEra) == max(b, firstEra) }
+
+// rowKey returns the key of a lease's row in an era of the store.
+func rowKey(name string, era uint64) string {
+	if era <= firstEra {
+		return keyPrefix + name
+	}
+	return keyPrefix + strconv.FormatUint(era, 10) + "/" + name
+}
+
+// nextFence returns the fence of a new holder in era, which is higher than former and than every
+// fence of an earlier era.
+func nextFence(era, former uint64) uint64 {
+	if era <= firstEra {
+		return former + 1
+	}
+	return max(former, era<<eraFenceShift) + 1
+}
+
+// isLost reports whether a lease has no row in an era that a restore began, so that the restore may
+// have lost a row.
+func isLost(row platform.Row) bool { return row.Version == 0 && row.Era > firstEra }
+
+// ObserveEra is called with the era of each response of the store, also of calls of others. In a
+// new era the row of every lease has to be read again.
+func (k *Keeper) ObserveEra(era uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if era <= k.era {
+		return
+	}
+	k.era, k.eraSince = era, k.now()
+	k.storeTime = 0
+	for _, l := range k.leases {
+		l.heldVersion = 0
+		l.observedVersion = 0
+		l.nextCallAt = k.eraSince
+	}
+}
+
+func (k *Keeper) currentEra() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
+
+// checkEra records the era of an answer and returns an error if it is not the expected one: a row
+// of that era says nothing about the current one.
+func (k *Keeper) checkEra(expected, answered uint64) error {
+	k.ObserveEra(answered)
+	if !sameEra(answered, expected) || !sameEra(answered, k.currentEra()) {
+		return errOtherEra.New("expected era %d, the store answered in era %d", expected, answered)
+	}
+	return nil
+}
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -8,6 +8,11 @@
 // the holder released it; the store's monotonic clock is more than TTL ahead of RenewedAt in
 // the row; or the node itself has seen the row unchanged for more than TTL. RenewedAt is no
 // earlier than the start of the lease period. A restarted node may take over its own lease.
+//
+// A restore of the store from a copy loses rows and brings old ones back. The rows of a lease are
+// therefore different ones in each era of the store, and fences grow with the era. A holder whose
+// lease is still valid continues it in the new era. Another node takes over a lease without a row
+// in the new era only after it has known that era for RestoreWait.
 package lease
 
 import (
@@ -15,7 +20,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
 
@@ -28,6 +32,8 @@
 var (
 	Error      = errs.Class("lease")
 	ErrNotHeld = errs.Class("lease not held")
+	// errOtherEra means that the store was restored between two steps; the next step reads again.
+	errOtherEra = errs.Class("store restored")
 )
 
 const (
@@ -62,6 +68,8 @@
 	// OrderedTerm is the highest replication term for which any holder may have ordered a
 	// target to become primary.
 	OrderedTerm uint64 `cbor:"5,keyasint,omitempty"`
+	// TermUnknown is true if a restore of the store may have lost a higher OrderedTerm.
+	TermUnknown bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Options configures a Keeper.
@@ -74,7 +82,11 @@
 	// Suspended returns the total time for which the VM has been suspended since some fixed
 	// moment. Clock does not count that time.
 	Suspended func() time.Duration
-	Logger    log.Logger
+	// RestoreWait is how long a node has to know a new era of the store before it takes over a
+	// lease that may have been held in the former one. It is more than TTL plus the time for which
+	// what a holder began may go on.
+	RestoreWait time.Duration
+	Logger      log.Logger
 }
 
 // Keeper acquires, renews and releases this node's leases. Its methods are safe for
@@ -88,6 +100,9 @@
 	// the call for that response was sent.
 	storeTime       time.Duration
 	storeTimeSentAt time.Time
+	// era is the store's latest era in any response, first observed at eraSince.
+	era      uint64
+	eraSince time.Time
 }
 
 // lease is the local state of one lease.
@@ -104,6 +119,8 @@
 	// inheritedTerm is the OrderedTerm that the row had when this node took the lease;
 	// orderedTerm is the one to store with the next write.
 	inheritedTerm, orderedTerm uint64
+	// inheritedUnknown and orderedUnknown are the same for TermUnknown.
+	inheritedUnknown, orderedUnknown bool
 	// heldVersion is the version of the row that this node's last renewal wrote; zero if
 	// the row has to be read first.
 	heldVersion uint64
@@ -140,21 +157,28 @@
 // Fence returns the fence of a lease that this node currently holds, or ErrNotHeld. Callers
 // must call it immediately before the operation that the lease guards.
 func (k *Keeper) Fence(name string) (uint64, error) {
-	fence, _, err := k.State(name)
-	return fence, err
+	state, err := k.State(name)
+	return state.Fence, err
+}
+
+// State is the state of a lease that this node holds.
+type State struct {
+	Fence uint64
+	// InheritedTerm is the OrderedTerm of earlier holders.
+	InheritedTerm uint64
+	// TermUnknown is true if a restore of the store may have lost a higher OrderedTerm.
+	TermUnknown bool
 }
 
-// State returns the fence of a lease that this node currently holds, and the OrderedTerm
-// inherited from earlier holders (see lease.inheritedTerm). It returns ErrNotHeld if the
-// node does not hold the lease.
-func (k *Keeper) State(name string) (fence, inherited uint64, err error) {
+// State returns the state of a lease that this node currently holds, or ErrNotHeld.
+func (k *Keeper) State(name string) (State, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	l := k.leases[name]
 	if l == nil || !k.now().Add(expiryMargin).Before(l.expiresAt) {
-		return 0, 0, ErrNotHeld.New("%s", name)
+		return State{}, ErrNotHeld.New("%s", name)
 	}
-	return l.fence, l.inheritedTerm, nil
+	return State{Fence: l.fence, InheritedTerm: l.inheritedTerm, TermUnknown: l.inheritedUnknown}, nil
 }
 
 // Announce records in the row that a promotion to term may be ordered, so that later
@@ -179,8 +203,8 @@
 	return err
 }
 
-// SetOrderedTerm sets the highest term to which a promotion may have been ordered; the next
-// write of the row stores it. It has no effect if this node does not currently hold the
+// SetOrderedTerm sets the highest term to which a promotion may have been ordered, which is then
+// known; the next write of the row stores it. It has no effect if this node does not currently hold the
 // lease under the given fence: a later holder may have written a higher term to the row.
 func (k *Keeper) SetOrderedTerm(name string, fence, term uint64) {
 	if held, err := k.Fence(name); err != nil || held != fence {
@@ -188,7 +212,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.leases[name].orderedTerm = term
+	k.leases[name].orderedTerm, k.leases[name].orderedUnknown = term, false
 }
 
 // tickInterval is the delay between two checks for leases that need a call.
@@ -232,6 +256,9 @@
 	if err != nil {
 		k.invalidate(l)
 		next = retryInterval
+		if errOtherEra.Has(err) {
+			next = 0
+		}
 		if !platform.ErrOutage.Has(err) {
 			_ = k.o.Logger.Log("event", "lease", "name", name, "err", err)
 		}
@@ -241,158 +268,3 @@
 	l.inFlight = false
 	l.nextCallAt = k.now().Add(next)
 }
-
-// step acquires, renews or releases the lease. It returns the delay until the next step.
-func (k *Keeper) step(ctx context.Context, name string, l *lease) (time.Duration, error) {
-	k.mu.Lock()
-	held, fence := l.heldVersion, l.fence
-	renew := l.wanted && held > 0
-	k.mu.Unlock()
-	if renew {
-		return renewInterval, k.claim(ctx, name, l, held, fence)
-	}
-	return k.readAndStep(ctx, name, l)
-}
-
-// invalidate makes the next step read the row, because its current content is unknown.
-func (k *Keeper) invalidate(l *lease) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l.heldVersion = 0
-}
-
-// claim replaces version held of the row with one that names this node as the holder, which
-// starts a new lease period.
-func (k *Keeper) claim(ctx context.Context, name string, l *lease, held, fence uint64) error {
-	sentAt := k.now()
-	k.mu.Lock()
-	ordered := l.orderedTerm
-	k.mu.Unlock()
-	next := record{Holder: k.o.Self, Incarnation: k.o.Incarnation, Fence: fence, RenewedAt: k.latestStoreTime(sentAt), OrderedTerm: ordered}
-	version, err := k.write(ctx, name, held, next)
-	if err != nil {
-		return err
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l.expiresAt, l.fence, l.heldVersion = sentAt.Add(TTL), fence, version
-	return nil
-}
-
-// readAndStep reads the row, then acquires, renews or releases the lease.
-func (k *Keeper) readAndStep(ctx context.Context, name string, l *lease) (time.Duration, error) {
-	row, current, err := k.read(ctx, name)
-	if err != nil {
-		return 0, err
-	}
-	readAt := k.now()
-	isOwn := current.Holder == k.o.Self && current.Incarnation == k.o.Incarnation
-	k.mu.Lock()
-	wanted := l.wanted
-	isFree := current.Holder == "" || current.Holder == k.o.Self || l.observeExpired(row, current, readAt)
-	k.mu.Unlock()
-	switch {
-	case !wanted && !isOwn:
-		k.clearHeld(l)
-		return renewInterval, nil
-	case !wanted:
-		k.clearHeld(l)
-		_, err := k.write(ctx, name, row.Version, record{Fence: current.Fence, OrderedTerm: current.OrderedTerm})
-		return renewInterval, err
-	case !isOwn && !isFree:
-		return k.untilNextPoll(l, readAt), nil
-	case isOwn:
-		return renewInterval, k.claim(ctx, name, l, row.Version, current.Fence)
-	}
-	fence := current.Fence + 1
-	k.inheritTerm(l, current.OrderedTerm)
-	if err := k.claim(ctx, name, l, row.Version, fence); err != nil {
-		return 0, err
-	}
-	_ = k.o.Logger.Log("event", "lease taken", "name", name, "fence", fence, "former", current.Holder)
-	return renewInterval, nil
-}
-
-// inheritTerm takes over OrderedTerm from a row that another holder, or an earlier process
-// of this node, wrote. A higher term that this process has recorded itself is kept.
-func (k *Keeper) inheritTerm(l *lease, ordered uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l.inheritedTerm = max(l.orderedTerm, ordered)
-	l.orderedTerm = l.inheritedTerm
-}
-
-// observeExpired records the row of another holder and reports whether its lease has
-// expired: by the store's clock, or because the row has been unchanged for longer than a
-// lease is valid.
-func (l *lease) observeExpired(row platform.Row, current record, now time.Time) bool {
-	if row.Version != l.observedVersion || l.observedAt.IsZero() {
-		l.observedVersion, l.observedAt = row.Version, now
-	}
-	expiredByStore := current.RenewedAt > 0 && row.StoreTime-current.RenewedAt > TTL+expiryMargin
-	return expiredByStore || now.Sub(l.observedAt) > TTL+expiryMargin
-}
-
-// noteStoreTime records the store's clock from the response to a call that was sent at
-// sentAt.
-func (k *Keeper) noteStoreTime(storeTime time.Duration, sentAt time.Time) {
-	if storeTime <= 0 {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.storeTime, k.storeTimeSentAt = storeTime, sentAt
-}
-
-// latestStoreTime returns an upper bound of the store's clock at now, or zero if no
-// response has contained it. It is an upper bound because the store read its clock no
-// earlier than the call was sent.
-func (k *Keeper) latestStoreTime(now time.Time) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.storeTime == 0 {
-		return 0
-	}
-	return k.storeTime + now.Sub(k.storeTimeSentAt)
-}
-
-// untilNextPoll returns the delay until the next read of a lease that another node holds: the
-// time until the lease may have expired, limited to retryInterval through pollInterval.
-func (k *Keeper) untilNextPoll(l *lease, now time.Time) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return min(pollInterval, max(retryInterval, l.observedAt.Add(TTL+2*expiryMargin).Sub(now)))
-}
-
-// clearHeld records that this node no longer holds the lease.
-func (k *Keeper) clearHeld(l *lease) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l.expiresAt, l.fence, l.heldVersion = time.Time{}, 0, 0
-}
-
-func (k *Keeper) read(ctx context.Context, name string) (platform.Row, record, error) {
-	var r record
-	sentAt := k.now()
-	row, err := k.o.Table.Get(ctx, keyPrefix+name)
-	k.noteStoreTime(row.StoreTime, sentAt)
-	if platform.ErrNotFound.Has(err) {
-		return platform.Row{}, r, nil
-	}
-	if err != nil {
-		return row, r, err
-	}
-	return row, r, Error.Wrap(cbor.Unmarshal(row.Value, &r))
-}
-
-// write replaces the given version of the row and returns the new version.
-func (k *Keeper) write(ctx context.Context, name string, version uint64, r record) (uint64, error) {
-	value, err := cbor.Marshal(r)
-	if err != nil {
-		return 0, Error.Wrap(err)
-	}
-	sentAt := k.now()
-	row, err := k.o.Table.Put(ctx, keyPrefix+name, version, value)
-	k.noteStoreTime(row.StoreTime, sentAt)
-	return row.Version, err
-}
--- a/internal/run/lease/lease_test.go
+++ b/internal/run/lease/lease_test.go
@@ -35,7 +35,8 @@
 
 func newKeeper(store *platformtest.Fake, name, run string, s *suspension) *Keeper {
 	return New(Options{
-		Self: name, Incarnation: run, Table: store, Clock: clock.Wall{}, Suspended: s.get, Logger: log.NewNopLogger(),
+		Self: name, Incarnation: run, Table: store, Clock: clock.Wall{}, Suspended: s.get, RestoreWait: 3 * TTL,
+		Logger: log.NewNopLogger(),
 	})
 }
 
@@ -190,9 +191,9 @@
 
 // inheritedTerm returns the ordered term that the row had when k took the lease.
 func inheritedTerm(t *testing.T, k *Keeper) uint64 {
-	_, n, err := k.State("g")
+	state, err := k.State("g")
 	must.NoError(t, err)
-	return n
+	return state.InheritedTerm
 }
 
 // TestAnnouncedTermIsInherited checks that the next holder learns of a promotion that the
--- a/internal/run/promotion/lease.go
+++ b/internal/run/promotion/lease.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"crocusyoke/internal/controller/promotion"
+	"crocusyoke/internal/run/lease"
 )
 
 // Lease gives access to this node's leases. There is one lease for each group; it allows its
@@ -11,10 +12,8 @@
 // same name in the controller's package is the state of one lease. The methods are safe for
 // concurrent use.
 type Lease interface {
-	// State returns the fence of the group's lease, and the ordered term that the lease's row
-	// contained when this node acquired the lease: the highest term to which a former holder
-	// may have ordered a promotion. It fails if this node does not hold the lease.
-	State(group string) (fence, ordered uint64, err error)
+	// State returns the state of the group's lease. It fails if this node does not hold it.
+	State(group string) (lease.State, error)
 	// Announce records in the lease's row that a promotion to term may be ordered.
 	Announce(ctx context.Context, group string, term uint64) error
 	// SetOrderedTerm replaces the ordered term in the row from its next renewal on. It has
@@ -25,11 +24,13 @@
 // leaseState returns the state of the group's lease; the zero value if this node does not
 // hold it.
 func (r *Runner) leaseState(group string) promotion.LeaseState {
-	fence, ordered, err := r.options.Lease.State(group)
+	state, err := r.options.Lease.State(group)
 	if err != nil {
 		return promotion.LeaseState{}
 	}
-	return promotion.LeaseState{Fence: fence, OrderedTerm: ordered}
+	return promotion.LeaseState{
+		Fence: state.Fence, OrderedTerm: state.InheritedTerm, OrderedTermUnknown: state.TermUnknown,
+	}
 }
 
 // IsSoleOrderer reports whether only this node may currently order promotions of the group
--- a/internal/run/promotion/lease_test.go
+++ b/internal/run/promotion/lease_test.go
@@ -14,6 +14,7 @@
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/platformtest"
+	"crocusyoke/internal/run/lease"
 )
 
 var errStoreDown = errors.New("store unavailable")
@@ -26,7 +27,7 @@
 	ordered          uint64
 }
 
-func (l *fakeLease) State(string) (uint64, uint64, error) { return 1, 0, nil }
+func (l *fakeLease) State(string) (lease.State, error) { return lease.State{Fence: 1}, nil }
 
 func (l *fakeLease) Announce(_ context.Context, _ string, term uint64) error {
 	l.mu.Lock()
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -234,13 +234,13 @@
 	before := g.controller.Phase()
 	actions := g.controller.Tick(r.options.Clock.Now())
 	after := g.controller.Phase()
-	ordered := g.controller.OrderedTerm()
+	ordered, isKnown := g.controller.OrderedTerm(), g.controller.KnowsOrderedTerm()
 	state := g.controller.String()
 	g.mu.Unlock()
 	if before != after {
 		_ = r.options.Logger.Log("msg", "promotion step", "group", g.name, "from", before, "to", after, "state", state)
 	}
-	if lease.Fence > 0 && after == promotion.PhaseIdle {
+	if lease.Fence > 0 && isKnown && after == promotion.PhaseIdle {
 		r.options.Lease.SetOrderedTerm(g.name, lease.Fence, ordered)
 	}
 	r.startActions(ctx, g, actions)
