Register: a node's row lost in a restore is written again at once

Callers saw requests refused that nodes added just before a restore took: the others had dropped them. A node whose row is missing waits 6 s after its last write, since its own copy of the table may lag; a restore loses the row for good. The write is now compared with the era of the table.

--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -5,7 +5,7 @@
 // Invariant: a node's row is written by that node only. Another node deletes the row only
 // after it has found the node gone (state membership.Gone, in which neither it nor other
 // nodes have reached the node for some time) for RemoveAfter without interruption. A node
-// that finds its own row missing writes it again.
+// that finds its own row missing writes it again, at once if a restore of the store has lost it.
 package register
 
 import (
@@ -89,6 +89,10 @@
 	// mustRead is true if the last write failed, so that the row may differ from what this node
 	// knows. Only Run uses it.
 	mustRead bool
+	// writtenAt and writtenEra are when, and in which era of the store, the row was last written.
+	// Only Run uses them.
+	writtenAt  time.Time
+	writtenEra uint64
 }
 
 var _ platform.VMs = (*Register)(nil)
@@ -132,18 +136,16 @@
 // read, describes this process.
 func (r *Register) Run(ctx context.Context, isCurrent func() bool) error {
 	pause := retryMin
-	var writtenAt time.Time
 	for {
 		wait := checkInterval
-		isRecent := !writtenAt.IsZero() && r.o.Clock.Now().Sub(writtenAt) < rewriteDelay
-		if !isCurrent() && !isRecent {
+		if !isCurrent() && !r.isWritten() {
 			if err := r.writeRow(ctx); err != nil {
 				_ = r.o.Logger.Log("event", "register", "err", err)
 				wait = pause/2 + time.Duration(r.o.Random.Int64N(int64(pause)))
 				pause = min(2*pause, retryMax)
 			} else {
 				pause = retryMin
-				writtenAt = r.o.Clock.Now()
+				r.writtenAt = r.o.Clock.Now()
 			}
 		}
 		r.deleteGoneRows(ctx)
@@ -153,11 +155,25 @@
 	}
 }
 
+// isWritten reports whether the row was written so recently that it may only be missing from what
+// this node knows of the table. A restore of the store loses it for good.
+func (r *Register) isWritten() bool {
+	if r.writtenAt.IsZero() || r.o.Clock.Now().Sub(r.writtenAt) >= rewriteDelay {
+		return false
+	}
+	if r.o.KnownRow == nil {
+		return true
+	}
+	row, known := r.o.KnownRow(r.key())
+	return !known || row.Era <= r.writtenEra
+}
+
+func (r *Register) key() string { return keyPrefix + r.o.Self.Name }
+
 // writeRow writes this node's row unless it already has the right value.
 func (r *Register) writeRow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
-	key := keyPrefix + r.o.Self.Name
 	self := r.o.Self
 	value, err := cbor.Marshal(record{
 		Address: self.Address, Domain: self.Domain, Fingerprint: self.Fingerprint, Capacity: self.Capacity,
@@ -165,15 +181,17 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	row, err := r.currentRow(ctx, key)
+	row, err := r.currentRow(ctx, r.key())
 	if err != nil {
 		return err
 	}
 	if string(row.Value) == string(value) {
+		r.writtenEra = row.Era
 		return nil
 	}
-	_, err = r.o.Table.Put(ctx, key, row.Version, value)
+	written, err := r.o.Table.Put(ctx, r.key(), row.Version, value)
 	r.mustRead = err != nil
+	r.writtenEra = written.Era
 	return err
 }
 
@@ -187,7 +205,7 @@
 	}
 	row, err := r.o.Table.Get(ctx, key)
 	if platform.ErrNotFound.Has(err) {
-		return platform.Row{}, nil
+		return platform.Row{Era: row.Era}, nil
 	}
 	return row, err
 }
