Audit trail: promotions recorded just before a restore are recorded again

Operators would have missed promotions in the audit trail that it had taken, and after a write across a restore the row named an object that was gone. Records of the last minute are written again in a new era unless the trail has them; a write whose answer is of another era than the read counts as one of unknown outcome. TestRecordLostInARestore and TestRecordWrittenAcrossARestore fail without that.

--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -131,10 +131,6 @@
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
 	n.config = config
-	h.Store.OnNewEra(func(era uint64) {
-		config.ObserveEra(era, "store")
-		n.leases.ObserveEra(era)
-	})
 	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
 	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
@@ -142,6 +138,11 @@
 	n.dialer = h.NewDialer(n.leases)
 	n.heldTerms = true
 	n.assembleOwner(h.Store)
+	h.Store.OnNewEra(func(era uint64) {
+		config.ObserveEra(era, "store")
+		n.leases.ObserveEra(era)
+		n.promotion.ObserveEra(era)
+	})
 	n.requests = requestlog.New(n.logger)
 	n.assembleHostedFront(h)
 	n.server = quicpeer.NewServer(n.settings.Node.Name, tls, n.clock, n.owner)
--- a/internal/run/promotion/record.go
+++ b/internal/run/promotion/record.go
@@ -49,11 +49,17 @@
 			At:      r.options.Clock.Now().UTC(),
 		},
 	}
+	r.write(ctx, writer)
+}
+
+// write repeats attempts to record a promotion until one succeeds or recordTimeout has elapsed.
+func (r *Runner) write(ctx context.Context, writer *recorder) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	for pause := recordRetryMin; ; pause = min(2*pause, recordRetryMax) {
 		if writer.attempt(ctx) == nil {
 			counters.Add(counterRecordsWritten, 1)
+			r.remember(writer)
 			return
 		}
 		if r.options.Clock.Sleep(ctx, pause) != nil {
--- a/internal/run/promotion/record_test.go
+++ b/internal/run/promotion/record_test.go
@@ -153,3 +153,35 @@
 	must.Len(t, 1, entries)
 	must.Eq(t, "4", entries[0].Changes[0].From)
 }
+
+// TestRecordLostInARestore checks that a promotion whose record a restore of the store has lost is
+// recorded again, once, and that one that was not lost is not.
+func TestRecordLostInARestore(t *testing.T) {
+	store := platformtest.New()
+	r := newTestRunner("n1", store, nil)
+	r.record(t.Context(), "ledger-1", newRecord(2, "t2"))
+	lost := store.Copy()
+	r.record(t.Context(), "ledger-1", newRecord(3, "t1"))
+	for range 2 {
+		store.Restore(lost)
+		must.Len(t, 1, auditTrail(t, store))
+		r.ObserveEra(0)
+		r.recordAgain(t.Context())
+		r.wait.Wait()
+		must.Len(t, 2, auditTrail(t, store))
+		must.Eq(t, 3, currentEntry(t, store).Term)
+	}
+}
+
+// TestRecordWrittenAcrossARestore checks that a promotion is recorded if the store is restored
+// between the read of the group's row and its write.
+func TestRecordWrittenAcrossARestore(t *testing.T) {
+	store := platformtest.New()
+	r := newTestRunner("n1", store, nil)
+	r.record(t.Context(), "ledger-1", newRecord(2, "t2"))
+	lost := store.Copy()
+	store.BeforePut(func() { store.Restore(lost) })
+	r.record(t.Context(), "ledger-1", newRecord(3, "t1"))
+	must.Len(t, 2, auditTrail(t, store))
+	must.Eq(t, 3, currentEntry(t, store).Term)
+}
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -85,6 +85,10 @@
 
 	mu     sync.Mutex
 	groups map[string]*group
+	// recentRecords are the newest records that were written, oldest first; lostRecords those to
+	// be written again after a restore of the store.
+	recentRecords []recentRecord
+	lostRecords   []*recorder
 }
 
 type group struct {
@@ -107,6 +111,7 @@
 	defer r.wait.Wait()
 	pause := tickInterval
 	for r.options.Clock.Sleep(ctx, pause) == nil {
+		r.recordAgain(ctx)
 		owned := r.ownedGroups()
 		for _, g := range owned {
 			r.tick(ctx, g)
--- a/internal/run/promotion/trail.go
+++ b/internal/run/promotion/trail.go
@@ -33,6 +33,9 @@
 	// outcomeUnknown is true once a write of the row has failed with an error other than a
 	// conflict, so that it may have taken effect.
 	outcomeUnknown bool
+	// written is the audit entry of the last write of the row, stored as the object writtenName.
+	written     audit.Entry
+	writtenName string
 }
 
 // attempt tries to record the promotion and returns nil once the audit trail contains it.
@@ -43,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if w.writtenName != "" && current.Audit == w.writtenName {
+		return w.storeEntry(ctx)
+	}
 	if w.outcomeUnknown {
 		written, err := w.isRecorded(ctx, current.Audit)
 		if written || err != nil {
@@ -53,19 +59,30 @@
 	if w.entry.Term > current.Term {
 		next = w.entry
 	}
-	next.Audit, err = audit.Append(ctx, w.store, w.auditEntry(row.Version, current))
+	w.written = w.auditEntry(row.Version, current)
+	next.Audit, err = audit.Append(ctx, w.store, w.written)
 	if err != nil {
 		return err
 	}
+	w.writtenName = next.Audit
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = w.store.Put(ctx, w.key, row.Version, value)
+	written, err := w.store.Put(ctx, w.key, row.Version, value)
+	if err == nil && written.Era != row.Era {
+		err = Error.New("group %s: the store was restored between reading and writing the row", w.group)
+	}
 	w.outcomeUnknown = w.outcomeUnknown || err != nil && !platform.ErrConflict.Has(err)
 	return err
 }
 
+// storeEntry stores the audit entry that the row names, which a restore of the store may have lost.
+func (w *recorder) storeEntry(ctx context.Context) error {
+	_, err := audit.Append(ctx, w.store, w.written)
+	return err
+}
+
 // isRecorded reports whether the newest entries of the audit trail contain this promotion.
 // A missing or corrupt object ends the search.
 func (w *recorder) isRecorded(ctx context.Context, newest string) (bool, error) {
@@ -112,7 +129,7 @@
 	var current Entry
 	row, err := store.Get(ctx, key)
 	if platform.ErrNotFound.Has(err) {
-		return platform.Row{}, current, nil
+		return platform.Row{Era: row.Era}, current, nil
 	}
 	if err != nil {
 		return row, current, err
