--- a/internal/owner/evidence/held_model_test.go
+++ b/internal/owner/evidence/held_model_test.go
@@ -104,14 +104,19 @@
 // renew has node i acquire or renew the lease, unless another node holds it. If lost is set, the
 // node does not learn of it.
 func (w *heldModel) renew(i int, lost bool) {
-	if w.leaseHolder != i && w.leaseHolder >= 0 && !w.now.After(w.leaseUntil.Add(leaseSlack)) {
-		return
-	}
 	n := w.nodes[i]
-	if w.leaseHolder != i {
+	switch {
+	case w.rowLost && !w.writeLostRow(n):
+		return
+	case w.rowLost:
+		w.rowLost = false
+	case w.leaseHolder != i && w.leaseHolder >= 0 && !w.now.After(w.leaseUntil.Add(leaseSlack)):
+		return
+	case w.leaseHolder != i:
 		w.lastFence++
-		n.fence, n.readTerm = w.lastFence, w.orderedTerm
+		n.fence, n.readTerm, n.readUnknown = w.lastFence, w.orderedTerm, w.orderedUnknown
 	}
+	w.orderedUnknown = n.readUnknown && !n.orderer.KnowsOrderedTerm()
 	w.leaseHolder, w.leaseUntil, w.orderedTerm = i, w.now.Add(leaseDuration), max(n.readTerm, n.calledTerm, n.announcedTerm)
 	if !lost {
 		n.leaseUntil = w.leaseUntil
@@ -120,6 +125,9 @@
 
 // release has node i give up its lease.
 func (w *heldModel) release(i int) {
+	if w.rowLost && w.now.Before(w.nodes[i].leaseUntil) {
+		w.renew(i, false)
+	}
 	w.nodes[i].leaseUntil = time.Time{}
 	if w.leaseHolder == i {
 		w.leaseHolder = -1
@@ -137,7 +145,7 @@
 
 // announce records the term of an order in the row of the lease.
 func (w *heldModel) announce(n *heldNode, term uint64, lost bool) error {
-	if w.leaseHolder < 0 || w.nodes[w.leaseHolder] != n || !n.holdsLease(w.now) {
+	if w.rowLost || w.leaseHolder < 0 || w.nodes[w.leaseHolder] != n || !n.holdsLease(w.now) {
 		return errLost
 	}
 	n.announcedTerm = term
@@ -247,6 +255,9 @@
 	n := w.nodes[i]
 	w.applyRecoveries()
 	w.deliver()
+	if w.restores && w.oneIn(restoreOdds) {
+		w.rowLost, w.restoredAt = true, w.now
+	}
 	switch k := w.rand.IntN(20); {
 	case k < 8:
 		for _, h := range w.targets {
--- a/internal/owner/evidence/held_world_test.go
+++ b/internal/owner/evidence/held_world_test.go
@@ -74,6 +74,8 @@
 	// lease when it was acquired. announcedTerm is the term that this node last recorded in the
 	// row, and calledTerm the highest term for which it called a promotion.
 	fence, readTerm, announcedTerm, calledTerm uint64
+	// readUnknown is true if a restore of the store had lost the term in the row.
+	readUnknown bool
 }
 
 func (n *heldNode) holdsLease(now time.Time) bool { return now.Add(leaseSlack).Before(n.leaseUntil) }
@@ -83,7 +85,7 @@
 	if !n.holdsLease(now) {
 		return promotion.LeaseState{}
 	}
-	return promotion.LeaseState{Fence: n.fence, OrderedTerm: n.readTerm}
+	return promotion.LeaseState{Fence: n.fence, OrderedTerm: n.readTerm, OrderedTermUnknown: n.readUnknown}
 }
 
 // currentEvidence returns the evidence of n after telling it whether n is the only node that may
@@ -119,8 +121,15 @@
 	leaseHolder            int
 	leaseUntil             time.Time
 	lastFence, orderedTerm uint64
-	inFlight               []func(lost bool)
-	pendingPromotions      []pendingPromotion
+	// orderedUnknown is true if the row tells that a higher term may have been lost.
+	orderedUnknown bool
+	// restores is whether the store is restored at times. rowLost is true from a restore, at
+	// restoredAt, until the row is written again.
+	restores          bool
+	rowLost           bool
+	restoredAt        time.Time
+	inFlight          []func(lost bool)
+	pendingPromotions []pendingPromotion
 	// effectiveAt is, by term, when the promotion to it took effect.
 	effectiveAt map[uint64]time.Time
 	// partitioned contains the pairs of targets that can't reach each other, by index.
