--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -71,6 +71,10 @@
 	Logger     log.Logger
 }
 
+// restoreWait is lease.Options.RestoreWait: a lease lasts lease.TTL, and a promotion that was called at
+// its end takes effect promotion.HeldMaxPromoteDelay later.
+const restoreWait = lease.TTL + promotion.HeldMaxPromoteDelay + time.Second
+
 // settingsPollInterval is the interval between checks for changed settings.
 const settingsPollInterval = 2 * time.Second
 
@@ -125,7 +129,7 @@
 		Table:       h.Store,
 		Clock:       n.clock,
 		Suspended:   clock.SuspendedTime,
-		RestoreWait: lease.TTL + promotion.HeldMaxPromoteDelay + time.Second,
+		RestoreWait: restoreWait,
 		Logger:      n.logger,
 	})
 	n.assembleMembership(nil)
