Catalog: a target that is gone is dropped although this node's feed was lost

Targets without a row are kept while the store does not answer, told by a failed call; but a call that is held is no failure and no answer either, so the nodes kept a replica that was gone until the feed's next change, chose other owners than the rest, and sent requests there.

Now the store counts as away only if neither this node nor a peer has had an answer since. TestGoneTargetKeptWhileTheStoreAnswers fails without that, TestTargetsLostInARestoreAreKept without keeping them at all.

--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -92,8 +92,13 @@
 // noteLost records whether the last call about t has failed, with err, and logs changes of that.
 func (r *Runner) noteLost(name string, t *table, err error) {
 	r.mu.Lock()
-	changed := t.lost != (err != nil)
-	t.lost = err != nil
+	changed := t.lostAt.IsZero() == (err != nil)
+	switch {
+	case err == nil:
+		t.lostAt = time.Time{}
+	case changed:
+		t.lostAt = r.o.Clock.Now()
+	}
 	version := t.followed.Version
 	r.mu.Unlock()
 	if changed {
--- a/internal/run/catalog/restore_test.go
+++ b/internal/run/catalog/restore_test.go
@@ -309,3 +309,24 @@
 		must.Eq(t, "t1 t2 t3", r.targetNames())
 	})
 }
+
+// TestGoneTargetKeptWhileTheStoreAnswers checks that a target whose row was removed is dropped in time
+// at a node whose own calls have failed, if its peers have answers of the store.
+func TestGoneTargetKeptWhileTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, own := newFakeFeed(), newFakeFeed()
+		setInitialRows(f)
+		setInitialRows(own)
+		other := startRunner(t, f, nil)
+		r := startRunner(t, own, fakePeers{other})
+		synctest.Wait()
+		own.update(func() { own.down = true })
+		time.Sleep(5 * time.Second)
+		f.set(platform.TableTargets, "t2", "", true)
+		for range 9 {
+			r.ObservePeer(t.Context(), "other", other.Knowledge())
+			time.Sleep(500 * time.Millisecond)
+		}
+		must.Eq(t, "t1", r.targetNames())
+	})
+}
--- a/internal/run/catalog/retain.go
+++ b/internal/run/catalog/retain.go
@@ -94,7 +94,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.o.Clock.Now()
-	if r.targets.lost {
+	if r.isStoreAway(now) {
 		r.prolongRetained(now)
 		r.wait.Go(r.dropRetained)
 		return
@@ -108,6 +108,13 @@
 	}
 }
 
+// isStoreAway reports whether the calls about targets fail and neither this node nor a peer has had an
+// answer of the store since. The caller holds r.mu.
+func (r *Runner) isStoreAway(now time.Time) bool {
+	lostAt := r.targets.lostAt
+	return !lostAt.IsZero() && r.role.ConfirmedAge(now) > now.Sub(lostAt)
+}
+
 // retainNodes keeps the rows of nodes that a restore has lost. before holds the rows from before the
 // restore. This node's own row is not kept, so that it is found missing. The caller holds r.mu.
 func (r *Runner) retainNodes(before map[string]platform.Row) {
--- a/internal/run/catalog/table.go
+++ b/internal/run/catalog/table.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"slices"
+	"time"
 
 	"crocusyoke/internal/platform"
 )
@@ -56,8 +57,9 @@
 	// have been forgotten.
 	deletions        map[string]uint64
 	forgottenVersion uint64
-	// lost is true while this node follows the table itself and its last call has failed.
-	lost bool
+	// lostAt is when the calls of this node about the table began to fail; zero if the last one
+	// was answered. A call under way may be held without a failure.
+	lostAt time.Time
 }
 
 func newTable() *table {
--- a/internal/run/lease/step.go
+++ b/internal/run/lease/step.go
@@ -45,6 +45,7 @@
 	defer k.mu.Unlock()
 	l.expiresAt, l.fence, l.heldVersion = sentAt.Add(TTL), fence, version
 	if !sameEra(row.Era, k.era) {
+		// The store was restored since: the row of the current era is another one.
 		l.heldVersion = 0
 	}
 	return nil
