--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -78,6 +78,9 @@
 	// Counters counts table reads, feed calls, changes, failures and fetches from peers.
 	Counters expvar.Map
 	wait     sync.WaitGroup
+	// running ends, by stop, when Run ends.
+	running context.Context
+	stop    context.CancelFunc
 
 	mu            sync.Mutex
 	random        *rand.Rand
@@ -95,9 +98,6 @@
 	decodedRow platform.Revision
 	// retained holds the targets that are kept although their rows are missing or older.
 	retained map[string]retainedTarget
-	// running ends, by stop, when Run ends.
-	running context.Context
-	stop    context.CancelFunc
 	// retainedNodes holds the rows of nodes that a restore has lost, until nodesRetainedUntil.
 	retainedNodes      map[string]platform.Row
 	nodesRetainedUntil time.Time
@@ -132,8 +132,8 @@
 func (r *Runner) Current() *fleet.Config { return r.current.Load() }
 
 // Version returns the version of the last change that this node knows of the configuration and
-// target tables. It can be lower than the version up to which the tables were followed, and
-// differs from fleet.Config.Version, the version number inside the configuration.
+// target tables, in the eras up to which these were followed; 0 before the first read. It can be
+// lower than the version up to which the tables were followed, and differs from fleet.Config.Version, the version number inside the configuration.
 func (r *Runner) Version() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/run/lease/era.go
+++ b/internal/run/lease/era.go
@@ -9,7 +9,7 @@
 const (
 	// firstEra is the era of a store that was never restored.
 	firstEra = 1
-	// eraFenceShift is the position of the era in a fence, above the number within the era.
+	// eraFenceShift is the position, in bits, of the era in a fence, above the number within the era.
 	eraFenceShift = 32
 )
 
--- a/internal/run/promotion/again.go
+++ b/internal/run/promotion/again.go
@@ -28,8 +28,9 @@
 	}
 }
 
-// ObserveEra is called with each new era of the store: it was restored from a copy. The promotions
-// that this node has recorded within restoreHorizon are recorded again if they are missing.
+// ObserveEra is called with each new era of the store, which begins when the store is restored from
+// a copy. Run then records again what this node has recorded within restoreHorizon and the restore
+// has lost.
 func (r *Runner) ObserveEra(uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
