targetd: the test of limits checks again that every statement succeeds

It is back: the statements are held by a service time of an hour, which now ends for statements under way when it is changed, and all seven have to succeed. The counts are checked as before.

--- a/internal/standin/targetd/faults/faults.go
+++ b/internal/standin/targetd/faults/faults.go
@@ -25,7 +25,8 @@
 	CutReplication bool
 	// Frozen pauses every answer and all replication.
 	Frozen bool
-	// ServiceTime is added to the execution time of every statement.
+	// ServiceTime is added to the execution time of every statement. A change applies to
+	// statements under way too.
 	ServiceTime time.Duration
 	// Blocked lists the application names whose connections hang.
 	Blocked []string
@@ -72,6 +73,28 @@
 	return f.state.Load(), f.changed
 }
 
+// AwaitService waits until the service time since the call has passed. It returns the context's error
+// if ctx ends first.
+func (f *Faults) AwaitService(ctx context.Context) error {
+	began := time.Now()
+	for {
+		state, changed := f.current()
+		left := state.ServiceTime - time.Since(began)
+		if left <= 0 {
+			return nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-changed:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
 // Connection is the fault state of one connection.
 type Connection struct {
 	// Application is the connection's application_name. It must be set before Add.
--- a/internal/standin/targetd/faults_test.go
+++ b/internal/standin/targetd/faults_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/standin/targetd/admin"
@@ -85,18 +85,20 @@
 	}
 	_, err := a.connectAs(ctx, "one-too-many")
 	must.EqOp(t, "53300", sqlState(err))
-	running, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var statements sync.WaitGroup
+	var group errgroup.Group
 	for _, conn := range conns[:a.options.Wire.Slots+2] {
-		statements.Go(func() { _, _ = conn.Exec(running, "SELECT 1") })
+		group.Go(func() error {
+			_, err := conn.Exec(ctx, "SELECT 1")
+			return err
+		})
 	}
 	eventually(t, "all statements are in flight", func() bool {
 		state, err := a.admin().State(ctx)
 		return err == nil && state.Counters.InFlight == int64(a.options.Wire.Slots)+2
 	})
-	cancel()
-	statements.Wait()
+	service = 0
+	must.NoError(t, a.admin().Change(ctx, admin.Change{ServiceTime: &service}))
+	must.NoError(t, group.Wait())
 	state, err := a.admin().State(ctx)
 	must.NoError(t, err)
 	must.EqOp(t, 1, state.Counters.RefusedConnections)
--- a/internal/standin/targetd/wire/server.go
+++ b/internal/standin/targetd/wire/server.go
@@ -134,19 +134,11 @@
 		s.counters.InFlight.Add(-1)
 		return store.ErrCancelled
 	}
-	service := s.faults.State().ServiceTime
-	if service <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(service)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if s.faults.AwaitService(ctx) != nil {
 		s.releaseSlot()
 		return store.ErrCancelled
 	}
+	return nil
 }
 
 // releaseSlot releases a slot that acquireSlot acquired.
