--- a/internal/run/catalog/era.go
+++ b/internal/run/catalog/era.go
@@ -32,25 +32,20 @@
 	_ = r.o.Logger.Log("event", "store era", "era", era, "former", former, "source", source)
 }
 
-// withinEra returns a context that ends with ctx or as soon as a later era is observed. The caller
-// must call the returned function.
-func (r *Runner) withinEra(ctx context.Context) (context.Context, context.CancelFunc) {
+// startCall returns a context for a call about t, which ends with ctx or as soon as a later era is
+// observed, and whether t was followed in an earlier era than the latest one observed before. The
+// caller must call release.
+func (r *Runner) startCall(ctx context.Context, t *table) (inEra context.Context, release func(), outdated bool) {
 	r.mu.Lock()
 	era := r.eraContext
+	outdated = t.isKnown() && t.followed.Era < r.era
 	r.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
+	inEra, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(era, cancel)
-	return ctx, func() {
+	return inEra, func() {
 		stop()
 		cancel()
-	}
-}
-
-// isOutdated reports whether t was followed in an earlier era than the latest one observed.
-func (r *Runner) isOutdated(t *table) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return t.isKnown() && t.followed.Era < r.era
+	}, outdated
 }
 
 // isLate reports whether an answer at revision is from an earlier era than the latest one observed.
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -64,8 +64,8 @@
 			continue
 		}
 		var err error
-		inEra, release := r.withinEra(ctx)
-		reading := needsRead || r.isOutdated(t)
+		inEra, release, outdated := r.startCall(ctx, t)
+		reading := needsRead || outdated
 		if reading {
 			err = r.readTable(ctx, name, t)
 		} else {
--- a/internal/run/catalog/restore_test.go
+++ b/internal/run/catalog/restore_test.go
@@ -330,3 +330,27 @@
 		must.Eq(t, "t1", r.targetNames())
 	})
 }
+
+// TestCallMissesTheNewEra checks that a new era is never missed by a call that starts as the era is
+// told: either the table is found outdated or the call is ended.
+func TestCallMissesTheNewEra(t *testing.T) {
+	f := newFakeFeed()
+	setInitialRows(f)
+	r := startRunner(t, f, nil)
+	table := newTable()
+	table.followed.Version = 1
+	for era := uint64(1); era <= 200000; era++ {
+		table.followed.Era = era - 1
+		told := make(chan struct{})
+		go func() {
+			defer close(told)
+			r.ObserveEra(era, "peer")
+		}()
+		inEra, release, outdated := r.startCall(t.Context(), table)
+		<-told
+		if !outdated {
+			<-inEra.Done()
+		}
+		release()
+	}
+}
