--- a/internal/run/catalog/restore_test.go
+++ b/internal/run/catalog/restore_test.go
@@ -16,6 +16,16 @@
 // inForceWithin is the time within which a change of the configuration has to be in force.
 const inForceWithin = 3 * time.Second
 
+// startFollowing starts a Runner and returns it, with its feed, once it has the initial rows.
+func startFollowing(t *testing.T) (*fakeFeed, *Runner) {
+	t.Helper()
+	f := newFakeFeed()
+	setInitialRows(f)
+	r := startRunner(t, f, nil)
+	synctest.Wait()
+	return f, r
+}
+
 // restoreAfterOutage ends an outage of f with a restore from c.
 func restoreAfterOutage(f *fakeFeed, c feedCopy) {
 	f.update(func() { f.down = true })
@@ -35,10 +45,7 @@
 // force in time, although its row has a lower version than what was followed before.
 func TestNewConfigurationIgnoredAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		lost := f.copy()
 		for _, version := range []string{"4", "7", "8"} {
 			f.set(platform.TableConfiguration, "config", version, false)
@@ -58,10 +65,7 @@
 // missed if its version had been followed before the restore.
 func TestTargetOfAReusedVersionMissedAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		lost := f.copy()
 		f.set(platform.TableConfiguration, "config", "4", false)
 		f.set(platform.TableTargets, "t2", "a2", false)
@@ -134,10 +138,7 @@
 // can have been written again, also if another restore follows.
 func TestTargetsLostInARestoreAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		lost := f.copy()
 		f.set(platform.TableTargets, "t3", "a3", false)
 		synctest.Wait()
@@ -156,10 +157,7 @@
 // follows the tables again once it hears of the new era, from whichever source.
 func TestHeldFeedNotEndedByARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		lost := f.copy()
 		f.set(platform.TableConfiguration, "config", "7", false)
 		f.set(platform.TableTargets, "t3", "a3", false)
@@ -178,10 +176,7 @@
 // is known is not applied.
 func TestLateAnswerAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		r.ObserveEra(f.era+1, "peer")
 		time.Sleep(time.Second)
 		must.Eq(t, platform.Revision{Version: 3}, r.followed(r.targets))
@@ -224,10 +219,7 @@
 // after a restore replaces the lost one, also if the lost one is still in force.
 func TestConfigurationVersionAssignedTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFeed()
-		setInitialRows(f)
-		r := startRunner(t, f, nil)
-		synctest.Wait()
+		f, r := startFollowing(t)
 		service := func() string { return r.Current().Services[0].Name }
 		lost := f.copy()
 		f.set(platform.TableConfiguration, "config", "7 lost", false)
