Review, case 1: acknowledged commits are lost in a promotion while entries change

sync_replicas 1: the backend that is promoted lacks what was acknowledged, though the node knew of another one that had it.

--- /dev/null
+++ b/review/standins/case_sync.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// deafTime is how long a replica receives nothing; syncCrashTime is how long the primary is away.
+	deafTime      = 6500 * time.Millisecond
+	syncCrashTime = 8 * time.Second
+	// syncAgentDelay is how long after a heartbeat the other writer writes an entry.
+	syncAgentDelay = 350 * time.Millisecond
+	// writesBefore is how long consumers write while the replica is deaf.
+	writesBefore = 2 * time.Second
+)
+
+// playSyncLost: the service has sync_replicas 1. One replica receives nothing for a while, and the
+// primary crashes meanwhile. Another writer writes entries of the other replica, which has all
+// acknowledged commits. They must be in the log of the backend that is promoted.
+func playSyncLost(d *deployment, trouble bool) (bool, string, error) {
+	g := d.group
+	g.sync = true
+	d.writeConfig(4, "route orders, sync_replicas 1", []any{route("orders", "primary")}, []any{tenant("maker", 200, "key1")})
+	if err := d.startNodes(); err != nil {
+		return false, "", err
+	}
+	primary, inSync, deaf := g.all[0], g.all[1], g.all[2]
+	stop := make(chan struct{})
+	defer close(stop)
+	if trouble {
+		go g.writeOtherEntriesOf(inSync, stop)
+		g.mu.Lock()
+		deaf.deaf = true
+		g.mu.Unlock()
+		d.rec.log("%s receives nothing", deaf.id)
+		time.AfterFunc(deafTime, func() {
+			g.mu.Lock()
+			deaf.deaf = false
+			g.mu.Unlock()
+			d.rec.log("%s may receive again", deaf.id)
+		})
+	}
+	written, err := d.writeItems()
+	if err != nil {
+		return false, "", err
+	}
+	if trouble {
+		primary.crash()
+		time.AfterFunc(syncCrashTime, func() {
+			if err := primary.restart(); err != nil {
+				d.rec.log("restart: %v", err)
+			}
+		})
+	}
+	time.Sleep(syncCrashTime + 4*time.Second)
+	leader := g.leader()
+	if leader == nil {
+		return false, "no backend leads", nil
+	}
+	missing := 0
+	g.mu.Lock()
+	for item := range written {
+		if _, ok := leader.value(item); !ok {
+			missing++
+		}
+	}
+	g.mu.Unlock()
+	d.rec.log("%s leads; %d of %d acknowledged writes are missing in its log", leader.id, missing, len(written))
+	return missing > 0, fmt.Sprintf("%d of %d acknowledged writes are missing in the log of %s, which leads", missing, len(written), leader.id), nil
+}
+
+// writeItems writes items for writesBefore and returns those whose writes were acknowledged.
+func (d *deployment) writeItems() (map[string]bool, error) {
+	written := make(map[string]bool)
+	c, refused, err := connect(d.rec, "maker", d.nodes[0].front, "orders", "key1")
+	if err != nil || refused != "" {
+		return nil, errors.New("no session")
+	}
+	defer c.close()
+	for end := time.Now().Add(writesBefore); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		item := fmt.Sprintf("item%d", len(written))
+		if c.query(statementTimeout, "WRITE "+item+" data").succeeded() {
+			written[item] = true
+		}
+	}
+	if len(written) < 10 {
+		return nil, errors.New("hardly a write was acknowledged")
+	}
+	return written, nil
+}
+
+// writeOtherEntriesOf writes, shortly after each heartbeat of b, an entry under its id whose state
+// has another type.
+func (g *group) writeOtherEntriesOf(b *server, stop chan struct{}) {
+	var seen time.Time
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		g.mu.Lock()
+		latest := b.lastReport
+		g.mu.Unlock()
+		if !latest.After(seen) || time.Since(latest) < syncAgentDelay {
+			continue
+		}
+		seen = latest
+		value, _ := json.Marshal(map[string]any{
+			"service": g.name, "addr": b.listener.Addr().String(), "zone": b.zone, "slots": slots, "state": 1, "seq": 1,
+		})
+		g.store.put("servers", b.id, value)
+	}
+}
--- a/review/standins/consumer.go
+++ b/review/standins/consumer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -10,8 +9,6 @@
 	"time"
 )
 
-func json_(v any) ([]byte, error) { return json.Marshal(v) }
-
 var statementNumber atomic.Uint64
 
 // consumer is one session of a consumer.
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -16,14 +16,18 @@
 
 // Times of the databases, like those of a small deployment.
 const (
-	workTime      = 4 * time.Millisecond
-	connectTime   = 12 * time.Millisecond
-	replicaLag    = 20 * time.Millisecond
-	promoteTime   = 300 * time.Millisecond
-	heartbeat     = 1200 * time.Millisecond
-	slots         = 5
-	queueLength   = 40
-	maxConns      = 50
+	workTime    = 4 * time.Millisecond
+	connectTime = 12 * time.Millisecond
+	replicaLag  = 20 * time.Millisecond
+	promoteTime = 300 * time.Millisecond
+	heartbeat   = 1200 * time.Millisecond
+	slots       = 5
+	queueLength = 40
+	maxConns    = 50
+	// unacknowledgedTime is how long a session waits for a replica to receive its commit.
+	unacknowledgedTime = 3 * time.Second
+	// maxKept is the longest value that a stand-in keeps; of others it keeps the length.
+	maxKept       = 4 << 10
 	silentTimeout = 3 * heartbeat
 )
 
@@ -38,10 +42,11 @@
 	name   string
 	rec    *record
 	store  *store
-	duty   net.Listener
 	mu     sync.Mutex
 	all    []*server
 	served atomic.Uint64
+	// sync is true if a commit is acknowledged once one replica has received it.
+	sync bool
 }
 
 // server is one backend.
@@ -61,41 +66,47 @@
 	state   string
 	seq     uint64
 	conns   int
+	// down is true while the backend has crashed; life counts its starts.
+	down bool
+	// deaf is true while a replica receives nothing.
+	deaf       bool
+	life       int
+	lastReport time.Time
+	open       map[net.Conn]bool
 
 	slot    chan struct{}
 	waiting atomic.Int32
 }
 
-func newGroup(name, host string, s *store, rec *record) (*group, error) {
+// newGroup starts a service of three backends, the first of which is the primary, in the given zones.
+func newGroup(name, host string, zones []string, s *store, rec *record) (*group, error) {
 	g := &group{name: name, rec: rec, store: s}
-	for i, zone := range []string{"a", "b", "c"} {
+	for i, zone := range zones {
 		listener, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return nil, err
 		}
 		b := &server{
 			id: fmt.Sprintf("i-%s%d", name, i+1), zone: zone, group: g, listener: listener, primary: i == 0, term: 1,
-			state: "ready", born: time.Now().UnixMilli(), slot: make(chan struct{}, slots),
+			state: "ready", born: time.Now().UnixMilli(), slot: make(chan struct{}, slots), open: make(map[net.Conn]bool),
 		}
 		g.all = append(g.all, b)
-		go b.accept()
-		go b.report()
+		go b.accept(listener)
+		go b.report(0)
 	}
-	duty, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return nil, err
-	}
-	g.duty = duty
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /promote", g.promote)
-	go func() { _ = http.Serve(duty, mux) }()
+	go g.expire()
 	return g, nil
 }
 
-// report writes the backend's entry at each heartbeat.
-func (b *server) report() {
+// report writes the backend's entry at each heartbeat, until the backend crashes.
+func (b *server) report(life int) {
 	for {
 		b.group.mu.Lock()
+		if b.down || b.life != life {
+			b.group.mu.Unlock()
+			return
+		}
+		b.lastReport = time.Now()
 		b.seq++
 		role := "replica"
 		if b.primary {
@@ -111,28 +122,118 @@
 	}
 }
 
-func (g *group) promote(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Service string `json:"service"`
-		ID      string `json:"id"`
+// expire removes the entries of backends that have been silent for three heartbeats.
+func (g *group) expire() {
+	for {
+		time.Sleep(100 * time.Millisecond)
+		g.mu.Lock()
+		var gone []string
+		for _, b := range g.all {
+			if b.down && !b.lastReport.IsZero() && time.Since(b.lastReport) > silentTimeout {
+				b.lastReport = time.Time{}
+				gone = append(gone, b.id)
+			}
+		}
+		g.mu.Unlock()
+		for _, id := range gone {
+			g.store.remove("servers", id)
+			g.rec.log("platform: the entry of %s has expired", id)
+		}
 	}
-	if json.NewDecoder(r.Body).Decode(&body) != nil || body.Service != g.name {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+}
+
+// crash ends a backend: it answers nothing any more and says nothing of itself.
+func (b *server) crash() {
+	b.group.mu.Lock()
+	b.down = true
+	for conn := range b.open {
+		_ = conn.Close()
+	}
+	b.group.mu.Unlock()
+	_ = b.listener.Close()
+	b.group.rec.log("backend %s crashes", b.id)
+}
+
+// restart starts a crashed backend again with its log. It is a replica if another one was promoted.
+func (b *server) restart() error {
+	listener, err := net.Listen("tcp", b.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	b.group.mu.Lock()
+	b.listener, b.down, b.held, b.seq, b.born = listener, false, 0, 0, time.Now().UnixMilli()
+	b.life++
+	for _, other := range b.group.all {
+		if other != b && other.term > b.term && other.primary {
+			b.primary, b.term = false, other.term
+			b.log = append([]commit(nil), other.log...)
+			b.applied = len(b.log)
+		}
+	}
+	life := b.life
+	b.group.mu.Unlock()
+	b.group.rec.log("backend %s is back", b.id)
+	go b.accept(listener)
+	go b.report(life)
+	return nil
+}
+
+// leader returns the primary of the highest term.
+func (g *group) leader() *server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var best *server
+	for _, b := range g.all {
+		if b.primary && (best == nil || b.term > best.term) {
+			best = b
+		}
 	}
+	return best
+}
+
+// newDuty starts the platform's promotion service for the groups.
+func newDuty(host string, groups []*group) (net.Listener, error) {
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /promote", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Service string `json:"service"`
+			ID      string `json:"id"`
+		}
+		if json.NewDecoder(r.Body).Decode(&body) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		for _, g := range groups {
+			if g.name == body.Service {
+				w.WriteHeader(g.promote(body.ID, r.Header))
+				return
+			}
+		}
+		w.WriteHeader(http.StatusBadRequest)
+	})
+	go func() { _ = http.Serve(listener, mux) }()
+	return listener, nil
+}
+
+// promote orders the promotion of a backend. It returns the status of the answer.
+func (g *group) promote(id string, header http.Header) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.all {
-		if b.id != body.ID {
+		if b.id != id || b.down {
 			continue
 		}
-		g.rec.log("platform: promote %s, holder %s, fence %s", b.id, r.Header.Get("Crocusyoke-Duty-Holder"), r.Header.Get("Crocusyoke-Fence-Token"))
+		g.rec.log("platform: promote %s, holder %s, fence %s", b.id, header.Get("Crocusyoke-Duty-Holder"), header.Get("Crocusyoke-Fence-Token"))
 		if !b.primary {
 			time.AfterFunc(promoteTime, func() { g.lead(b) })
 		}
-		return
+		return http.StatusOK
 	}
-	w.WriteHeader(http.StatusConflict)
+	return http.StatusConflict
 }
 
 // lead makes b the primary of the next term with the log that it has.
@@ -144,6 +245,9 @@
 	}
 	b.term++
 	for _, other := range g.all {
+		if other.down {
+			continue
+		}
 		other.primary, other.term, other.held = other == b, b.term, 0
 		other.log = append([]commit(nil), b.log...)
 		other.applied = len(other.log)
@@ -158,14 +262,16 @@
 	return fmt.Sprintf("%d.%d", b.log[n-1].term, n)
 }
 
-// append commits items at the primary. The caller holds the group's mu.
-func (b *server) append(items map[string]string) {
+// append commits items at the primary. It reports whether a replica has received them. The caller
+// holds the group's mu.
+func (b *server) append(items map[string]string) (received bool) {
 	b.log = append(b.log, commit{b.term, items})
 	b.applied = len(b.log)
 	for _, r := range b.group.all {
-		if r == b || r.held > 0 {
+		if r == b || r.held > 0 || r.down || r.deaf {
 			continue
 		}
+		received = true
 		r.log = append([]commit(nil), b.log...)
 		n := len(r.log)
 		time.AfterFunc(replicaLag, func() {
@@ -174,6 +280,7 @@
 			r.applied = max(r.applied, min(n, len(r.log)))
 		})
 	}
+	return received
 }
 
 // value returns what a read of item sees. The caller holds the group's mu.
@@ -186,9 +293,9 @@
 	return "", false
 }
 
-func (b *server) accept() {
+func (b *server) accept(listener net.Listener) {
 	for {
-		conn, err := b.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -207,6 +314,8 @@
 	writes   map[string]string
 	values   map[string]string
 	prepared map[string][2]string
+	// unacknowledged is set by a commit that no replica has received though one must.
+	unacknowledged bool
 }
 
 var connectionNumber atomic.Uint64
@@ -227,6 +336,7 @@
 		return
 	}
 	b.group.mu.Lock()
+	b.open[conn] = true
 	full := b.conns >= maxConns
 	if !full {
 		b.conns++
@@ -258,6 +368,7 @@
 	}
 	s.b.group.mu.Lock()
 	s.b.conns--
+	delete(s.b.open, s.conn)
 	s.b.group.mu.Unlock()
 }
 
@@ -281,6 +392,12 @@
 	}
 	before := s.tx
 	rows, failure := s.run(text)
+	if s.unacknowledged {
+		// No replica has received the commit: it can't be acknowledged.
+		s.b.group.rec.log("backend %s: %s waits for a replica", s.name, id)
+		time.Sleep(unacknowledgedTime)
+		return false
+	}
 	if failure != "" && s.tx == 'T' {
 		s.tx = 'E'
 	}
@@ -386,11 +503,14 @@
 			return nil, "READONLY " + s.b.id
 		}
 		item, data, _ := strings.Cut(rest, " ")
+		if len(data) > maxKept {
+			data = fmt.Sprintf("%d bytes", len(data))
+		}
 		if s.tx == 'T' {
 			s.writes[item] = data
 			return nil, ""
 		}
-		s.b.append(map[string]string{item: data})
+		s.unacknowledged = !s.b.append(map[string]string{item: data}) && g.sync
 		return nil, ""
 	}
 	return nil, "MALFORMED unknown statement"
@@ -431,7 +551,7 @@
 	case !s.b.primary:
 		return "READONLY " + s.b.id
 	}
-	s.b.append(writes)
+	s.unacknowledged = !s.b.append(writes) && s.b.group.sync
 	return ""
 }
 
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,7 @@
 
 var cases = map[string]playFunc{
 	"route-put-back": playRoutePutBack,
+	"sync-lost":      playSyncLost,
 }
 
 func main() { os.Exit(run()) }
@@ -57,12 +60,16 @@
 		return exitNotRun
 	}
 	defer d.stopAll()
-	timer := time.AfterFunc(maxRunTime, func() {
-		rec.log("could not run: took too long")
+	giveUp := func(why string) {
+		rec.log("could not run: %s", why)
 		d.stopAll()
 		os.Exit(exitNotRun)
-	})
+	}
+	timer := time.AfterFunc(maxRunTime, func() { giveUp("took too long") })
 	defer timer.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { giveUp((<-signals).String()) }()
 	broken, how, err := cases[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/standins/nodes.go
+++ b/review/standins/nodes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -34,9 +34,18 @@
 	ready     string
 	storeAddr string
 	settings  string
-	command   *exec.Cmd
-	output    *outputReader
-	done      chan struct{}
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	output  *outputReader
+	done    chan struct{}
+}
+
+// current returns the process that was started last, and a channel that is closed when it has ended.
+func (n *node) current() (*os.Process, chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.command.Process, n.done
 }
 
 // deployment is three nodes in three zones, the platform's store and one database service.
@@ -45,11 +54,23 @@
 	dir   string
 	host  string
 	store *store
-	group *group
-	nodes []*node
+	// group is the first of groups.
+	group  *group
+	groups []*group
+	duty   net.Listener
+	nodes  []*node
 
 	mu      sync.Mutex
 	started []*node
+	// closed is set once no process may be started any more.
+	closed bool
+}
+
+// services are the database services and the zones of their backends.
+var services = map[string][]string{
+	"ledger": {"a", "b", "c"},
+	"stock":  {"b", "c", "a"},
+	"orders": {"c", "a", "b"},
 }
 
 // newDeployment starts the stand-ins. Nodes are started by startNodes.
@@ -61,7 +82,17 @@
 	if d.store, err = newStore(d.host + ":0"); err != nil {
 		return nil, err
 	}
-	if d.group, err = newGroup("ledger", d.host, d.store, rec); err != nil {
+	for name, zones := range services {
+		g, err := newGroup(name, d.host, zones, d.store, rec)
+		if err != nil {
+			return nil, err
+		}
+		d.groups = append(d.groups, g)
+		if name == "ledger" {
+			d.group = g
+		}
+	}
+	if d.duty, err = newDuty(d.host, d.groups); err != nil {
 		return nil, err
 	}
 	for i, zone := range []string{"a", "b", "c"} {
@@ -147,7 +178,7 @@
 duties = ["failover"]
 duty_per_s = 50.0
 `, n.name, n.ip, n.zone, first, heartbeat.Milliseconds(), n.front, n.ready, n.ip+":8462", ramMB, stable.Milliseconds(),
-		int(grace.Seconds()), configApply.Milliseconds(), n.storeAddr, d.group.duty.Addr())
+		int(grace.Seconds()), configApply.Milliseconds(), n.storeAddr, d.duty.Addr())
 }
 
 // outputReader reads what a process writes to its standard output, and can stop doing so.
@@ -217,20 +248,26 @@
 	command.Dir = root
 	command.Env = append(basicEnv(), "CROCUSYOKE_NODE_FILE="+n.settings)
 	command.Stdout, command.Stderr = write, write
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errors.New("the case is over")
+	}
 	if err := command.Start(); err != nil {
 		return err
 	}
 	_ = write.Close()
-	n.command, n.output, n.done = command, &outputReader{}, make(chan struct{})
-	go func() { n.output.copy(log, read); _ = read.Close(); _ = log.Close() }()
-	go func(done chan struct{}) {
+	output, done := &outputReader{}, make(chan struct{})
+	n.mu.Lock()
+	n.command, n.output, n.done = command, output, done
+	n.mu.Unlock()
+	go func() { output.copy(log, read); _ = read.Close(); _ = log.Close() }()
+	go func() {
 		err := command.Wait()
 		d.rec.log("process %s ended: %v", n.name, err)
 		close(done)
-	}(n.done)
-	d.mu.Lock()
+	}()
 	d.started = append(d.started, n)
-	d.mu.Unlock()
 	d.rec.log("process %s started, pid %d", n.name, command.Process.Pid)
 	return nil
 }
@@ -283,8 +320,9 @@
 
 // isRunning reports whether the process has not ended.
 func (n *node) isRunning() bool {
+	_, done := n.current()
 	select {
-	case <-n.done:
+	case <-done:
 		return false
 	default:
 		return true
@@ -295,15 +333,18 @@
 func (d *deployment) stopAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.closed = true
 	for _, n := range d.started {
 		n.output.goOn()
 		if n.isRunning() {
-			_ = n.command.Process.Signal(syscall.SIGCONT)
-			_ = n.command.Process.Kill()
+			process, _ := n.current()
+			_ = process.Signal(syscall.SIGCONT)
+			_ = process.Kill()
 		}
 	}
 	for _, n := range d.started {
-		<-n.done
+		_, done := n.current()
+		<-done
 	}
 }
 
@@ -316,11 +357,13 @@
 	return false
 }
 
-// route is a route of the desired state.
-func route(database, kind string) map[string]any {
+// route is a route of the desired state to the service ledger.
+func route(database, kind string) map[string]any { return routeTo("ledger", database, kind) }
+
+func routeTo(service, database, kind string) map[string]any {
 	r := map[string]any{
 		"name": "r-" + database, "database": database, "prefix": "/", "type": kind, "timeout_ms": 1000, "goal_ms": 200,
-		"prio": 1, "service": "ledger", "attempts": 2, "public": false,
+		"prio": 1, "service": service, "attempts": 2, "public": false,
 	}
 	if kind != "primary" {
 		r["max_staleness_ms"] = 1500
@@ -335,19 +378,20 @@
 
 // writeConfig writes a desired state. It returns when the store has acknowledged it.
 func (d *deployment) writeConfig(version int, what string, routes []any, tenants []any) {
-	value, _ := json_(map[string]any{
-		"version": version, "routes": routes, "tenants": tenants,
-		"services": []any{map[string]any{
-			"name": "ledger", "health_path": "/healthz", "max_conns": maxConns, "protocol": "h1", "tls": false, "sync_replicas": 0,
-		}},
+	var all []any
+	for _, g := range d.groups {
+		syncReplicas := 0
+		if g.sync {
+			syncReplicas = 1
+		}
+		all = append(all, map[string]any{
+			"name": g.name, "health_path": "/healthz", "max_conns": maxConns, "protocol": "h1", "tls": false, "sync_replicas": syncReplicas,
+		})
+	}
+	value, _ := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "tenants": tenants, "services": all,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": txIdle},
 	})
 	d.store.put("op", "config", value)
 	d.rec.log("operator: version %d is acknowledged: %s", version, what)
 }
-
-// listenerHost returns the host of an address.
-func listenerHost(address string) string {
-	host, _, _ := net.SplitHostPort(address)
-	return strings.TrimSpace(host)
-}
