--- a/review/standins/case_sync.go
+++ b/review/standins/case_sync.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -31,7 +30,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	if trouble {
-		go g.writeOtherEntriesOf(inSync, stop)
+		go g.writeEntriesOf([]*server{inSync}, syncAgentDelay, stop)
 		g.mu.Lock()
 		deaf.deaf = true
 		g.mu.Unlock()
@@ -91,27 +90,3 @@
 	}
 	return written, nil
 }
-
-// writeOtherEntriesOf writes, shortly after each heartbeat of b, an entry under its id whose state
-// has another type.
-func (g *group) writeOtherEntriesOf(b *server, stop chan struct{}) {
-	var seen time.Time
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(10 * time.Millisecond):
-		}
-		g.mu.Lock()
-		latest := b.lastReport
-		g.mu.Unlock()
-		if !latest.After(seen) || time.Since(latest) < syncAgentDelay {
-			continue
-		}
-		seen = latest
-		value, _ := json.Marshal(map[string]any{
-			"service": g.name, "addr": b.listener.Addr().String(), "zone": b.zone, "slots": slots, "state": 1, "seq": 1,
-		})
-		g.store.put("servers", b.id, value)
-	}
-}
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -69,7 +69,9 @@
 	// down is true while the backend has crashed; life counts its starts.
 	down bool
 	// deaf is true while a replica receives nothing.
-	deaf       bool
+	deaf bool
+	// dark is not nil while the backend is silent though it runs; it is closed when that ends.
+	dark       chan struct{}
 	life       int
 	lastReport time.Time
 	open       map[net.Conn]bool
@@ -102,7 +104,7 @@
 func (b *server) report(life int) {
 	for {
 		b.group.mu.Lock()
-		if b.down || b.life != life {
+		if b.down || b.dark != nil || b.life != life {
 			b.group.mu.Unlock()
 			return
 		}
@@ -129,7 +131,7 @@
 		g.mu.Lock()
 		var gone []string
 		for _, b := range g.all {
-			if b.down && !b.lastReport.IsZero() && time.Since(b.lastReport) > silentTimeout {
+			if (b.down || b.dark != nil) && !b.lastReport.IsZero() && time.Since(b.lastReport) > silentTimeout {
 				b.lastReport = time.Time{}
 				gone = append(gone, b.id)
 			}
@@ -154,6 +156,52 @@
 	b.group.rec.log("backend %s crashes", b.id)
 }
 
+// learnTime is how long an old primary goes on after it can reach the new one.
+const learnTime = time.Second
+
+// goDark makes the backend silent for a time: it runs, but nothing reaches it and nothing leaves it.
+// Then it goes on in the role that it had. If another one was promoted meanwhile, it becomes its replica
+// learnTime later.
+func (b *server) goDark(length time.Duration) {
+	g := b.group
+	light := make(chan struct{})
+	g.mu.Lock()
+	b.dark = light
+	b.life++
+	g.mu.Unlock()
+	g.rec.log("backend %s goes dark", b.id)
+	time.Sleep(length)
+	g.mu.Lock()
+	b.dark = nil
+	life := b.life
+	g.mu.Unlock()
+	close(light)
+	g.rec.log("backend %s is no longer dark, primary %t, term %d", b.id, b.primary, b.term)
+	go b.report(life)
+	time.Sleep(learnTime)
+	if l := g.leader(); l != nil && l != b {
+		g.mu.Lock()
+		b.primary, b.term, b.held = false, l.term, 0
+		b.log = append([]commit(nil), l.log...)
+		b.applied = len(b.log)
+		g.mu.Unlock()
+		g.rec.log("backend %s has learned of %s and is its replica", b.id, l.id)
+	}
+}
+
+// awaitLight waits while the backend is dark and reports whether it was: what reached it then is
+// lost, and its connection is closed.
+func (b *server) awaitLight() bool {
+	b.group.mu.Lock()
+	dark := b.dark
+	b.group.mu.Unlock()
+	if dark == nil {
+		return false
+	}
+	<-dark
+	return true
+}
+
 // restart starts a crashed backend again with its log. It is a replica if another one was promoted.
 func (b *server) restart() error {
 	listener, err := net.Listen("tcp", b.listener.Addr().String())
@@ -224,7 +272,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.all {
-		if b.id != id || b.down {
+		if b.id != id || b.down || b.dark != nil {
 			continue
 		}
 		g.rec.log("platform: promote %s, holder %s, fence %s", b.id, header.Get("Crocusyoke-Duty-Holder"), header.Get("Crocusyoke-Fence-Token"))
@@ -245,7 +293,7 @@
 	}
 	b.term++
 	for _, other := range g.all {
-		if other.down {
+		if other.down || other.dark != nil {
 			continue
 		}
 		other.primary, other.term, other.held = other == b, b.term, 0
@@ -268,7 +316,7 @@
 	b.log = append(b.log, commit{b.term, items})
 	b.applied = len(b.log)
 	for _, r := range b.group.all {
-		if r == b || r.held > 0 || r.down || r.deaf {
+		if r == b || r.primary || r.held > 0 || r.down || r.deaf || r.dark != nil || r.term > b.term {
 			continue
 		}
 		received = true
@@ -322,6 +370,9 @@
 
 func (b *server) serve(conn net.Conn) {
 	defer conn.Close()
+	if b.awaitLight() {
+		return
+	}
 	in := bufio.NewReaderSize(conn, 64<<10)
 	line, err := in.ReadString('\n')
 	if err != nil {
@@ -355,7 +406,7 @@
 	s.ready(nil)
 	for {
 		line, err := in.ReadString('\n')
-		if err != nil || !s.handle(strings.TrimRight(line, "\r\n")) {
+		if err != nil || b.awaitLight() || !s.handle(strings.TrimRight(line, "\r\n")) {
 			return
 		}
 	}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]playFunc{
 	"route-put-back": playRoutePutBack,
 	"sync-lost":      playSyncLost,
+	"dark-primary":   playDarkPrimary,
 }
 
 func main() { os.Exit(run()) }
