--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]playFunc{
 	"route-put-back": playRoutePutBack,
+	"stalled-log":    playStalledLog,
 	"other-entries":  playEntries,
 	"sync-lost":      playSyncLost,
 	"dark-primary":   playDarkPrimary,
