--- a/review/standins/case_dark.go
+++ b/review/standins/case_dark.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -10,15 +9,19 @@
 const (
 	// darkTime is how long the primary is dark.
 	darkTime = 7 * time.Second
-	// darkAgentDelay is how long after the heartbeats of the two other backends another writer writes
-	// their entries; it begins once one of them leads.
-	darkAgentDelay = 150 * time.Millisecond
+	// cutTime is how long the two other backends are cut off from the store.
+	cutTime = 5 * time.Second
+	// darkAfter and cutAfter are when this begins, counted from a heartbeat of the others. The entries of
+	// the others are then away for a short while after the old primary is back.
+	darkAfter = heartbeat - 650*time.Millisecond
+	cutAfter  = 2*heartbeat - 50*time.Millisecond
 	// thaw is how long after a disrupted link a commit isn't counted.
 	thaw = 300 * time.Millisecond
 )
 
-// playDarkPrimary: the primary goes dark and is replaced. When it is back, entries of the two other
-// backends can't be used for a while. No commit at the old primary may be acknowledged then.
+// playDarkPrimary: the primary goes dark and is replaced. Meanwhile the two other backends are cut off
+// from the store for some seconds, but not from the nodes. When the old primary is back, no commit that
+// it makes may be acknowledged.
 func playDarkPrimary(d *deployment, trouble bool) (bool, string, error) {
 	g := d.group
 	d.writeConfig(4, "route orders", []any{route("orders", "primary")}, []any{tenant("maker", 400, "key1")})
@@ -26,25 +29,22 @@
 		return false, "", err
 	}
 	old := g.all[0]
-	stop := make(chan struct{})
-	defer close(stop)
 	back := make(chan time.Time, 1)
 	if trouble {
-		go func() {
+		// The moments are counted from a heartbeat of the others.
+		start := g.nextHeartbeat(g.all[1])
+		time.AfterFunc(time.Until(start.Add(darkAfter)), func() {
 			time.AfterFunc(darkTime, func() { back <- time.Now() })
 			old.goDark(darkTime)
-		}()
-		if !waitFor(darkTime-time.Second, func() bool { return g.leader() != old }) {
-			return false, "", errors.New("no other backend was promoted")
-		}
-		go g.writeEntriesOf(g.all[1:], darkAgentDelay, stop)
+		})
+		time.AfterFunc(time.Until(start.Add(cutAfter)), func() { g.cutOff(g.all[1:], cutTime) })
 	}
 	var returned time.Time
 	acked := make(map[string]bool)
 	wrong := 0
 	// Each write has a session of its own.
 	i := 0
-	for end := time.Now().Add(darkTime + 5*time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(darkTime + 7*time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		select {
 		case returned = <-back:
 		default:
@@ -78,3 +78,17 @@
 	how := fmt.Sprintf("%d writes were committed at the old primary after the promotion and acknowledged; %d of %d acknowledged writes are missing in the log of %s, which leads", wrong, missing, len(acked), leader.id)
 	return trouble && wrong > 0, how, nil
 }
+
+// nextHeartbeat waits for the next heartbeat of a backend and returns its time.
+func (g *group) nextHeartbeat(b *server) time.Time {
+	last := func() time.Time {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return b.lastReport
+	}
+	before := last()
+	for last().Equal(before) {
+		time.Sleep(time.Millisecond)
+	}
+	return last()
+}
--- a/review/standins/case_sync.go
+++ b/review/standins/case_sync.go
@@ -10,15 +10,18 @@
 	// deafTime is how long a replica receives nothing; syncCrashTime is how long the primary is away.
 	deafTime      = 6500 * time.Millisecond
 	syncCrashTime = 8 * time.Second
-	// syncAgentDelay is how long after a heartbeat the other writer writes an entry.
-	syncAgentDelay = 350 * time.Millisecond
+	// crashAfter is when the primary crashes, counted from a heartbeat of the other replica, which is cut
+	// off from the store from cutAfter on, for cutTime. The node then promotes at the time when the
+	// replica's entry has been away for so long that the node drops it from its list.
+	crashAfter = heartbeat + 6050*time.Millisecond
 	// writesBefore is how long consumers write while the replica is deaf.
 	writesBefore = 2 * time.Second
 )
 
 // playSyncLost: the service has sync_replicas 1. One replica receives nothing for a while, and the
-// primary crashes meanwhile. Another writer writes entries of the other replica, which has all
-// acknowledged commits. They must be in the log of the backend that is promoted.
+// primary crashes meanwhile. The other replica, which has all acknowledged commits, is cut off from the
+// store for some seconds, but not from the nodes. What was acknowledged must be in the log of the
+// backend that is promoted.
 func playSyncLost(d *deployment, trouble bool) (bool, string, error) {
 	g := d.group
 	g.sync = true
@@ -27,10 +30,10 @@
 		return false, "", err
 	}
 	primary, inSync, deaf := g.all[0], g.all[1], g.all[2]
-	stop := make(chan struct{})
-	defer close(stop)
 	if trouble {
-		go g.writeEntriesOf([]*server{inSync}, syncAgentDelay, stop)
+		start := g.nextHeartbeat(inSync)
+		time.AfterFunc(time.Until(start.Add(cutAfter)), func() { g.cutOff([]*server{inSync}, cutTime) })
+		time.Sleep(time.Until(start.Add(crashAfter - writesBefore)))
 		g.mu.Lock()
 		deaf.deaf = true
 		g.mu.Unlock()
--- a/review/standins/database.go
+++ b/review/standins/database.go
@@ -68,6 +68,8 @@
 	conns   int
 	// down is true while the backend has crashed; life counts its starts.
 	down bool
+	// cut is true while the backend can't reach the store.
+	cut bool
 	// deaf is true while a replica receives nothing.
 	deaf bool
 	// dark is not nil while the backend is silent though it runs; it is closed when that ends.
@@ -108,6 +110,11 @@
 			b.group.mu.Unlock()
 			return
 		}
+		if b.cut {
+			b.group.mu.Unlock()
+			time.Sleep(heartbeat)
+			continue
+		}
 		b.lastReport = time.Now()
 		b.seq++
 		role := "replica"
@@ -131,7 +138,7 @@
 		g.mu.Lock()
 		var gone []string
 		for _, b := range g.all {
-			if (b.down || b.dark != nil) && !b.lastReport.IsZero() && time.Since(b.lastReport) > silentTimeout {
+			if !b.lastReport.IsZero() && time.Since(b.lastReport) > silentTimeout {
 				b.lastReport = time.Time{}
 				gone = append(gone, b.id)
 			}
@@ -156,6 +163,21 @@
 	b.group.rec.log("backend %s crashes", b.id)
 }
 
+// cutOff keeps the backends from the store for a time. Nothing else is kept from them.
+func (g *group) cutOff(backends []*server, length time.Duration) {
+	set := func(cut bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, b := range backends {
+			b.cut = cut
+			g.rec.log("backend %s is cut off from the store: %t", b.id, cut)
+		}
+	}
+	set(true)
+	time.Sleep(length)
+	set(false)
+}
+
 // learnTime is how long an old primary goes on after it can reach the new one.
 const learnTime = time.Second
 
