--- a/review/standins/case_sync.go
+++ b/review/standins/case_sync.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"strconv"
 	"time"
 )
 
@@ -10,10 +12,11 @@
 	// deafTime is how long a replica receives nothing; syncCrashTime is how long the primary is away.
 	deafTime      = 6500 * time.Millisecond
 	syncCrashTime = 8 * time.Second
-	// crashAfter is when the primary crashes, counted from a heartbeat of the other replica, which is cut
-	// off from the store from cutAfter on, for cutTime. The node then promotes at the time when the
-	// replica's entry has been away for so long that the node drops it from its list.
-	crashAfter = heartbeat + 6050*time.Millisecond
+	// defaultCrashMillis is when the primary crashes, in milliseconds after the last heartbeat of the other
+	// replica, which is cut off from the store before the next one, for cutTime. The node then promotes
+	// at the time when the replica's entry has been away for so long that the node drops it from its
+	// list. CRASH_AFTER_MS sets another moment.
+	defaultCrashMillis = 6050
 	// writesBefore is how long consumers write while the replica is deaf.
 	writesBefore = 2 * time.Second
 )
@@ -33,7 +36,7 @@
 	if trouble {
 		start := g.nextHeartbeat(inSync)
 		time.AfterFunc(time.Until(start.Add(cutAfter)), func() { g.cutOff([]*server{inSync}, cutTime) })
-		time.Sleep(time.Until(start.Add(crashAfter - writesBefore)))
+		time.Sleep(time.Until(start.Add(heartbeat + crashAfter() - writesBefore)))
 		g.mu.Lock()
 		deaf.deaf = true
 		g.mu.Unlock()
@@ -74,6 +77,15 @@
 	return missing > 0, fmt.Sprintf("%d of %d acknowledged writes are missing in the log of %s, which leads", missing, len(written), leader.id), nil
 }
 
+// crashAfter returns when the primary crashes (see defaultCrashMillis).
+func crashAfter() time.Duration {
+	millis, err := strconv.Atoi(os.Getenv("CRASH_AFTER_MS"))
+	if err != nil {
+		millis = defaultCrashMillis
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // writeItems writes items for writesBefore and returns those whose writes were acknowledged.
 func (d *deployment) writeItems() (map[string]bool, error) {
 	written := make(map[string]bool)
