Promotion: who is a member is decided apart from the list of the moment

Cause: an attempt matched the targets that had adopted its term against the targets listed at that moment. A replica whose entry was away for 6.6 s (cut off from the platform's store only) was dropped between its adoption and the Promote command: it still counted towards the majority, but its log was no longer compared.

Change: - controller/roster decides the members of the groups from the list and from this node's polls. A target without an entry is listed for 3 s as before. After that it is dropped if it was leaving or its polls fail, as before in effect; but while it answers it stays a member that gets no requests (Unlisted). In a group with synchronous replication silence is no proof, and it stays for a minute. - An attempt ends if a target that has adopted its term is a member no more. - In a group with sync_replicas so many targets must adopt a term that one of them has each acknowledged commit, and no replica is promoted alone. - An unlisted primary is replaced like a leaving one, once a listed replica receives its log.

Checks changed: three catalog tests read the names of all targets in the configuration. They now read those that get requests, at the same moments, and in addition check that the target is no member once its polls have failed. Nothing is checked later or less.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,8 +2,7 @@
 // the fleet.Config that nodes use.
 //
 // Invariant: each Config is computed from exactly one version of the configuration and one
-// state of the list. It contains no target whose group is not in the configuration and no
-// target whose entry cannot be decoded. The package uses no goroutines, locks or clocks.
+// state of the groups' members. It contains no target whose group is not in the configuration. The package uses no goroutines, locks or clocks.
 package catalog
 
 import (
@@ -33,9 +32,9 @@
 	Name string
 	// Connections is the maximum number of connections to each target, fleet-wide.
 	Connections int
-	// SynchronousReplication is true if the group uses synchronous replication: a commit is
-	// acknowledged only once a replica has it.
-	SynchronousReplication bool
+	// SyncReplicas is the number of replicas that must have received a commit before the primary
+	// acknowledges it; 0 if replication is asynchronous.
+	SyncReplicas int
 }
 
 // Target is one entry of the platform's list of targets.
@@ -46,6 +45,9 @@
 	Domain  string
 	Slots   int
 	Leaving bool
+	// Unlisted is true for a member of the group that the list no longer names (package
+	// controller/roster).
+	Unlisted bool
 	// StartedAt is when the target's process started, by its own clock, and Sequence numbers what
 	// that process has said about itself. Both are 0 if the entry does not state them.
 	StartedAt time.Time
@@ -66,7 +68,7 @@
 	Target(key string, value []byte) (target Target, ok bool)
 }
 
-// BuildConfig returns the Config for configuration c and the given targets.
+// BuildConfig returns the Config for configuration c and the given members of the groups.
 func BuildConfig(c *Configuration, targets []Target) *fleet.Config {
 	config := &fleet.Config{
 		Version:   c.Version,
@@ -76,7 +78,7 @@
 		Groups:    make([]fleet.Group, 0, len(c.Groups)),
 	}
 	for _, g := range c.Groups {
-		config.Groups = append(config.Groups, fleet.Group{Name: g.Name, Targets: groupTargets(g, targets)})
+		config.Groups = append(config.Groups, fleet.Group{Name: g.Name, SyncReplicas: g.SyncReplicas, Targets: groupTargets(g, targets)})
 	}
 	return config
 }
@@ -93,7 +95,8 @@
 			Domain:      t.Domain,
 			Slots:       t.Slots,
 			Connections: g.Connections,
-			Leaving:     t.Leaving,
+			Leaving:     t.Leaving || t.Unlisted,
+			Unlisted:    t.Unlisted,
 		})
 	}
 	slices.SortFunc(out, func(a, b fleet.Target) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -158,10 +158,10 @@
 	return primary != "" && g.isLeadingOwnTerm(now, primary) && g.observations[primary].polledAt.After(g.attempt.startedAt)
 }
 
-// hasHeldMajority reports whether a majority of the targets still holds the attempt's term. A
+// hasHeldQuorum reports whether a quorum of the targets still holds the attempt's term. A
 // target that has adopted the term counts until a poll sent after adoptedAt reports a lower term,
 // which shows that the target has lost its hold by a restart or a release.
-func (g *Group) hasHeldMajority() bool {
+func (g *Group) hasHeldQuorum() bool {
 	held := 0
 	for name := range g.attempt.adopted {
 		o := g.observations[name]
@@ -170,7 +170,7 @@
 			held++
 		}
 	}
-	return held >= g.majority()
+	return held >= g.quorum()
 }
 
 // settleDelay returns the delay between adoption by a majority and the Promote command. With
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -62,10 +62,7 @@
 // HandleAdoptResult handles the result of Adopt. status is the target's status after the command
 // and is ignored if err is not nil.
 func (g *Group) HandleAdoptResult(now time.Time, targetName string, term uint64, status target.Status, err error) {
-	if g.attempt.phase == PhaseIdle || term != g.attempt.term {
-		return
-	}
-	if err != nil {
+	if g.attempt.phase == PhaseIdle || term != g.attempt.term || err != nil || g.member(targetName) == nil {
 		return
 	}
 	if status.Term != term || status.Orderer != g.options.Self {
@@ -82,6 +79,21 @@
 	}
 }
 
+// hasLostAdopter reports whether a target that has adopted the attempt's term is no longer a member, so
+// that the log of the candidate would not be compared with its log. Once the Promote command was sent,
+// the choice is made.
+func (g *Group) hasLostAdopter() bool {
+	if g.attempt.phase == PhasePromote {
+		return false
+	}
+	for name := range g.attempt.adopted {
+		if g.member(name) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Group) tickFence(now time.Time) []Action {
 	caughtUp := g.attempt.fenced && g.hasCaughtUpReplica()
 	if !caughtUp && now.Sub(g.attempt.phaseStartedAt) < CatchUpTimeout {
@@ -108,7 +120,7 @@
 }
 
 func (g *Group) tickAdopt(now time.Time) []Action {
-	if len(g.attempt.adopted) >= g.majority() {
+	if len(g.attempt.adopted) >= g.quorum() {
 		g.attempt.phase = PhaseSettle
 		g.timeline.Adopted = now
 		g.timeline.Started = g.attempt.phaseStartedAt
@@ -123,7 +135,7 @@
 }
 
 func (g *Group) tickSettle(now time.Time) []Action {
-	if g.options.HeldTerms && (g.hasPrimaryReturned(now) || !g.hasHeldMajority()) {
+	if g.options.HeldTerms && (g.hasPrimaryReturned(now) || !g.hasHeldQuorum()) {
 		g.abandon(now)
 		return nil
 	}
@@ -142,7 +154,7 @@
 	return []Action{Promote{Target: g.attempt.candidate, Term: g.attempt.term}}
 }
 
-// chooseCandidate returns the adopter with the highest last log position. Among equals it prefers
+// chooseCandidate returns the adopter, all of which are members, with the highest last log position. Among equals it prefers
 // a target that is not leaving, then one in the orderer's failure domain, then the first.
 func (g *Group) chooseCandidate() string {
 	var best *Member
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -13,7 +13,10 @@
 	Name    string
 	Address string
 	Domain  string
+	// Leaving is true for a target that gets no new requests.
 	Leaving bool
+	// Unlisted is true for a leaving target that the platform's list no longer names.
+	Unlisted bool
 }
 
 // Options configures a Group.
@@ -40,6 +43,7 @@
 type Group struct {
 	options         Options
 	members         []Member
+	syncReplicas    int
 	observations    map[string]*observation
 	peerAnswers     map[answerKey]peerAnswer
 	peersQueriedAt  time.Time
@@ -100,6 +104,9 @@
 	}
 }
 
+// SetSyncReplicas sets the number of replicas that have each acknowledged commit besides the primary.
+func (g *Group) SetSyncReplicas(n int) { g.syncReplicas = n }
+
 // Observe records a target's answer to a poll that was sent at sentAt. It ignores the answer if a
 // later poll was answered before.
 func (g *Group) Observe(sentAt time.Time, status target.Status) {
@@ -107,6 +114,7 @@
 	if o.answered && sentAt.Before(o.polledAt) {
 		return
 	}
+	o.previousLast = o.status.Last
 	o.status = status
 	o.polledAt = sentAt
 	o.answered = true
@@ -163,6 +171,10 @@
 	if !g.enabled || len(g.members) == 0 {
 		return nil
 	}
+	if g.hasLostAdopter() {
+		g.abandon(now)
+		return nil
+	}
 	switch g.attempt.phase {
 	case PhaseFence:
 		return g.tickFence(now)
@@ -190,7 +202,7 @@
 		g.counters.QueryRounds++
 		actions = append(actions, g.peerQueries(primary)...)
 	}
-	if reason == reasonNone || !g.mayPromote || g.reachableCount(now) < g.majority() {
+	if reason == reasonNone || !g.mayPromote || g.reachableCount(now) < g.quorum() {
 		return actions
 	}
 	return append(actions, g.startAttempt(now, reason)...)
@@ -217,7 +229,7 @@
 	if g.isPrimaryIsolated(now, primary) {
 		return ReasonIsolated, false
 	}
-	if m := g.member(primary); m.Leaving && g.hasSuccessor(now, primary) {
+	if g.member(primary).Leaving && g.hasSuccessor(now, primary) {
 		return ReasonLeaving, false
 	}
 	return reasonNone, false
@@ -280,10 +292,15 @@
 }
 
 // hasSuccessor reports whether there is a reachable target, other than the primary, that is not
-// leaving.
+// leaving. For an unlisted primary, the target must also receive the primary's log: otherwise the
+// attempt could only promote the same primary again.
 func (g *Group) hasSuccessor(now time.Time, primary string) bool {
+	unlisted := g.member(primary).Unlisted
 	for _, m := range g.members {
-		if m.Name != primary && !m.Leaving && g.isReachable(now, m.Name) {
+		if m.Name == primary || m.Leaving || !g.isReachable(now, m.Name) {
+			continue
+		}
+		if !unlisted || !g.observations[m.Name].status.Last.Less(g.observations[primary].previousLast) {
 			return true
 		}
 	}
@@ -347,6 +364,20 @@
 
 func (g *Group) majority() int { return len(g.members)/2 + 1 }
 
+// quorum returns the number of targets that must adopt a term before one of them is promoted. It is a
+// majority, and so many that each acknowledged commit is in the log of one of them. If there are fewer
+// members than a commit needs, some are not known, and no number of adopters is enough.
+func (g *Group) quorum() int {
+	switch {
+	case g.syncReplicas == 0:
+		return g.majority()
+	case len(g.members) <= g.syncReplicas:
+		return len(g.members) + 1
+	default:
+		return max(g.majority(), len(g.members)-g.syncReplicas)
+	}
+}
+
 func (g *Group) observation(name string) *observation {
 	o := g.observations[name]
 	if o == nil {
--- a/internal/controller/promotion/state.go
+++ b/internal/controller/promotion/state.go
@@ -34,7 +34,8 @@
 // observation is what this node knows of a target from its polls.
 type observation struct {
 	status       target.Status
-	polledAt     time.Time // when the newest answered poll was sent
+	previousLast logpos.Position // last log position as of the answered poll before the newest
+	polledAt     time.Time       // when the newest answered poll was sent
 	answered     bool
 	missedPolls  int
 	firstMissAt  time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,9 @@
 type Group struct {
 	Name    string   `toml:"name" json:"name"`
 	Targets []Target `toml:"target" json:"targets"`
+	// SyncReplicas is the number of replicas that must have received a commit before the primary
+	// acknowledges it; 0 if replication is asynchronous. Only the platform's configuration states it.
+	SyncReplicas int `toml:"-" json:"sync_replicas,omitempty"`
 }
 
 // Target is a database server of a group.
@@ -126,6 +129,9 @@
 	Connections int `toml:"connections" json:"connections"`
 	// Leaving is true for a target that is being removed. It receives no new requests.
 	Leaving bool `toml:"leaving" json:"leaving"`
+	// Unlisted is true for a target that the platform's list no longer names but that may still run.
+	// It is also Leaving: it counts towards majorities and may be promoted, but gets no requests.
+	Unlisted bool `toml:"-" json:"unlisted,omitempty"`
 }
 
 // Source provides the Config in force. Only its implementation publishes a new Config;
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -134,7 +134,7 @@
 	})
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
-	n.config = config
+	n.config, n.polls = config, config
 	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
 	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,6 +79,9 @@
 	// if the callers' protocol has no cancellation.
 	cancel func(pid, secret uint32) bool
 	server *quicpeer.Server
+	// polls is told the results of polls of targets; nil if the list of targets alone decides which
+	// are members of their groups.
+	polls pollObserver
 	// drainStarted is closed when the graceful stop begins.
 	drainStarted chan struct{}
 }
@@ -107,6 +110,11 @@
 	fetch peer.ServeFunc
 }
 
+// pollObserver is told whether targets answer this node's polls.
+type pollObserver interface {
+	ObservePoll(targetName string, sentAt time.Time, answered bool)
+}
+
 // callerServer is the server that callers connect to.
 type callerServer interface {
 	Serve(ctx context.Context, listener net.Listener) error
@@ -286,13 +294,29 @@
 		FailFastWithoutPrimary: n.heldTerms,
 		Idempotent:             runIdempotent,
 		IdempotentBegin:        runIdempotentBegin,
-		Observe:                n.promotion.Observe,
-		Unreachable:            n.promotion.ObserveFailedPoll,
+		Observe:                n.observePoll,
+		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 	})
 	n.owners = newOwnerTracker(n)
 }
 
+// observePoll is owner.Options.Observe.
+func (n *Node) observePoll(group string, sentAt time.Time, status target.Status) {
+	n.promotion.Observe(group, sentAt, status)
+	if n.polls != nil {
+		n.polls.ObservePoll(status.Target, sentAt, true)
+	}
+}
+
+// observeFailedPoll is owner.Options.Unreachable.
+func (n *Node) observeFailedPoll(group, targetName string, sentAt time.Time) {
+	n.promotion.ObserveFailedPoll(group, targetName, sentAt)
+	if n.polls != nil {
+		n.polls.ObservePoll(targetName, sentAt, false)
+	}
+}
+
 // promotionLease returns the leases that guard promotions, or nil if promotions need no lease.
 // A nil *lease.Keeper must not be returned, since the interface would then not be nil.
 func (n *Node) promotionLease() promotion.Lease {
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -36,23 +36,13 @@
 	return next.Version > d.version()
 }
 
-// publish derives the configuration from the tables, puts it in force and notifies the
+// publish derives the configuration from the document and the members, puts it in force and notifies the
 // subscribers. The caller holds r.mu.
 func (r *Runner) publish() {
-	r.decodeConfigurationRow()
 	if r.document.decoded == nil {
 		return
 	}
-	var targets []catalog.Target
-	for _, t := range r.decodedTargets() {
-		targets = append(targets, t)
-	}
-	for _, kept := range r.retained {
-		if kept.rowVersion == 0 {
-			targets = append(targets, kept.target)
-		}
-	}
-	config := catalog.BuildConfig(r.document.decoded, targets)
+	config := catalog.BuildConfig(r.document.decoded, r.roster.Targets())
 	r.current.Store(config)
 	for _, f := range r.subscribers {
 		f(config)
--- a/internal/run/catalog/restore_test.go
+++ b/internal/run/catalog/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/controller/roster"
 	"crocusyoke/internal/platform"
 )
 
@@ -148,8 +149,10 @@
 		restoreAndTell(r, f, lost)
 		time.Sleep(1900 * time.Millisecond)
 		must.Eq(t, "t1 t2 t3", r.targetNames())
-		time.Sleep(2 * removedTargetRetention)
+		time.Sleep(2 * roster.ListedRetention)
 		must.Eq(t, "t1 t2", r.targetNames())
+		r.failPolls("t3")
+		must.Eq(t, "t1 t2", r.memberNames())
 	})
 }
 
@@ -317,9 +320,11 @@
 		f.set(platform.TableTargets, "t2", "", true)
 		for range 9 {
 			r.ObservePeer(t.Context(), "other", other.Knowledge())
+			r.ObservePoll("t2", time.Now(), false)
 			time.Sleep(500 * time.Millisecond)
 		}
 		must.Eq(t, "t1", r.targetNames())
+		must.Eq(t, "t1", r.memberNames())
 	})
 }
 
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -25,8 +25,8 @@
 
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
-	"crocusyoke/internal/contain"
 	"crocusyoke/internal/controller/reader"
+	"crocusyoke/internal/controller/roster"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
@@ -96,8 +96,11 @@
 	document   document
 	// decodedRow is the revision of the configuration's row that was last decoded.
 	decodedRow platform.Revision
-	// retained holds the targets that are kept although their rows are missing or older.
-	retained map[string]retainedTarget
+	// roster holds the members of the groups. decodedTargets holds the entries that its last change
+	// was made from, by key. advancing is true while advanceRoster runs.
+	roster         *roster.Roster
+	decodedTargets map[string]decodedTarget
+	advancing      bool
 	// retainedNodes holds the rows of nodes that a restore has lost, until nodesRetainedUntil.
 	retainedNodes      map[string]platform.Row
 	nodesRetainedUntil time.Time
@@ -112,7 +115,7 @@
 func New(o Options) *Runner {
 	eraContext, endEra := context.WithCancel(context.Background())
 	running, stop := context.WithCancel(context.Background())
-	return &Runner{
+	r := &Runner{
 		o:             o,
 		random:        o.Random,
 		role:          reader.NewRole(o.Self, o.Clock.Now(), o.Random),
@@ -123,9 +126,10 @@
 		endEra:        endEra,
 		running:       running,
 		stop:          stop,
-		retained:      make(map[string]retainedTarget),
 		retainedNodes: make(map[string]platform.Row),
 	}
+	r.roster = roster.New(roster.Options{IsGroup: r.isGroup, IsSynchronous: r.isSynchronous})
+	return r
 }
 
 // Current implements fleet.Source.
@@ -186,13 +190,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	former, before := t.followed, r.decodedTargets()
+	former := t.followed
 	if !change() {
 		return
 	}
 	r.Counters.Add(changeCounters[name], 1)
 	restored := r.noteRestored(name, t, former)
-	r.retainTargets(before, restored && name == platform.TableTargets)
+	r.decodeConfigurationRow()
+	if name == platform.TableTargets {
+		r.updateRoster(restored)
+	}
 	r.publish()
 }
 
@@ -235,16 +242,3 @@
 	r.knowsNodes = true
 	r.mu.Unlock()
 }
-
-// decodeTarget decodes a target's row. A row that cannot be decoded names no target to use.
-func (r *Runner) decodeTarget(key string, row platform.Row) (t catalog.Target, ok bool) {
-	t, err := contain.Call("decode target", func() (catalog.Target, error) {
-		decoded, valid := r.o.Decoder.Target(key, row.Value)
-		ok = valid
-		return decoded, nil
-	})
-	if err != nil {
-		_ = r.o.Logger.Log("event", "target unreadable", "target", key, "row_version", row.Version, "err", err)
-	}
-	return t, ok && err == nil
-}
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -17,6 +17,7 @@
 
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/controller/roster"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
@@ -214,14 +215,36 @@
 	return r
 }
 
+// targetNames returns the names of the targets that get requests, memberNames those of all members of
+// the group.
 func (r *Runner) targetNames() string {
+	return r.namesOf(func(t fleet.Target) bool { return !t.Leaving })
+}
+
+func (r *Runner) memberNames() string {
+	return r.namesOf(func(fleet.Target) bool { return true })
+}
+
+func (r *Runner) namesOf(isWanted func(fleet.Target) bool) string {
 	var names []string
 	for _, target := range r.Current().Groups[0].Targets {
-		names = append(names, target.Name)
+		if isWanted(target) {
+			names = append(names, target.Name)
+		}
 	}
 	return strings.Join(names, " ")
 }
 
+// failPolls makes the targets of the given names unreachable for this node.
+func (r *Runner) failPolls(names ...string) {
+	for range 5 {
+		for _, name := range names {
+			r.ObservePoll(name, time.Now(), false)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 func setInitialRows(f *fakeFeed) {
 	f.set(platform.TableConfiguration, "config", "1", false)
 	f.set(platform.TableTargets, "t1", "a1", false)
@@ -292,8 +315,10 @@
 		time.Sleep(1900 * time.Millisecond)
 		must.Eq(t, "t1 t2", r.targetNames())
 		f.set(platform.TableTargets, "t2", "a2", false)
-		time.Sleep(2 * removedTargetRetention)
+		time.Sleep(2 * roster.ListedRetention)
 		must.Eq(t, "t2", r.targetNames())
+		r.failPolls("t1", "t2")
+		must.Eq(t, "t2", r.memberNames())
 	})
 }
 
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -231,6 +231,7 @@
 	g.mu.Lock()
 	g.members = members(listed)
 	g.controller.SetMembers(g.members)
+	g.controller.SetSyncReplicas(listed.SyncReplicas)
 	var lease promotion.LeaseState
 	if r.options.Lease != nil {
 		lease = r.leaseState(g.name)
@@ -254,7 +255,7 @@
 func members(listed *fleet.Group) []promotion.Member {
 	all := make([]promotion.Member, len(listed.Targets))
 	for i, t := range listed.Targets {
-		all[i] = promotion.Member{Name: t.Name, Address: t.Address, Domain: t.Domain, Leaving: t.Leaving}
+		all[i] = promotion.Member{Name: t.Name, Address: t.Address, Domain: t.Domain, Leaving: t.Leaving, Unlisted: t.Unlisted}
 	}
 	return all
 }
