Terms: a replaced primary is not believed because the others are out of sight

Cause: the highest term was the highest among the targets listed at the moment. While the entries of the two others were away, it went back from 2 to 1, and the old primary alone was "every target of the group".

Change: package termfloor remembers the highest own term of former members for a minute after their last answer. Evidence and promotion count it: a primary of a lower term is neither confirmed nor kept, it has to be promoted to lead again. A group that was set up anew with low terms is accepted after that minute.

--- a/internal/controller/promotion/held.go
+++ b/internal/controller/promotion/held.go
@@ -10,9 +10,10 @@
 	return g.options.HeldTerms && g.isReachable(now, primary) && g.observations[primary].status.OwnTerm >= g.maxOwnTerm()
 }
 
-// maxOwnTerm returns the highest term that any target reported as its own, leaving out holds.
+// maxOwnTerm returns the highest term that any target, former members included, reported as its own,
+// leaving out holds.
 func (g *Group) maxOwnTerm() uint64 {
-	var highest uint64
+	highest := g.floor.Term()
 	for _, o := range g.observations {
 		if o.answered {
 			highest = max(highest, o.status.OwnTerm)
--- a/internal/controller/promotion/members_test.go
+++ b/internal/controller/promotion/members_test.go
@@ -124,3 +124,20 @@
 	h.advance(10 * time.Second)
 	must.SliceNotEmpty(t, h.promoted)
 }
+
+// TestReplacedPrimaryIsKeptAlone guards against a replaced primary that is kept because the targets of
+// the higher term are members no more. It has to be promoted to lead again.
+func TestReplacedPrimaryIsKeptAlone(t *testing.T) {
+	h := newHeldHarness(t)
+	h.adoptsTerms = true
+	for _, name := range []string{"r1", "r2"} {
+		s := h.status[name]
+		s.Term, s.OwnTerm = 2, 2
+		h.status[name] = s
+	}
+	h.advance(100 * time.Millisecond)
+	h.remove("r1", "r2")
+	h.advance(10 * time.Second)
+	must.SliceContains(t, h.promoted, "p")
+	must.Eq(t, 3, h.group.OrderedTerm())
+}
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"crocusyoke/internal/controller/termfloor"
 	"crocusyoke/internal/target"
 )
 
@@ -45,6 +46,7 @@
 	members         []Member
 	syncReplicas    int
 	observations    map[string]*observation
+	floor           termfloor.Floor
 	peerAnswers     map[answerKey]peerAnswer
 	peersQueriedAt  time.Time
 	attempt         attempt
@@ -94,13 +96,18 @@
 	g.enabled = enabled
 }
 
-// SetMembers replaces the group's targets and forgets what was observed of removed ones.
+// SetMembers replaces the group's targets. Of a removed one only the term that it was in is remembered
+// (package termfloor).
 func (g *Group) SetMembers(members []Member) {
 	g.members = members
-	for name := range g.observations {
-		if g.member(name) == nil {
-			delete(g.observations, name)
+	for name, o := range g.observations {
+		if g.member(name) != nil {
+			continue
+		}
+		if o.answered && g.options.HeldTerms {
+			g.floor.Leave(o.status.OwnTerm, o.polledAt)
 		}
+		delete(g.observations, name)
 	}
 }
 
@@ -171,6 +178,7 @@
 	if !g.enabled || len(g.members) == 0 {
 		return nil
 	}
+	g.floor.Expire(now)
 	if g.hasLostAdopter() {
 		g.abandon(now)
 		return nil
@@ -336,7 +344,7 @@
 }
 
 func (g *Group) maxTerm() uint64 {
-	var highest uint64
+	highest := g.floor.Term()
 	for _, o := range g.observations {
 		if o.answered {
 			highest = max(highest, o.status.Term)
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -40,6 +40,7 @@
 	"slices"
 	"time"
 
+	"crocusyoke/internal/controller/termfloor"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/target"
 )
@@ -84,11 +85,13 @@
 }
 
 // observation is the newest status of one target. sentAt is when the poll that returned the
-// status was sent. It is zero before the first poll and after ExpireObservations.
+// status was sent. It is zero before the first poll and after ExpireObservations, which keeps
+// polledAt.
 type observation struct {
-	name   string
-	sentAt time.Time
-	status target.Status
+	name     string
+	sentAt   time.Time
+	polledAt time.Time
+	status   target.Status
 }
 
 // Options describe how the targets of a group adopt terms.
@@ -106,6 +109,7 @@
 	soleOrderer  bool
 	observations []observation
 	highestTerm  uint64
+	floor        termfloor.Floor
 	history      history
 	scratch      []time.Time
 }
@@ -117,8 +121,12 @@
 	return g
 }
 
-// SetTargets replaces the targets of the group and keeps the observations of those that stay.
+// SetTargets replaces the targets of the group and keeps the observations of those that stay. Under
+// held terms the terms of the others still count towards HighestTerm for a while (package termfloor).
 func (g *Group) SetTargets(targets []string) {
+	if g.options.HeldTerms {
+		g.rememberTerms(targets)
+	}
 	next := make([]observation, 0, len(targets))
 	for _, name := range targets {
 		o := observation{name: name}
@@ -131,6 +139,16 @@
 	g.scratch = make([]time.Time, 0, len(targets))
 }
 
+// rememberTerms remembers the terms of the targets that are not among the next ones.
+func (g *Group) rememberTerms(next []string) {
+	for i := range g.observations {
+		o := &g.observations[i]
+		if !o.polledAt.IsZero() && !slices.Contains(next, o.name) {
+			g.floor.Leave(o.status.OwnTerm, o.polledAt)
+		}
+	}
+}
+
 // SetSoleOrderer sets whether both of these hold: this node is the only one that may order
 // promotions now, and no promotion to a term above HighestTerm has been ordered. The value is
 // used until the next call of SetSoleOrderer, so it must be set anew before each call of
@@ -148,10 +166,11 @@
 	if o == nil || sentAt.Before(o.sentAt) || sentAt.After(now) {
 		return
 	}
-	o.sentAt = sentAt
+	o.sentAt, o.polledAt = sentAt, sentAt
 	o.status = status
 	if g.options.HeldTerms {
-		g.highestTerm = g.highestObservedTerm()
+		g.floor.Expire(now)
+		g.highestTerm = max(g.highestObservedTerm(), g.floor.Term())
 	}
 	if status.Role == target.RolePrimary && (g.options.HeldTerms || status.Last.Term == status.Term) {
 		g.history.add(sentAt, status.Last)
