Transactions end where they are open once the caller was told that they have

Cause: while the route is unknown, no rollback can be made out, so none was sent, and the filter chain was not told either. The route filter and the owner went on holding the transaction, and the owner ran whatever the session sent next inside it. The same gap was behind a COMMIT or ROLLBACK that any filter refuses before the owner sees it, such as after a withdrawn key.

Change, at the three places that have to agree: the session ends the transaction in the chain whenever it tells its caller so without a target's answer; the route filter gives up a link in a transaction for a request that belongs to none; and the owner rolls a former transaction back, and waits until it has ended, before it serves such a request. The last of them holds whatever an entry node does.

--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,6 +1,7 @@
 // Package route is the filter that sends a request to its group's owner.
 //
-// Invariant: a session in a transaction stays with the owner that holds the transaction. If that
+// Invariant: a session in a transaction stays with the owner that holds the transaction, and a request
+// that belongs to no transaction never gets to an owner that has one open for its session. If that
 // owner is lost, the session gets CodeTransactionLost, except for a commit that may have taken
 // effect, whose outcome is reported as unknown.
 package route
@@ -71,6 +72,11 @@
 func (f *Filter) linkTo(req *request.Request) (*ownerLink, error) {
 	session := req.ID.Session
 	link := f.currentLink(session)
+	if link != nil && link.inTransaction && !isInTransaction(req.Kind) {
+		// The caller's transaction has ended without an answer of the owner, which still has it open.
+		f.dropLink(session, link)
+		link = nil
+	}
 	if link != nil && link.inTransaction {
 		f.countRequest(link)
 		return link, nil
--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -98,3 +98,16 @@
 		must.Eq(t, request.CodeTransactionLost, codeOf(send(f, request.KindInTransaction)))
 	}
 }
+
+// TestRequestRunsInAGivenUpTransaction guards against a single request that runs in the transaction that
+// the owner still holds open for its session, although the caller has been told that it has ended.
+func TestRequestRunsInAGivenUpTransaction(t *testing.T) {
+	for _, kind := range []request.Kind{request.KindRead, request.KindWrite, request.KindBegin, request.KindBeginRead} {
+		f, fleet := newFakeFleet()
+		must.NoError(t, send(f, request.KindBegin))
+		must.NoError(t, send(f, request.KindInTransaction))
+		must.NoError(t, send(f, kind))
+		must.Eq(t, 1, fleet.nodes["a"].ended)
+		must.Eq(t, 3, fleet.nodes["a"].served)
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -65,6 +65,8 @@
 	seen   []string
 	answer func(req *request.Request, call *Call) (*request.Response, error)
 	ended  int
+	// dropped counts the transactions that were ended without an answer.
+	dropped int
 }
 
 func (c *fakeChain) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
@@ -108,7 +110,7 @@
 func newServer(c *fakeChain, codec Codec) *Server {
 	config := fixedConfig{testConfig()}
 	return New(Options{
-		Node: "n1", Config: config, Chain: c, Auth: auth.New(c, config, nil), Clock: clock.Wall{},
+		Node: "n1", Config: config, Chain: c, EndTransaction: func(string) { c.dropped++ }, Auth: auth.New(c, config, nil), Clock: clock.Wall{},
 		Log: requestlog.New(log.NewNopLogger()), NewCodec: func(net.Conn) Codec { return codec },
 		Rollback: "UNDO", MaxConnections: 1,
 	})
@@ -118,12 +120,16 @@
 func runSession(t *testing.T, c *fakeChain, key string, statements ...Statement) []string {
 	t.Helper()
 	codec := &scriptedCodec{startup: Startup{Service: "orders", Key: key}, statements: statements}
-	s := newServer(c, codec)
+	runCodec(newServer(c, codec))
+	return codec.answers
+}
+
+// runCodec runs one session of s to its end.
+func runCodec(s *Server) {
 	serverConn, callerConn := net.Pipe()
 	defer callerConn.Close()
 	s.startSession(serverConn)
 	s.wg.Wait()
-	return codec.answers
 }
 
 func stmt(verb Verb, text string) Statement { return Statement{ID: "q", Verb: verb, Text: text} }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -167,19 +167,17 @@
 	s.codec.Answer(resp.Messages, resp.TxStatus, resp.Position)
 }
 
-// rollbackFailed ends a failed transaction. It sends a rollback in case a target still holds the
-// transaction open, and ends it for the caller whatever the outcome. A ROLLBACK succeeds, a
-// COMMIT is refused.
+// rollbackFailed ends a failed transaction, for the caller whatever the outcome. It sends a rollback in
+// case a target still holds the transaction open. If that has no answer, or can't be sent because the
+// service is no longer in the configuration, the transaction is ended without one. A ROLLBACK
+// succeeds, a COMMIT is refused.
 func (s *session) rollbackFailed(ctx context.Context, st *Statement) {
-	req, refusal := s.newRequest(&Call{ID: "-", Text: s.server.options.Rollback, KeepSettings: true}, request.KindRollback)
-	if refusal == nil {
-		ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-		defer cancel()
-		if _, err := s.server.options.Chain.Serve(ctx, req); err != nil {
-			s.server.Counts.Add("rollbacks_without_answer", 1)
-		}
+	if s.rollBack(ctx) {
+		s.state.txStatus = txIdle
+	} else {
+		s.server.Counts.Add("rollbacks_without_answer", 1)
+		s.dropTransaction()
 	}
-	s.state.txStatus = txIdle
 	if st.Verb == VerbRollback {
 		s.codec.Completed(s.state.txStatus)
 		return
@@ -187,16 +185,34 @@
 	s.refuse(st, request.Refuse(request.CodeTransactionLost, step, "", "the transaction had failed and was rolled back"))
 }
 
+// rollBack sends a rollback and reports whether it was answered.
+func (s *session) rollBack(ctx context.Context) bool {
+	req, refusal := s.newRequest(&Call{ID: "-", Text: s.server.options.Rollback, KeepSettings: true}, request.KindRollback)
+	if refusal != nil {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	_, err := s.server.options.Chain.Serve(ctx, req)
+	return err == nil
+}
+
+// dropTransaction ends the session's transaction for the caller, and wherever it may still be open.
+func (s *session) dropTransaction() {
+	s.state.txStatus = txIdle
+	s.server.options.EndTransaction(s.id)
+}
+
 // handleChainError answers a statement that the filter chain refused. A refused COMMIT or
 // ROLLBACK still ends the transaction. The ROLLBACK is reported as a success, since after it
 // nothing can commit the transaction.
 func (s *session) handleChainError(st *Statement, refusal *request.Refusal) {
 	switch st.Verb {
 	case VerbRollback:
-		s.state.txStatus = txIdle
+		s.dropTransaction()
 		s.codec.Completed(s.state.txStatus)
 	case VerbCommit:
-		s.state.txStatus = txIdle
+		s.dropTransaction()
 		s.refuse(st, refusal)
 	default:
 		s.failStatement(st, refusal)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,9 +32,13 @@
 	Node   string
 	Config fleet.Source
 	Chain  request.Handler
-	Auth   *auth.Filter
-	Clock  clock.Clock
-	Log    *requestlog.Log
+	// EndTransaction ends the transaction that a target may hold open for a session, without an
+	// answer. It is called when the caller is told that its transaction has ended, but no target has
+	// confirmed it.
+	EndTransaction func(session string)
+	Auth           *auth.Filter
+	Clock          clock.Clock
+	Log            *requestlog.Log
 	// NewCodec returns the codec for a caller's connection.
 	NewCodec func(net.Conn) Codec
 	// Rollback is the text of the statement that rolls back a transaction.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -262,6 +262,7 @@
 		Node:           n.settings.Node.Name + "." + n.incarnation,
 		Config:         n.config,
 		Chain:          n.chain,
+		EndTransaction: n.chain.Route.End,
 		Auth:           n.chain.Auth,
 		Clock:          n.clock,
 		Log:            n.requests,
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -34,14 +34,36 @@
 		return nil, refusal
 	}
 	defer g.endRequest()
-	if tx != nil {
-		return g.serveInTransaction(ctx, req, tx)
-	}
-	switch req.Kind {
-	case request.KindInTransaction, request.KindCommit, request.KindRollback:
+	switch {
+	case !isInTransaction(req.Kind):
+		if refusal := g.endFormerTransaction(ctx, tx); refusal != nil {
+			return nil, refusal
+		}
+		return g.serveNew(ctx, req)
+	case tx == nil:
 		return nil, request.Refuse(request.CodeTransactionLost, "transaction", g.options.Self, "the session has no open transaction here")
 	default:
-		return g.serveNew(ctx, req)
+		return g.serveInTransaction(ctx, req, tx)
+	}
+}
+
+// isInTransaction reports whether a request of kind belongs to the session's open transaction.
+func isInTransaction(kind request.Kind) bool {
+	return kind == request.KindInTransaction || kind == request.KindCommit || kind == request.KindRollback
+}
+
+// endFormerTransaction rolls back tx, which may be nil, and waits until it has ended: the session has
+// sent a request that belongs to no transaction, so it has given tx up.
+func (g *group) endFormerTransaction(ctx context.Context, tx *transaction) *request.Refusal {
+	if tx == nil {
+		return nil
+	}
+	g.abort(tx)
+	select {
+	case <-tx.ended:
+		return nil
+	case <-ctx.Done():
+		return request.Refuse(request.CodeTimeout, "transaction", tx.member.target.Name, "the session's former transaction has not ended in time")
 	}
 }
 
@@ -201,6 +223,7 @@
 		conn:     conn,
 		replica:  r.replica,
 		term:     r.term,
+		ended:    make(chan struct{}),
 		opened:   now,
 		lastUsed: now,
 		tainted:  o.cancelled,
--- a/internal/owner/serve_test.go
+++ b/internal/owner/serve_test.go
@@ -54,3 +54,21 @@
 		mustRefuse(t, err, request.CodeTransactionLost)
 	})
 }
+
+// TestWriteRunsInAFormerTransaction guards against a single write that is acknowledged inside a
+// transaction which its session has given up, and is rolled back with it.
+func TestWriteRunsInAFormerTransaction(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+		begin := h.request(request.KindBegin, "BEGIN", time.Second)
+		_, err := h.serve(begin)
+		must.NoError(t, err)
+		_, err = h.serve(nextRequest(begin, request.KindInTransaction, "INSERT old"))
+		must.NoError(t, err)
+		answer, err := h.serve(nextRequest(begin, request.KindWrite, "INSERT new"))
+		must.NoError(t, err)
+		must.Eq(t, 'I', rune(answer.TxStatus))
+		must.Eq(t, 1, h.group.targets[0].count("ROLLBACK"))
+		_, err = h.serve(nextRequest(begin, request.KindCommit, "COMMIT"))
+		mustRefuse(t, err, request.CodeTransactionLost)
+	})
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -20,7 +20,9 @@
 	conn     *pool.Conn
 	replica  bool
 	// term is the primary's term when the transaction began.
-	term     uint64
+	term uint64
+	// ended is closed when the transaction has ended.
+	ended    chan struct{}
 	opened   time.Time
 	lastUsed time.Time
 	// busy is true while a statement of the transaction waits or runs.
@@ -117,7 +119,7 @@
 	change := schedule.TransactionUnchanged
 	if over {
 		change = schedule.TransactionClosed
-		delete(g.transactions, tx.session)
+		g.forget(tx)
 	}
 	deliver(tx.member.schedule.Done(now, &slot.item, change))
 	if !over && tx.aborting {
@@ -211,11 +213,20 @@
 func (g *group) removeTransaction(tx *transaction) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.transactions, tx.session)
+	g.forget(tx)
 	deliver(tx.member.schedule.CloseTransaction(g.now()))
 	g.signalIdle()
 }
 
+// forget records that tx has ended. g.mu is held.
+func (g *group) forget(tx *transaction) {
+	if g.transactions[tx.session] != tx {
+		return
+	}
+	delete(g.transactions, tx.session)
+	close(tx.ended)
+}
+
 // expiredTransactions returns the transactions that have been idle for longer than
 // Times.TransactionIdleTimeout or open for longer than Times.TransactionTotal. g.mu is held.
 func (g *group) expiredTransactions(now time.Time) []*transaction {
