Log: no line waits for whoever reads it

Cause: each line was written to the pipe under the logger's mutex, many of them inside a lock of the catalog, of membership or of a group. With a full pipe all of these stand still; a stop does not get as far as closing its callers' connections and is killed after grace_s, with what is under way.

A process waits at most 100 ms at its end for its last lines. A reader that has gone (SIGPIPE) ends no process, nor does a SIGHUP in its first moments.

--- a/cmd/crocusyoke/main.go
+++ b/cmd/crocusyoke/main.go
@@ -20,12 +20,16 @@
 var release = "devel"
 
 func main() {
+	// A node reads its settings again at SIGHUP, once it runs. Until then it reads them anyway.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	hooks := cli.Hooks{
 		Serve: node.Serve,
 		ServeHosted: func(ctx context.Context, file string) error {
-			return platform.Serve(ctx, file, node.NewLogger(os.Stdout))
+			logger, flush := node.NewLogger(os.Stdout)
+			defer flush()
+			return platform.Serve(ctx, file, logger)
 		},
 		OpenHosted:        platform.OpenFleet,
 		CheckHostedConfig: platform.CheckConfiguration,
--- a/internal/node/hooks.go
+++ b/internal/node/hooks.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"crocusyoke/internal/cli"
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/logqueue"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
@@ -19,16 +23,24 @@
 
 // Serve implements the serve command: it runs a node that logs to standard error.
 func Serve(ctx context.Context, s *settings.Settings) error {
-	logger := log.With(NewLogger(os.Stderr), "ts", log.DefaultTimestampUTC, "node", s.Node.Name)
-	return Run(ctx, s, logger)
+	logger, flush := NewLogger(os.Stderr)
+	defer flush()
+	return Run(ctx, s, log.With(logger, "ts", log.DefaultTimestampUTC, "node", s.Node.Name))
 }
 
-// NewLogger returns a logger for a node that writes logfmt lines to w.
-func NewLogger(w io.Writer) log.Logger {
+// flushTimeout is how long a process waits at its end for its last log lines to be written.
+const flushTimeout = 100 * time.Millisecond
+
+// NewLogger returns a logger for a node that writes logfmt lines to w. No line waits for w, and a
+// reader of w that has gone does not end the process. flush writes what is queued, as far as w takes
+// it.
+func NewLogger(w io.Writer) (logger log.Logger, flush func()) {
+	signal.Ignore(syscall.SIGPIPE)
 	// quic-go would log a warning about small receive buffers. They only cost throughput, and
 	// the node's log is for state changes.
 	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
-	return log.NewLogfmtLogger(log.NewSyncWriter(w))
+	queue := logqueue.New(w)
+	return log.NewLogfmtLogger(queue), func() { queue.Close(flushTimeout) }
 }
 
 // OpenPlatform returns a client of the platform's services for an operator's command.
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"crocusyoke/internal/contain"
+	"crocusyoke/internal/logqueue"
 	"crocusyoke/internal/run/membership"
 	"crocusyoke/internal/run/quota"
 	"crocusyoke/internal/status"
@@ -43,6 +44,7 @@
 // publishVars publishes the counters of the node's components through expvar.
 func (n *Node) publishVars() {
 	expvar.Publish("panics", contain.Panics)
+	expvar.Publish("log", logqueue.Counts)
 	expvar.Publish("configuration", n.config.Vars())
 	expvar.Publish("owner", n.owner.Vars())
 	expvar.Publish("callers", n.front.Vars())
