Stop: a statement that was read is served, a session that opened is kept

Cause: a stop closed the connections of idle sessions. A session that had just read a statement then found itself closed and dropped it. One that was logging in while the stop began was opened to its caller, and dropped the first statement.

Change: an idle session that is to close stops reading after 50 ms. What it has read until then is served. A session that was told to close before it was open is rejected.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -110,12 +110,14 @@
 func newServer(c *fakeChain, codec Codec) *Server {
 	config := fixedConfig{testConfig()}
 	return New(Options{
-		Node: "n1", Config: config, Chain: c, EndTransaction: func(string) { c.dropped++ }, Auth: auth.New(c, config, nil), Clock: clock.Wall{},
+		Node: "n1", Config: config, Chain: c, EndTransaction: func(string) { c.dropped++ }, Auth: newAuth(c, config), Clock: clock.Wall{},
 		Log: requestlog.New(log.NewNopLogger()), NewCodec: func(net.Conn) Codec { return codec },
 		Rollback: "UNDO", MaxConnections: 1,
 	})
 }
 
+func newAuth(c *fakeChain, config fleet.Source) *auth.Filter { return auth.New(c, config, nil) }
+
 // runSession runs one session that sends the given statements, and returns the answers.
 func runSession(t *testing.T, c *fakeChain, key string, statements ...Statement) []string {
 	t.Helper()
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -84,13 +85,23 @@
 	}
 	s.service, s.customer = startup.Service, identity.Customer
 	s.server.options.Auth.SetIdentity(s.id, identity)
-	s.mu.Lock()
-	s.admitted = true
-	s.mu.Unlock()
+	if !s.open() {
+		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
+		return false
+	}
 	s.codec.SessionOpened()
 	return s.flush()
 }
 
+// open marks the session as open to its caller. It reports false if the session was told to close
+// meanwhile.
+func (s *session) open() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitted = !s.closing
+	return s.admitted
+}
+
 func (s *session) reject(refusal *request.Refusal) {
 	s.server.Refused.Add(refusal.Code.Name, 1)
 	s.codec.Reject(refusal)
@@ -104,9 +115,7 @@
 		s.handleReadError(err)
 		return false
 	}
-	if !s.beginStatement() {
-		return false
-	}
+	s.beginStatement()
 	s.server.Counts.Add("statements", 1)
 	s.serveStatement(ctx, &statement)
 	if !s.flush() {
@@ -116,13 +125,13 @@
 }
 
 // handleReadError refuses input that violates the protocol. Any other error means that the
-// caller has closed the connection, or that the connection broke.
+// caller has closed the connection, that the connection broke, or that an idle session is to close.
 func (s *session) handleReadError(err error) {
 	if contain.Error.Has(err) {
 		s.logPanic(err)
 	}
 	if !ErrProtocol.Has(err) {
-		if !errors.Is(err, io.EOF) {
+		if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
 			s.server.Counts.Add("sessions_broken", 1)
 		}
 		return
@@ -279,16 +288,13 @@
 	return s.codec.Flush() == nil
 }
 
-// beginStatement marks the session busy. It reports false if the session was told to close
-// while it was idle.
-func (s *session) beginStatement() bool {
+// beginStatement marks the session busy. A statement that was read is served, also if the session was
+// told to close meanwhile.
+func (s *session) beginStatement() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing && !s.busy {
-		return false
-	}
 	s.busy = true
-	return true
+	_ = s.conn.SetReadDeadline(time.Time{})
 }
 
 // endStatement marks the session idle, unless its transaction goes on. It reports false if the
@@ -300,14 +306,19 @@
 	return s.busy || !s.closing
 }
 
-// closeWhenIdle ends the session as soon as it is not busy. It does not close the connection of a
-// caller that has not logged in yet: admit or beginStatement ends that session.
+// idleReadTime is how long an idle session that is to close may still read a statement that its caller
+// has sent before.
+const idleReadTime = 50 * time.Millisecond
+
+// closeWhenIdle ends the session as soon as it is not busy. An idle session stops reading, so that it
+// ends without a statement that was read and not answered. A caller that has not logged in yet is
+// rejected by admit.
 func (s *session) closeWhenIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
 	if s.admitted && !s.busy {
-		_ = s.conn.Close()
+		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
 	}
 }
 
