A panic in a controller's step ends the step, not the process

Change: the ticks of promotion, membership, quota and owners, the actions of promotions, probes, the steps of leases and each caller's session are contained. A panic is logged with its stack (event=panic), counted by step (metric panics), and a step that panicked rests for a second. A promotion's attempt and a lease are given up then, as after any failure. What is locked while one of these may panic is released by a deferred call.

Not contained: what follows a table in run/catalog and run/register, and what the pollers of targets do after an answer (the answer's own parsing is).

Evidence: TestPanicInATickEndsTheProcess (promotion, membership, quota), TestPanicInAStepEndsTheProcess (lease) and TestPanicInTheChainEndsTheProcess panic inside the steps; without the recovery the test binaries end.

--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 )
 
@@ -23,3 +25,14 @@
 	must.Eq(t, 7, value)
 	must.ErrorIs(t, err, failure)
 }
+
+func TestPanickedStepIsLogged(t *testing.T) {
+	var out strings.Builder
+	logger := log.NewLogfmtLogger(&out)
+	must.False(t, Step(logger, "fine", func() {}))
+	must.Eq(t, "", out.String())
+	must.True(t, Step(logger, "tick", func() { panic("unexpected value") }))
+	must.StrContains(t, out.String(), "step=tick")
+	must.StrContains(t, out.String(), "unexpected value")
+	must.Eq(t, "1", Panics.Get("tick").String())
+}
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -73,6 +73,7 @@
 		}
 		must.Eq(t, "welcome", send("startup"))
 		must.Eq(t, "ok", send("r"))
+		synctest.Wait()
 		drained := make(chan error, 1)
 		go func() { drained <- s.Drain(t.Context()) }()
 		time.Sleep(idleReadTime / 2)
--- a/internal/front/panic_test.go
+++ b/internal/front/panic_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
 )
 
 // panickingCodec panics over the caller's second statement.
@@ -39,3 +41,11 @@
 	must.Eq(t, []string{"welcome", "ok I", "welcome", "ok I"}, codec.answers)
 	must.Eq(t, "2", s.Counts.Get("sessions_broken").String())
 }
+
+// TestPanicInTheChainEndsTheProcess guards against a panic over one request that ends the process, and
+// with it what all other sessions have under way.
+func TestPanicInTheChainEndsTheProcess(t *testing.T) {
+	c := &fakeChain{answer: func(*request.Request, *Call) (*request.Response, error) { panic("unexpected value") }}
+	must.Eq(t, []string{"welcome"}, runSession(t, c, "k1", read, read))
+	must.Eq(t, 1, c.ended)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// runContained is run, except that a panic ends only the session.
+func (s *session) runContained(ctx context.Context) {
+	_, err := contain.Call("session", func() (struct{}, error) {
+		s.run(ctx)
+		return struct{}{}, nil
+	})
+	if err != nil {
+		s.logPanic(err)
+	}
+}
+
 // run serves the session until it ends, and then closes its connection.
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -138,7 +138,7 @@
 	}
 	s.Counts.Add("sessions", 1)
 	s.wg.Go(func() {
-		sess.run(s.ctx)
+		sess.runContained(s.ctx)
 		s.mu.Lock()
 		delete(s.sessions, sess)
 		s.mu.Unlock()
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/ownership"
 	"crocusyoke/internal/run/membership"
@@ -81,8 +82,12 @@
 
 // run updates the owner table from membership, configuration and unfit nodes until ctx ends.
 func (o *ownerTracker) run(ctx context.Context) error {
-	for o.node.clock.Sleep(ctx, ownerUpdateInterval) == nil {
-		o.refresh(ctx)
+	pause := ownerUpdateInterval
+	for o.node.clock.Sleep(ctx, pause) == nil {
+		pause = ownerUpdateInterval
+		if contain.Step(o.node.logger, "owner update", func() { o.refresh(ctx) }) {
+			pause = contain.PauseAfterPanic
+		}
 	}
 	return nil
 }
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -24,6 +24,7 @@
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/platform"
 )
 
@@ -224,12 +225,25 @@
 	defer wait.Wait()
 	for k.o.Clock.Sleep(ctx, tickInterval) == nil {
 		for name, l := range k.takeDue() {
-			wait.Go(func() { k.runStep(ctx, name, l) })
+			wait.Go(func() {
+				if contain.Step(k.o.Logger, "lease step", func() { k.runStep(ctx, name, l) }) {
+					k.endPanickedStep(l)
+				}
+			})
 		}
 	}
 	return nil
 }
 
+// endPanickedStep gives the lease up, as after any failed call, and lets it rest.
+func (k *Keeper) endPanickedStep(l *lease) {
+	k.invalidate(l)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.inFlight = false
+	l.nextCallAt = k.now().Add(contain.PauseAfterPanic)
+}
+
 // takeDue returns the leases that need a call and marks them as in flight.
 func (k *Keeper) takeDue() map[string]*lease {
 	k.mu.Lock()
--- a/internal/run/lease/lease_test.go
+++ b/internal/run/lease/lease_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/platformtest"
 )
 
@@ -239,3 +240,30 @@
 		must.Eq(t, 3, storedTerm())
 	})
 }
+
+// panickingTable panics in its first calls.
+type panickingTable struct {
+	*platformtest.Fake
+	left int
+}
+
+func (p *panickingTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if p.left > 0 {
+		p.left--
+		panic("unexpected value")
+	}
+	return p.Fake.Get(ctx, key)
+}
+
+// TestPanicInAStepEndsTheProcess guards against a panic in a lease's step that ends the process or leaves
+// the lease without further steps.
+func TestPanicInAStepEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newKeeper(platformtest.New(), "n1", "a", &suspension{})
+		k.o.Table = &panickingTable{Fake: platformtest.New(), left: 2}
+		defer start(k)()
+		k.SetWanted("g", true)
+		time.Sleep(4 * time.Second)
+		must.Positive(t, heldFence(k))
+	})
+}
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
@@ -103,16 +104,26 @@
 	}
 	r.wait.Go(func() { r.probeLostLinks(ctx) })
 	for {
-		for _, send := range r.tick() {
-			r.wait.Go(func() { r.probe(ctx, send) })
+		pause := tickInterval
+		if contain.Step(r.o.Logger, "membership tick", func() { r.startProbes(ctx) }) {
+			pause = contain.PauseAfterPanic
 		}
-		r.publish()
-		if err := r.o.Clock.Sleep(ctx, tickInterval); err != nil {
+		if err := r.o.Clock.Sleep(ctx, pause); err != nil {
 			return nil
 		}
 	}
 }
 
+// startProbes ticks the controller, sends the probes that are due and publishes the View.
+func (r *Runner) startProbes(ctx context.Context) {
+	for _, send := range r.tick() {
+		r.wait.Go(func() {
+			contain.Step(r.o.Logger, "probe", func() { r.probe(ctx, send) })
+		})
+	}
+	r.publish()
+}
+
 func (r *Runner) tick() []membership.OutboundProbe {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/run/membership/runner_test.go
+++ b/internal/run/membership/runner_test.go
@@ -55,3 +55,27 @@
 	must.Eq(t, membership.Alive, stateAfterFailedCalls(t, peer.ErrRefused.New("not listed")))
 	must.Eq(t, membership.Suspect, stateAfterFailedCalls(t, errors.New("no answer")))
 }
+
+// TestPanicInATickEndsTheProcess guards against a panic in the controller's step that ends the process.
+func TestPanicInATickEndsTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ticks := 0
+		version := func() uint64 {
+			if ticks++; ticks <= 2 {
+				panic("unexpected value")
+			}
+			return 7
+		}
+		vms := staticList{{Name: "n1", Address: "1"}}
+		r := New(Options{
+			Self: vms[0], Platform: vms, Peers: failingCaller{}, Clock: clock.Wall{}, Logger: log.NewNopLogger(), ConfigVersion: version,
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		must.Greater(t, 10, ticks)
+		stop()
+		must.NoError(t, <-ended)
+	})
+}
--- a/internal/run/promotion/lease.go
+++ b/internal/run/promotion/lease.go
@@ -59,8 +59,6 @@
 		err = r.options.Lease.Announce(ctx, g.name, a.Term)
 	}
 	_ = r.options.Logger.Log("event", "announce", "group", g.name, "term", a.Term, "err", err)
-	g.mu.Lock()
-	g.controller.HandleAnnounceResult(r.options.Clock.Now(), a.Term, err)
-	g.mu.Unlock()
+	g.update(func(c *promotion.Group) { c.HandleAnnounceResult(r.options.Clock.Now(), a.Term, err) })
 	r.tick(ctx, g)
 }
--- a/internal/run/promotion/orders.go
+++ b/internal/run/promotion/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/controller/promotion"
 	"crocusyoke/internal/target"
 )
@@ -11,7 +12,9 @@
 // controller.
 func (r *Runner) startActions(ctx context.Context, g *group, actions []promotion.Action) {
 	for _, action := range actions {
-		r.wait.Go(func() { r.runAction(ctx, g, action) })
+		r.wait.Go(func() {
+			contain.Step(r.options.Logger, "promotion action", func() { r.runAction(ctx, g, action) })
+		})
 	}
 }
 
@@ -39,9 +42,9 @@
 		return c.Adopt(ctx, a.Term, r.ordererID())
 	})
 	_ = r.options.Logger.Log("event", "adopt", "group", g.name, "target", a.Target, "term", a.Term, "position", status.Last, "err", err)
-	g.mu.Lock()
-	g.controller.HandleAdoptResult(r.options.Clock.Now(), a.Target, a.Term, status, err)
-	g.mu.Unlock()
+	g.update(func(c *promotion.Group) {
+		c.HandleAdoptResult(r.options.Clock.Now(), a.Target, a.Term, status, err)
+	})
 	r.tick(ctx, g)
 }
 
@@ -51,9 +54,10 @@
 	status, err := r.sendOrderWithin(bounded, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
 		return c.Promote(ctx, a.Term, r.ordererID())
 	})
-	g.mu.Lock()
-	next := g.controller.HandlePromoteResult(r.options.Clock.Now(), a.Target, a.Term, status, err)
-	g.mu.Unlock()
+	var next []promotion.Action
+	g.update(func(c *promotion.Group) {
+		next = c.HandlePromoteResult(r.options.Clock.Now(), a.Target, a.Term, status, err)
+	})
 	r.startActions(ctx, g, next)
 }
 
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/controller/promotion"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
@@ -98,6 +99,15 @@
 	controller *promotion.Group
 	members    []promotion.Member
 	owned      bool
+	// restsUntil is when the controller is ticked again after a panic.
+	restsUntil time.Time
+}
+
+// update calls f with the group's controller while g is locked. The lock is released if f panics.
+func (g *group) update(f func(c *promotion.Group)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.controller)
 }
 
 // New returns a Runner that owns no group.
@@ -219,7 +229,31 @@
 	return owned
 }
 
+// tick ticks a group's controller. After a panic the group's attempt is dropped, and the controller
+// rests for a while.
 func (r *Runner) tick(ctx context.Context, g *group) {
+	panicked := contain.Step(r.options.Logger, "promotion tick", func() { r.advance(ctx, g) })
+	if !panicked {
+		return
+	}
+	g.update(func(c *promotion.Group) {
+		g.restsUntil = r.options.Clock.Now().Add(contain.PauseAfterPanic)
+		c.SetEnabled(false)
+		c.SetEnabled(g.owned)
+	})
+}
+
+// tickResult is what one tick of a group's controller has led to.
+type tickResult struct {
+	lease         promotion.LeaseState
+	actions       []promotion.Action
+	before, after promotion.Phase
+	ordered       uint64
+	isKnown       bool
+	state         string
+}
+
+func (r *Runner) advance(ctx context.Context, g *group) {
 	config := r.options.Config.Current()
 	if config == nil {
 		return
@@ -228,28 +262,37 @@
 	if listed == nil {
 		return
 	}
+	t := r.tickController(g, listed)
+	if t.before != t.after {
+		_ = r.options.Logger.Log("msg", "promotion step", "group", g.name, "from", t.before, "to", t.after, "state", t.state)
+	}
+	if t.lease.Fence > 0 && t.isKnown && t.after == promotion.PhaseIdle {
+		r.options.Lease.SetOrderedTerm(g.name, t.lease.Fence, t.ordered)
+	}
+	r.startActions(ctx, g, t.actions)
+}
+
+// tickController passes the listed targets and the lease to the controller of g, and ticks it.
+func (r *Runner) tickController(g *group, listed *fleet.Group) tickResult {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := r.options.Clock.Now()
+	t := tickResult{before: g.controller.Phase(), after: g.controller.Phase()}
+	if now.Before(g.restsUntil) {
+		return t
+	}
 	g.members = members(listed)
 	g.controller.SetMembers(g.members)
 	g.controller.SetSyncReplicas(listed.SyncReplicas)
-	var lease promotion.LeaseState
 	if r.options.Lease != nil {
-		lease = r.leaseState(g.name)
-		g.controller.SetLease(r.options.Clock.Now(), lease)
-	}
-	before := g.controller.Phase()
-	actions := g.controller.Tick(r.options.Clock.Now())
-	after := g.controller.Phase()
-	ordered, isKnown := g.controller.OrderedTerm(), g.controller.KnowsOrderedTerm()
-	state := g.controller.String()
-	g.mu.Unlock()
-	if before != after {
-		_ = r.options.Logger.Log("msg", "promotion step", "group", g.name, "from", before, "to", after, "state", state)
-	}
-	if lease.Fence > 0 && isKnown && after == promotion.PhaseIdle {
-		r.options.Lease.SetOrderedTerm(g.name, lease.Fence, ordered)
+		t.lease = r.leaseState(g.name)
+		g.controller.SetLease(now, t.lease)
 	}
-	r.startActions(ctx, g, actions)
+	t.actions = g.controller.Tick(now)
+	t.after = g.controller.Phase()
+	t.ordered, t.isKnown = g.controller.OrderedTerm(), g.controller.KnowsOrderedTerm()
+	t.state = g.controller.String()
+	return t
 }
 
 func members(listed *fleet.Group) []promotion.Member {
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"crocusyoke/internal/contain"
 )
 
 const (
@@ -23,8 +25,10 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		r.refresh(r.o.View())
-		r.sendDueReports(ctx)
+		contain.Step(r.o.Logger, "quota tick", func() {
+			r.refresh(r.o.View())
+			r.sendDueReports(ctx)
+		})
 		select {
 		case <-ctx.Done():
 			return nil
@@ -84,10 +88,7 @@
 func (p *partition) takeLow(now time.Time) []*customerQuota {
 	var batch []*customerQuota
 	for s := range p.low {
-		s.mu.Lock()
-		needsTokens := s.account.NeedsTokens(now)
-		waits := s.account.Waiting() > 0
-		s.mu.Unlock()
+		needsTokens, waits := s.demand(now)
 		if needsTokens {
 			batch = append(batch, s)
 		}
@@ -103,16 +104,31 @@
 func (p *partition) countShareChanges(now time.Time) int {
 	changed := 0
 	for _, s := range p.customers {
-		s.mu.Lock()
-		if own := s.account.UsesOwnShare(now); own != s.usesOwnShare {
-			s.usesOwnShare = own
+		if s.updateOwnShare(now) {
 			changed++
 		}
-		s.mu.Unlock()
 	}
 	return changed
 }
 
+// demand reports whether the customer needs tokens now, and whether requests of it wait for some.
+func (s *customerQuota) demand(now time.Time) (needsTokens, waits bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.account.NeedsTokens(now), s.account.Waiting() > 0
+}
+
+// updateOwnShare records whether the node uses its own share of the customer's rate, and reports
+// whether that has changed.
+func (s *customerQuota) updateOwnShare(now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.account.UsesOwnShare(now)
+	changed = own != s.usesOwnShare
+	s.usesOwnShare = own
+	return changed
+}
+
 // logOwnShare logs that this node has begun or stopped using its own share of some
 // customers' rates, which it otherwise lends to the coordinators. changed is the number of
 // these customers; nothing is logged if it is 0.
