--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -281,3 +281,14 @@
 	cancel()
 	must.NoError(t, <-served)
 }
+
+// TestStatementThatIsNoUTF8 guards against a statement that can't be decoded on its way to a target
+// because its bytes are not valid UTF-8: each try cost a connection.
+func TestStatementThatIsNoUTF8(t *testing.T) {
+	call := &Call{ID: "q\xff", Text: "w 1 \xff\xfe\x80", Settings: []Setting{{Name: "n", Value: "\xc3"}}}
+	messages, err := call.Encode()
+	must.NoError(t, err)
+	decoded, err := DecodeCall(messages)
+	must.NoError(t, err)
+	must.Eq(t, call, decoded)
+}
--- a/internal/front/statement.go
+++ b/internal/front/statement.go
@@ -82,10 +82,21 @@
 // Encode returns the CBOR form of the call.
 func (c *Call) Encode() ([]byte, error) { return cbor.Marshal(c) }
 
+// callDecoder takes texts as they are: a caller's statement need not be valid UTF-8.
+var callDecoder = newCallDecoder()
+
+func newCallDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // DecodeCall decodes what Encode returned.
 func DecodeCall(messages []byte) (*Call, error) {
 	call := &Call{}
-	if err := cbor.Unmarshal(messages, call); err != nil {
+	if err := callDecoder.Unmarshal(messages, call); err != nil {
 		return nil, Error.New("undecodable call: %w", err)
 	}
 	return call, nil
