--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"time"
 
@@ -52,13 +53,27 @@
 			"customer %s is over its rate, retry after %s", req.Customer, wait).WithRetryAfter(wait)
 	}
 	response, err := f.next.Serve(ctx, req)
-	f.quota.Settle(req.Customer, err == nil || request.AsRefusal(err).Code.Fate != request.NotRun)
+	f.quota.Settle(req.Customer, err == nil || mayHaveRun(err))
 	return response, err
 }
 
 // End implements request.Handler.
 func (f *Filter) End(session string) { f.next.End(session) }
 
+// mayHaveRun reports whether a target may have run something of a refused request, be it that nothing of
+// it is kept: the beginning of a transaction that was lost is refused as not run.
+func mayHaveRun(err error) bool {
+	refusal := request.AsRefusal(err)
+	for refusal.Code.Fate == request.NotRun {
+		var cause *request.Refusal
+		if !errors.As(refusal.Cause, &cause) {
+			return false
+		}
+		refusal = cause
+	}
+	return true
+}
+
 // isCharged reports whether a request counts against a customer's rate. Callers without a key
 // have no customer to charge; requests that continue or end a transaction and preparations
 // are free.
--- a/internal/filter/limit/limit_test.go
+++ b/internal/filter/limit/limit_test.go
@@ -79,3 +79,14 @@
 	must.Eq(t, request.CodeOutcomeUnknown, request.AsRefusal(err).Code)
 	must.Eq(t, 1, b.left)
 }
+
+// TestLostBeginGivesItsTokenBack guards against a customer that goes over its rate by the transactions
+// whose beginning a target has run, but whose answer was lost.
+func TestLostBeginGivesItsTokenBack(t *testing.T) {
+	lost := request.Refuse(request.CodeOutcomeUnknown, "exchange", "t1", "no answer")
+	b := &fakeQuota{left: 1}
+	next := &fakeHandler{refuse: request.Refuse(request.CodeTransactionLost, "route", "", "rolled back").WithCause(lost)}
+	_, err := New(next, b).Serve(context.Background(), &request.Request{Customer: "c", Kind: request.KindBegin})
+	must.Error(t, err)
+	must.Eq(t, 0, b.left)
+}
