Owners: a group is placed by its listed targets only

Cause: a group's owner is chosen by the domain of its first target. The owner learns by its polls that an unlisted target is gone, all other nodes keep it for a minute; they chose another owner meanwhile, and the group had none that accepted it. Never landed.

Change: unlisted targets do not count for the placement. TestNodesDisagreeOnTheOwnerOfAGroup fails without it.

--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -185,11 +185,14 @@
 	}
 }
 
-// homeDomain returns the failure domain in which the group's owner should be: that of its first
-// target, also while another target is the primary.
+// homeDomain returns the failure domain in which the group's owner should be: that of its first listed
+// target, also while another target is the primary. All nodes must come to the same result, and only
+// the owner may know that an unlisted target is gone.
 func homeDomain(g fleet.Group) string {
-	if len(g.Targets) == 0 {
-		return ""
+	for _, t := range g.Targets {
+		if !t.Unlisted {
+			return t.Domain
+		}
 	}
-	return g.Targets[0].Domain
+	return ""
 }
