--- a/internal/run/membership/runner_test.go
+++ b/internal/run/membership/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,9 +60,9 @@
 // TestPanicInATickEndsTheProcess guards against a panic in the controller's step that ends the process.
 func TestPanicInATickEndsTheProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ticks := 0
+		var ticks atomic.Int64
 		version := func() uint64 {
-			if ticks++; ticks <= 2 {
+			if ticks.Add(1) <= 2 {
 				panic("unexpected value")
 			}
 			return 7
@@ -74,7 +75,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
 		time.Sleep(3 * time.Second)
-		must.Greater(t, 10, ticks)
+		must.Greater(t, 10, ticks.Load())
 		stop()
 		must.NoError(t, <-ended)
 	})
--- a/internal/run/quota/panic_test.go
+++ b/internal/run/quota/panic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +18,9 @@
 // TestPanicInATickEndsTheProcess guards against a panic in the controller's step that ends the process.
 func TestPanicInATickEndsTheProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		views := 0
+		var views atomic.Int64
 		view := func() *membership.View {
-			if views++; views <= 2 {
+			if views.Add(1) <= 2 {
 				panic("unexpected value")
 			}
 			return &membership.View{Self: "n1"}
@@ -29,7 +30,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
 		time.Sleep(time.Second)
-		must.Greater(t, 10, views)
+		must.Greater(t, 10, views.Load())
 		stop()
 		must.NoError(t, <-ended)
 	})
