Soak of the real processes, hosted: a schedule of faults from a seed

standin soak starts the shipped binary on the users' platform's stand-ins and plays SIGTERM (also with a log that nobody reads), SIGKILL, SIGSTOP, crashes of primaries, odd entries (alone and within a promotion), a store that turns calls away, changed and withdrawn configuration, single and overlapping. Callers keep their connections until the processes are gone. Judged: requests cut around a stop, the grace period, processes that end by themselves, acknowledged writes kept, no write twice, withdrawn keys. Planned work alone and mixed phases take turns, since a fault excuses cut requests for 4 s.

Stand-ins: a replica that was paused gets what it missed when it follows again.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 DEPLOYMENT ?= trust
 
-.PHONY: build test check demo up bench fmt fuzz
+.PHONY: build test check demo up bench fmt fuzz soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -34,6 +34,12 @@
 	./bin/standin run --compare --deployments trust,bindery plans/bench/calm.toml plans/bench/storm.toml plans/bench/contended.toml
 	./bin/standin run --parallel --deployments trust,bindery plans/bench/primaries.toml plans/bench/nodes.toml plans/bench/store.toml plans/bench/rolling.toml
 
+# Plays faults against real processes of the shipped binary, and judges what callers saw.
+SEED ?= 1
+SOAK ?= 45s
+soak: build
+	./bin/standin soak --seed $(SEED) --duration $(SOAK)
+
 # Runs each fuzz target for FUZZTIME.
 FUZZTIME ?= 20s
 fuzz:
--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -21,7 +21,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newPlatformCommand(), newTargetCommand(), newCertsCommand(), newUpCommand(), newRunCommand(), newCostCommand())
+	root.AddCommand(newPlatformCommand(), newTargetCommand(), newCertsCommand(), newUpCommand(), newRunCommand(), newSoakCommand(), newCostCommand())
 	return root
 }
 
--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -128,15 +128,14 @@
 	}
 }
 
-// replicate appends the primary's latest log entry to each replica that runs, is not paused
-// and has the primary's term. The replica applies it after g.Lag. The caller holds g.mu.
+// replicate appends the primary's latest log entries to each replica that runs, is not paused
+// and has the primary's term. The replica applies them after g.Lag. The caller holds g.mu.
 func (g *Group) replicate(primary *Target) {
-	last := primary.log[len(primary.log)-1]
 	for _, t := range g.targets {
-		if t == primary || t.down || t.pausedForTerm > 0 || t.term != primary.term {
+		if t == primary || t.down || t.pausedForTerm > 0 || t.term != primary.term || len(t.log) >= len(primary.log) {
 			continue
 		}
-		t.log = append(t.log, last)
+		t.log = append(t.log, primary.log[len(t.log):]...)
 		size := len(t.log)
 		time.AfterFunc(g.Lag, func() {
 			g.mu.Lock()
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -81,6 +81,24 @@
 	t.Cut()
 }
 
+// Restart starts a target that was killed again, with the log that it had. If another target leads a
+// higher term, it is its replica.
+func (t *Target) Restart() {
+	g := t.group
+	g.mu.Lock()
+	for _, other := range g.targets {
+		if other.primary && !other.down && other.term > t.term {
+			t.primary, t.term = false, other.term
+			t.log = append([]logEntry(nil), other.log...)
+			t.appliedEntries = len(t.log)
+		}
+	}
+	t.down, t.pausedForTerm = false, 0
+	address := t.Address
+	g.mu.Unlock()
+	t.listen(address)
+}
+
 // SetRespond sets a function that may respond to each statement in place of the target; nil
 // removes it.
 func (t *Target) SetRespond(respond RespondFunc) {
@@ -118,6 +136,19 @@
 	return append([]Statement(nil), t.executed...)
 }
 
+// Writes returns how often the target's log has a write of each item.
+func (t *Target) Writes() map[string]int {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	writes := make(map[string]int)
+	for _, entry := range t.log {
+		for item := range entry.items {
+			writes[item]++
+		}
+	}
+	return writes
+}
+
 // Leads reports whether the target is the primary and runs.
 func (t *Target) Leads() bool {
 	t.group.mu.Lock()
@@ -334,6 +365,11 @@
 		t.pausedForTerm = requestedTerm
 	case command == "RESUME":
 		t.pausedForTerm = 0
+		for _, other := range t.group.targets {
+			if other.primary && !other.down && other.term == t.term {
+				t.group.replicate(other)
+			}
+		}
 	case command == "STEPDOWN" && t.primary && requestedTerm > t.term:
 		t.primary = false
 	}
--- /dev/null
+++ b/internal/standin/soak/events.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"crocusyoke/internal/standin/hosted"
+)
+
+const (
+	maxPause     = 2 * time.Second
+	maxCrash     = 4 * time.Second
+	maxOutage    = 2 * time.Second
+	oddEntryTime = 1200 * time.Millisecond
+	maxOddDelay  = 1200 * time.Millisecond
+	maxRouteGap  = 800 * time.Millisecond
+	unreadTime   = 3 * time.Second
+	// inForceWithin is how long after its acknowledgement a configuration may take to be in force.
+	inForceWithin = 3 * time.Second
+	// rejoinTime is how long a node that was started again may take until it is ready.
+	rejoinTime = 3 * time.Second
+)
+
+// carryOut carries out one event and returns when it is over.
+func (r *run) carryOut(e Event) {
+	began := time.Now()
+	switch e.Kind {
+	case KindStop, KindUnreadLog:
+		r.stop(e)
+	case KindConfigure:
+		r.changeRoutes(e)
+	case KindWithdraw:
+		r.withdraw()
+	case KindKill:
+		r.kill(e)
+	case KindPause:
+		r.pause(e)
+	case KindCrash:
+		r.crash(e)
+	case KindOddEntry:
+		r.writeOddEntry(e)
+	case KindStore:
+		r.turnCallsAway(e)
+	}
+	if e.Kind.IsFault() {
+		r.judge.noteFault(began, time.Now())
+	}
+}
+
+// stop stops a node with SIGTERM, and starts it again.
+func (r *run) stop(e Event) {
+	n := r.nodeOf(e)
+	if !n.claim() {
+		return
+	}
+	defer n.release()
+	if e.Kind == KindUnreadLog {
+		closePipe, ok := r.restartUnread(n)
+		if !ok {
+			return
+		}
+		defer closePipe()
+	}
+	began := time.Now()
+	n.mu.Lock()
+	n.stopAt = began
+	n.mu.Unlock()
+	if err := r.super.Terminate(n.name); err != nil {
+		r.judge.check(ruleOwnEnd, false, "%s had ended: %v", n.name, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	held := r.super.Wait(ctx, n.name) == nil
+	if !held {
+		_ = r.super.Kill(n.name)
+	}
+	r.judge.check(ruleGrace, held || r.judge.isExcused(began, time.Now()), "%s (%s) still ran %s after SIGTERM", n.name, e.Kind, grace)
+	r.start(n)
+}
+
+// restartUnread starts a node anew with a log that nobody reads, and waits until the log is full.
+func (r *run) restartUnread(n *node) (closePipe func(), ok bool) {
+	spec, closePipe, err := n.unreadPipe()
+	if err != nil {
+		return nil, false
+	}
+	n.mu.Lock()
+	n.stopAt = time.Now()
+	n.mu.Unlock()
+	_ = r.super.Terminate(n.name)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if r.super.Wait(ctx, n.name) != nil {
+		_ = r.super.Kill(n.name)
+	}
+	if r.super.Start(spec) != nil {
+		closePipe()
+		return nil, false
+	}
+	time.Sleep(rejoinTime + unreadTime)
+	return closePipe, true
+}
+
+// start starts a node again that has ended.
+func (r *run) start(n *node) {
+	time.Sleep(restartDelay)
+	if err := r.super.Start(n.spec); err != nil {
+		r.judge.check(ruleOwnEnd, false, "start of %s: %v", n.name, err)
+	}
+}
+
+func (r *run) kill(e Event) {
+	n := r.nodeOf(e)
+	if !n.claim() {
+		return
+	}
+	defer n.release()
+	_ = r.super.Kill(n.name)
+	r.start(n)
+}
+
+func (r *run) pause(e Event) {
+	n := r.nodeOf(e)
+	if !n.claim() {
+		return
+	}
+	defer n.release()
+	_ = r.super.Pause(n.name)
+	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxPause))))
+	_ = r.super.Resume(n.name)
+}
+
+// changeRoutes adds routes, or drops one for a moment while callers have transactions open on it.
+func (r *run) changeRoutes(e Event) {
+	r.configuring.Lock()
+	defer r.configuring.Unlock()
+	if e.Variant%2 == 0 {
+		r.configure(configuration{extraRoutes: e.Index % 50})
+		return
+	}
+	r.configure(configuration{withoutJobs: true})
+	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxRouteGap))))
+	r.configure(configuration{})
+}
+
+// crash crashes the primary, if all targets run, and starts it again. In half of the events the entries
+// of the others are odd for a while, from some time within the promotion on.
+func (r *run) crash(e Event) {
+	r.crashing.Lock()
+	defer r.crashing.Unlock()
+	for _, name := range targets {
+		t := r.group.Target(name)
+		if !t.Leads() {
+			continue
+		}
+		t.Kill()
+		if e.Variant%2 == 0 {
+			others := slices.DeleteFunc(slices.Clone(targets), func(other string) bool { return other == name })
+			time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxOddDelay))))
+			r.writeOddEntries(others, oddEntries[e.Index%len(oddEntries)])
+		}
+		time.Sleep(time.Second + time.Duration(randomOf(e).Int64N(int64(maxCrash))))
+		t.Restart()
+		return
+	}
+}
+
+// oddEntries are entries of another writer. %ADDR% stands for the target's address.
+var oddEntries = []string{
+	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":5,"state":7}`,
+	`{"service":"ledger","addr":"127.0.0.1:99999","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"ledger","addr":"127.0.0.1:0","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":1e400,"state":"ready"}`,
+	`{"service":"nowhere","addr":"%ADDR%","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":5,"state":"ready","seq":` + strings.Repeat("[", 30000),
+	"\xff\xfe",
+	``,
+}
+
+// writeOddEntry replaces the entry of a target, or all of them.
+func (r *run) writeOddEntry(e Event) {
+	ids := targets
+	if e.Index%3 > 0 {
+		ids = targets[e.Index%len(targets):][:1]
+	}
+	r.writeOddEntries(ids, oddEntries[e.Variant%len(oddEntries)])
+}
+
+// writeOddEntries replaces the entries of targets until their next heartbeat.
+func (r *run) writeOddEntries(ids []string, odd string) {
+	for _, id := range ids {
+		r.store.Put("servers", id, []byte(strings.ReplaceAll(odd, "%ADDR%", r.group.Target(id).Address)))
+	}
+	time.Sleep(oddEntryTime)
+	for _, id := range ids {
+		r.store.Put("servers", id, r.group.Entry(id, zones[0], "ready"))
+	}
+}
+
+// turnCallsAway makes the store refuse calls, or not answer them, for a while.
+func (r *run) turnCallsAway(e Event) {
+	faults := []hosted.Fault{hosted.FaultBusy, hosted.FaultMany, hosted.FaultSilent, hosted.FaultLost}
+	r.store.SetFault(func(*http.Request) hosted.Fault { return faults[e.Variant%len(faults)] })
+	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxOutage))))
+	r.store.SetFault(nil)
+}
+
+// withdraw takes a key away, judges that it is refused in time by nodes that nothing happens to, and gives
+// it back.
+func (r *run) withdraw() {
+	r.configuring.Lock()
+	defer r.configuring.Unlock()
+	acknowledgedAt := time.Now()
+	r.configure(configuration{withoutKey: true})
+	defer r.configure(configuration{})
+	time.Sleep(inForceWithin)
+	for _, n := range r.nodes {
+		askedAt := time.Now()
+		c, refused, err := connect(n.front, services[0], changingKey)
+		if c != nil {
+			c.close()
+		}
+		if err != nil || r.judge.isExcused(acknowledgedAt.Add(-stableTime), time.Now()) || n.isStopping(acknowledgedAt.Add(-stableTime), time.Now()) {
+			continue
+		}
+		r.judge.check(ruleWithdrawn, refused != "", "%s accepted a key %s after its withdrawal", n.name, askedAt.Sub(acknowledgedAt).Round(time.Millisecond))
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/judge.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// The rules that a run is judged by.
+const (
+	ruleCut       = "no request is cut around a stop"
+	ruleGrace     = "a stop ends within the grace period"
+	ruleOwnEnd    = "no process ends by itself"
+	ruleKept      = "each acknowledged write is kept"
+	ruleOnce      = "no write takes effect twice"
+	ruleWithdrawn = "a withdrawn key is refused"
+)
+
+const (
+	// stableTime is how long a fault excuses requests that are sent after it.
+	stableTime = 4 * time.Second
+	// slack is how long after its last byte was sent a statement must have been read.
+	slack = 200 * time.Millisecond
+	// maxViolations bounds the violations of a rule that a report lists.
+	maxViolations = 20
+)
+
+// Rule is the result of one rule.
+type Rule struct {
+	Checked    int      `json:"checked"`
+	Violations []string `json:"violations"`
+	// Broken counts all violations, also those that are not listed.
+	Broken int `json:"broken"`
+}
+
+// judge collects what the rules check. It is safe for concurrent use.
+type judge struct {
+	mu    sync.Mutex
+	rules map[string]*Rule
+	// faults holds the times from which to which faults were active.
+	faults []span
+}
+
+type span struct{ from, to time.Time }
+
+func newJudge() *judge {
+	j := &judge{rules: make(map[string]*Rule)}
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn} {
+		j.rules[name] = &Rule{Violations: []string{}}
+	}
+	return j
+}
+
+// check counts a case of the rule called name, and a violation unless held.
+func (j *judge) check(name string, held bool, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	rule := j.rules[name]
+	rule.Checked++
+	if held {
+		return
+	}
+	rule.Broken++
+	if len(rule.Violations) < maxViolations {
+		rule.Violations = append(rule.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// noteFault records that a fault was active.
+func (j *judge) noteFault(from, to time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.faults = append(j.faults, span{from, to})
+}
+
+// isExcused reports whether a fault was active in the stableTime before from, or until to.
+func (j *judge) isExcused(from, to time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, f := range j.faults {
+		if f.from.Before(to) && f.to.Add(stableTime).After(from) {
+			return true
+		}
+	}
+	return false
+}
+
+// broken returns the names of the broken rules.
+func (j *judge) broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var names []string
+	for name, rule := range j.rules {
+		if rule.Broken > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/standin/soak/soak_test.go
@@ -0,0 +1,53 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestScheduleIsRepeatable checks that a seed gives the same schedule, another seed another one, and that
+// every kind of event comes in a few of them, faults in the mixed phases only.
+func TestScheduleIsRepeatable(t *testing.T) {
+	const length = 2 * time.Minute
+	must.Eq(t, Draw(7, length), Draw(7, length))
+	must.NotEq(t, Draw(7, length), Draw(8, length))
+	seen := map[Kind]bool{}
+	for seed := range uint64(5) {
+		for _, event := range Draw(seed, length) {
+			seen[event.Kind] = true
+			must.False(t, event.Kind.IsFault() && (event.At/phaseLength)%2 == 0, must.Sprintf("%+v", event))
+		}
+	}
+	for _, kind := range append(plannedKinds, faultKinds...) {
+		must.True(t, seen[kind], must.Sprint(kind))
+	}
+}
+
+// TestFaultsExcuse checks which requests a fault excuses: those that it overlaps, and those that were sent
+// within stableTime after it.
+func TestFaultsExcuse(t *testing.T) {
+	at := func(seconds int) time.Time { return time.Unix(1000+int64(seconds), 0) }
+	j := newJudge()
+	j.noteFault(at(10), at(12))
+	for _, c := range []struct {
+		from, to int
+		want     bool
+	}{{8, 9, false}, {8, 11, true}, {11, 12, true}, {13, 14, true}, {15, 16, true}, {17, 18, false}} {
+		must.Eq(t, c.want, j.isExcused(at(c.from), at(c.to)), must.Sprintf("%+v", c))
+	}
+}
+
+// TestViolationsAreCounted checks that a violation breaks its rule, and that reports stay bounded.
+func TestViolationsAreCounted(t *testing.T) {
+	j := newJudge()
+	j.check(ruleKept, true, "")
+	must.SliceEmpty(t, j.broken())
+	for range 2 * maxViolations {
+		j.check(ruleKept, false, "item is missing")
+	}
+	must.Eq(t, []string{ruleKept}, j.broken())
+	must.Eq(t, 1+2*maxViolations, j.rules[ruleKept].Checked)
+	must.Len(t, maxViolations, j.rules[ruleKept].Violations)
+}
--- a/internal/standin/supervise/supervise.go
+++ b/internal/standin/supervise/supervise.go
@@ -28,6 +28,8 @@
 	Args []string
 	// Log is the path of the file that standard output and standard error are appended to.
 	Log string
+	// Env holds variables, as NAME=VALUE, that are added to those of this process.
+	Env []string
 }
 
 // Supervisor runs processes. Its methods are safe for concurrent use.
@@ -89,6 +91,7 @@
 	}
 	defer logFile.Close()
 	cmd := exec.Command(spec.Path, spec.Args...)
+	cmd.Env = append(os.Environ(), spec.Env...)
 	cmd.Stdout = logFile
 	cmd.Stderr = logFile
 	cmd.SysProcAttr = sysProcAttr()
