--- a/internal/controller/promotion/doc.go
+++ b/internal/controller/promotion/doc.go
@@ -12,6 +12,12 @@
 // The argument depends on no clock, lease or platform store. The stored record of a promotion is
 // not part of it either: it only informs operators, and nodes that are starting.
 //
+// The targets are the members of the group, whether or not the platform lists them at the moment
+// (package controller/roster), and an attempt ends if one that has adopted its term is a member no
+// more. If the primary acknowledges a commit once n replicas have it (SetSyncReplicas), an
+// acknowledged write may be in the logs of fewer than a majority; then so many targets adopt the term
+// that one of those logs is among them.
+//
 // With Options.HeldTerms, a target keeps an adopted term only for a while: until it restarts, until
 // it is released by Follow, or until any target of the group is promoted. Such a temporary adoption
 // is called a hold, and it needs more rules. One node at a time promotes, under a lease that is
--- /dev/null
+++ b/internal/controller/promotion/members.go
@@ -0,0 +1,77 @@
+package promotion
+
+import "time"
+
+// SetMembers replaces the group's targets. Of a removed one only the term that it was in is remembered
+// (package termfloor).
+func (g *Group) SetMembers(members []Member) {
+	g.members = members
+	for name, o := range g.observations {
+		if g.member(name) != nil {
+			continue
+		}
+		if o.answered && g.options.HeldTerms {
+			g.floor.Leave(o.status.OwnTerm, o.polledAt)
+		}
+		delete(g.observations, name)
+	}
+}
+
+// SetSyncReplicas sets the number of replicas that have each acknowledged commit besides the primary.
+func (g *Group) SetSyncReplicas(n int) { g.syncReplicas = n }
+
+func (g *Group) member(name string) *Member {
+	for i := range g.members {
+		if g.members[i].Name == name {
+			return &g.members[i]
+		}
+	}
+	return nil
+}
+
+func (g *Group) majority() int { return len(g.members)/2 + 1 }
+
+// quorum returns the number of targets that must adopt a term before one of them is promoted. It is a
+// majority, and so many that each acknowledged commit is in the log of one of them. If there are fewer
+// members than a commit needs, some are not known, and no number of adopters is enough.
+func (g *Group) quorum() int {
+	switch {
+	case g.syncReplicas == 0:
+		return g.majority()
+	case len(g.members) <= g.syncReplicas:
+		return len(g.members) + 1
+	default:
+		return max(g.majority(), len(g.members)-g.syncReplicas)
+	}
+}
+
+// hasLostAdopter reports whether a target that has adopted the attempt's term is no longer a member, so
+// that the log of the candidate would not be compared with its log. Once the Promote command was sent,
+// the choice is made.
+func (g *Group) hasLostAdopter() bool {
+	if g.attempt.phase == PhasePromote {
+		return false
+	}
+	for name := range g.attempt.adopted {
+		if g.member(name) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSuccessor reports whether there is a reachable target, other than the primary, that is not
+// leaving. For an unlisted primary, the target must also receive the primary's log: otherwise the
+// attempt could only promote the same primary again.
+func (g *Group) hasSuccessor(now time.Time, primary string) bool {
+	unlisted := g.member(primary).Unlisted
+	for _, m := range g.members {
+		if m.Name == primary || m.Leaving || !g.isReachable(now, m.Name) {
+			continue
+		}
+		if !unlisted || !g.observations[m.Name].status.Last.Less(g.observations[primary].previousLast) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -79,21 +79,6 @@
 	}
 }
 
-// hasLostAdopter reports whether a target that has adopted the attempt's term is no longer a member, so
-// that the log of the candidate would not be compared with its log. Once the Promote command was sent,
-// the choice is made.
-func (g *Group) hasLostAdopter() bool {
-	if g.attempt.phase == PhasePromote {
-		return false
-	}
-	for name := range g.attempt.adopted {
-		if g.member(name) == nil {
-			return true
-		}
-	}
-	return false
-}
-
 func (g *Group) tickFence(now time.Time) []Action {
 	caughtUp := g.attempt.fenced && g.hasCaughtUpReplica()
 	if !caughtUp && now.Sub(g.attempt.phaseStartedAt) < CatchUpTimeout {
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -96,24 +96,6 @@
 	g.enabled = enabled
 }
 
-// SetMembers replaces the group's targets. Of a removed one only the term that it was in is remembered
-// (package termfloor).
-func (g *Group) SetMembers(members []Member) {
-	g.members = members
-	for name, o := range g.observations {
-		if g.member(name) != nil {
-			continue
-		}
-		if o.answered && g.options.HeldTerms {
-			g.floor.Leave(o.status.OwnTerm, o.polledAt)
-		}
-		delete(g.observations, name)
-	}
-}
-
-// SetSyncReplicas sets the number of replicas that have each acknowledged commit besides the primary.
-func (g *Group) SetSyncReplicas(n int) { g.syncReplicas = n }
-
 // Observe records a target's answer to a poll that was sent at sentAt. It ignores the answer if a
 // later poll was answered before.
 func (g *Group) Observe(sentAt time.Time, status target.Status) {
@@ -299,22 +281,6 @@
 	return disconnected >= g.majority()
 }
 
-// hasSuccessor reports whether there is a reachable target, other than the primary, that is not
-// leaving. For an unlisted primary, the target must also receive the primary's log: otherwise the
-// attempt could only promote the same primary again.
-func (g *Group) hasSuccessor(now time.Time, primary string) bool {
-	unlisted := g.member(primary).Unlisted
-	for _, m := range g.members {
-		if m.Name == primary || m.Leaving || !g.isReachable(now, m.Name) {
-			continue
-		}
-		if !unlisted || !g.observations[m.Name].status.Last.Less(g.observations[primary].previousLast) {
-			return true
-		}
-	}
-	return false
-}
-
 // followActions returns a Follow for each target that does not replicate from the primary of the
 // highest term, at most one for each target in FollowRetryInterval. With Options.HeldTerms, targets
 // find their primary by themselves, and a Follow is needed only to release a target from a term
@@ -370,22 +336,6 @@
 	return n
 }
 
-func (g *Group) majority() int { return len(g.members)/2 + 1 }
-
-// quorum returns the number of targets that must adopt a term before one of them is promoted. It is a
-// majority, and so many that each acknowledged commit is in the log of one of them. If there are fewer
-// members than a commit needs, some are not known, and no number of adopters is enough.
-func (g *Group) quorum() int {
-	switch {
-	case g.syncReplicas == 0:
-		return g.majority()
-	case len(g.members) <= g.syncReplicas:
-		return len(g.members) + 1
-	default:
-		return max(g.majority(), len(g.members)-g.syncReplicas)
-	}
-}
-
 func (g *Group) observation(name string) *observation {
 	o := g.observations[name]
 	if o == nil {
@@ -395,15 +345,6 @@
 	return o
 }
 
-func (g *Group) member(name string) *Member {
-	for i := range g.members {
-		if g.members[i].Name == name {
-			return &g.members[i]
-		}
-	}
-	return nil
-}
-
 // String returns a summary of the group's state for log lines.
 func (g *Group) String() string {
 	primary, term := g.Primary()
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -33,6 +33,9 @@
 // too, was polled within MaxObservationAge; or no other node may order promotions and this node
 // has ordered none (SetSoleOrderer).
 //
+// The term of a target that is no longer a member still counts for a while (package
+// controller/termfloor): otherwise a replaced primary would be believed once the others are gone.
+//
 // The package starts no goroutines, takes no locks and reads no clock.
 package evidence
 
