Sessions that a stop cuts leave a line: request, age, step, owner, reason

Each cut now has outcome=cut (burst 400, then 20 a second), written past the queue so that the last moments are kept; requestlog writes what is queued at its end. TestStopCutsASessionWithoutALine.

--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -114,6 +114,20 @@
 	return link.(*ownerLink)
 }
 
+// OwnerOf returns the address of the owner that the session's requests go to, "self" for this node, or
+// "" if there is none.
+func (f *Filter) OwnerOf(session string) string {
+	link := f.currentLink(session)
+	switch {
+	case link == nil:
+		return ""
+	case link.self:
+		return "self"
+	default:
+		return link.address
+	}
+}
+
 func (f *Filter) dropLink(session string, link *ownerLink) {
 	if link == nil {
 		return
--- /dev/null
+++ b/internal/front/cut_test.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
+	"crocusyoke/internal/requestlog"
+)
+
+// testCaller is a caller whose session speaks the protocol of wordCodec.
+type testCaller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// connectTo starts a session of s and logs in.
+func connectTo(t *testing.T, s *Server) *testCaller {
+	t.Helper()
+	serverConn, callerConn := net.Pipe()
+	s.startSession(serverConn)
+	c := &testCaller{t: t, conn: callerConn, in: bufio.NewReader(callerConn)}
+	c.write("startup")
+	must.Eq(t, "welcome", c.readLine())
+	return c
+}
+
+func (c *testCaller) write(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, text+"\n")
+	must.NoError(c.t, err)
+}
+
+// readLine returns the next line, or "EOF" at the end of the connection.
+func (c *testCaller) readLine() string {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return "EOF"
+	}
+	return strings.TrimSpace(line)
+}
+
+func (c *testCaller) send(text string) string {
+	c.t.Helper()
+	c.write(text)
+	return c.readLine()
+}
+
+// newLoggedServer returns a server whose callers speak the protocol of wordCodec, and what it logs.
+func newLoggedServer(c *fakeChain) (*Server, *strings.Builder) {
+	s, lines := newServer(c, nil), &strings.Builder{}
+	s.options.NewCodec = newWordCodec
+	s.options.MaxConnections = 10
+	s.options.Log = requestlog.New(log.NewLogfmtLogger(log.NewSyncWriter(lines)))
+	return s, lines
+}
+
+// TestStopCutsASessionWithoutALine guards against a stop that ends a session under a statement without a
+// line that says which request was lost, how old it was, where it was and why it was cut.
+func TestStopCutsASessionWithoutALine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeChain{answer: func(*request.Request, *Call) (*request.Response, error) {
+			time.Sleep(time.Hour)
+			return nil, errors.New("too late")
+		}}
+		s, lines := newLoggedServer(c)
+		connectTo(t, s)
+		connectTo(t, s).write("r")
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		must.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
+		must.Eq(t, "event=request id=q session=n1.2 outcome=cut why=\"the stop's time is over\" step=serving verb=read age=3s "+
+			"owner=n2 customer=maker service=orders stopping=true\n", lines.String())
+		must.Eq(t, "1", s.Counts.Get("sessions_cut").String())
+		time.Sleep(time.Hour)
+	})
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -112,7 +112,7 @@
 	return New(Options{
 		Node: "n1", Config: config, Chain: c, EndTransaction: func(string) { c.dropped++ }, Auth: newAuth(c, config), Clock: clock.Wall{},
 		Log: requestlog.New(log.NewNopLogger()), NewCodec: func(net.Conn) Codec { return codec },
-		Rollback: "UNDO", MaxConnections: 1,
+		Owner: func(string) string { return "n2" }, Rollback: "UNDO", MaxConnections: 1,
 	})
 }
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -34,6 +34,9 @@
 	busy bool
 	// closing is set when the session must end as soon as it is not busy.
 	closing bool
+	// progress is what the session is doing, and cutReported is set by logCut.
+	progress    progress
+	cutReported bool
 }
 
 func newSession(s *Server, conn net.Conn, number uint64) *session {
@@ -53,6 +56,7 @@
 		return struct{}{}, nil
 	})
 	if err != nil {
+		s.logCut(cutByPanic, err)
 		s.logPanic(err)
 	}
 }
@@ -101,7 +105,7 @@
 		return false
 	}
 	s.codec.SessionOpened()
-	return s.flush()
+	return s.flush() == nil
 }
 
 // open marks the session as open to its caller. It reports false if the session was told to close
@@ -110,13 +114,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.admitted = !s.closing
+	s.progress.phase = phaseReading
 	return s.admitted
 }
 
 func (s *session) reject(refusal *request.Refusal) {
 	s.server.Refused.Add(refusal.Code.Name, 1)
 	s.codec.Reject(refusal)
-	s.flush()
+	_ = s.flush()
 }
 
 // serveNext reads and serves one statement. It reports false when the session is over.
@@ -126,10 +131,12 @@
 		s.handleReadError(err)
 		return false
 	}
-	s.beginStatement()
+	s.beginStatement(&statement)
 	s.server.Counts.Add("statements", 1)
 	s.serveStatement(ctx, &statement)
-	if !s.flush() {
+	s.setPhase(phaseAnswering)
+	if err := s.flush(); err != nil {
+		s.logCut(cutByWrite, err)
 		return false
 	}
 	return s.endStatement()
@@ -149,7 +156,7 @@
 	}
 	s.server.Counts.Add("malformed", 1)
 	s.codec.Refuse(protocolRefusal(err.Error()), s.state.txStatus)
-	s.flush()
+	_ = s.flush()
 }
 
 // serveStatement answers one statement.
@@ -294,17 +301,19 @@
 	}, nil
 }
 
-func (s *session) flush() bool {
+func (s *session) flush() error {
 	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return s.codec.Flush() == nil
+	return s.codec.Flush()
 }
 
 // beginStatement marks the session busy. A statement that was read is served, also if the session was
 // told to close meanwhile.
-func (s *session) beginStatement() {
+func (s *session) beginStatement(st *Statement) {
+	now := s.server.options.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = true
+	s.progress.phase, s.progress.statement, s.progress.verb, s.progress.began = phaseServing, st.ID, st.Verb, now
 	_ = s.conn.SetReadDeadline(time.Time{})
 }
 
@@ -314,6 +323,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.state.txStatus != txIdle
+	s.progress.phase = phaseReading
+	switch {
+	case !s.busy:
+		s.progress.transactionBegan = time.Time{}
+	case s.progress.transactionBegan.IsZero():
+		s.progress.transactionBegan = s.progress.began
+	}
 	return s.busy || !s.closing
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -36,9 +36,11 @@
 	// answer. It is called when the caller is told that its transaction has ended, but no target has
 	// confirmed it.
 	EndTransaction func(session string)
-	Auth           *auth.Filter
-	Clock          clock.Clock
-	Log            *requestlog.Log
+	// Owner returns the node that serves a session's requests, "" if there is none.
+	Owner func(session string) string
+	Auth  *auth.Filter
+	Clock clock.Clock
+	Log   *requestlog.Log
 	// NewCodec returns the codec for a caller's connection.
 	NewCodec func(net.Conn) Codec
 	// Rollback is the text of the statement that rolls back a transaction.
@@ -52,7 +54,7 @@
 // concurrent use.
 type Server struct {
 	options Options
-	// Counts counts statements, sessions that were opened, refused, broken or withdrawn, accept
+	// Counts counts statements, sessions that were opened, refused, broken, cut or withdrawn, accept
 	// errors, malformed input, and rollbacks without an answer.
 	Counts expvar.Map
 	// Refused counts refused sessions and statements by refusal code.
@@ -96,7 +98,7 @@
 	defer context.AfterFunc(ctx, func() {
 		_ = listener.Close()
 		s.cancel()
-		s.closeSessions()
+		s.closeSessions(cutAtExit)
 	})()
 	for {
 		conn, err := listener.Accept()
@@ -168,7 +170,7 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		s.closeSessions()
+		s.closeSessions(cutAtLimit)
 		return ctx.Err()
 	}
 }
@@ -186,11 +188,12 @@
 	}
 }
 
-func (s *Server) closeSessions() {
+// closeSessions closes all sessions at once.
+func (s *Server) closeSessions(why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for sess := range s.sessions {
-		_ = sess.conn.Close()
+		sess.close(why)
 	}
 }
 
--- a/internal/front/statement.go
+++ b/internal/front/statement.go
@@ -29,6 +29,14 @@
 	VerbDeallocate
 )
 
+// String returns the verb's name in log lines.
+func (v Verb) String() string {
+	names := [...]string{
+		"invalid", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate",
+	}
+	return names[min(v, VerbDeallocate)]
+}
+
 // StatementTemplate is the content of a prepared statement, without the name that the caller
 // prepared it under. Connections to targets prepare templates under names of their own, so that
 // callers can share them.
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -263,6 +263,7 @@
 		Config:         n.config,
 		Chain:          n.chain,
 		EndTransaction: n.chain.Route.End,
+		Owner:          n.chain.Route.OwnerOf,
 		Auth:           n.chain.Auth,
 		Clock:          n.clock,
 		Log:            n.requests,
--- a/internal/requestlog/log.go
+++ b/internal/requestlog/log.go
@@ -22,6 +22,8 @@
 	// linesPerSecond and lineBurst bound the lines of one outcome other than OutcomeOK.
 	linesPerSecond = 20
 	lineBurst      = 40
+	// cutBurst is the burst of lines with OutcomeCut: a stop cuts many sessions at one moment.
+	cutBurst = 400
 	// successesPerSecond bounds the lines with OutcomeOK; their burst is 1.
 	successesPerSecond = 2
 	// queueCapacity is the number of lines that may wait for the writer.
@@ -40,11 +42,14 @@
 	Fields []any
 }
 
-// Outcomes of successful requests. OutcomeSlow is for those that took long; they have a
-// separate rate limit, the same as that of refusals.
+// Outcomes that have a meaning of their own for the log.
 const (
-	OutcomeOK   = "ok"
+	OutcomeOK = "ok"
+	// OutcomeSlow is for successful requests that took long; they have a separate rate limit, the
+	// same as that of refusals.
 	OutcomeSlow = "slow"
+	// OutcomeCut is for sessions that ended without the answer to a request.
+	OutcomeCut = "cut"
 )
 
 // Log queues entries and writes them in the background. It is safe for concurrent use.
@@ -71,19 +76,30 @@
 	return &Log{logger: logger, queue: make(chan []any, queueCapacity), outcomes: make(map[string]*outcomeState)}
 }
 
-// Run writes queued lines until ctx is done, and then returns nil. Lines that are
-// still queued then are not written.
+// Run writes queued lines until ctx is done, then those that are still queued, and returns nil.
 func (l *Log) Run(ctx context.Context) error {
 	for {
 		select {
 		case line := <-l.queue:
 			_ = l.logger.Log(line...)
 		case <-ctx.Done():
+			l.writeQueued()
 			return nil
 		}
 	}
 }
 
+func (l *Log) writeQueued() {
+	for {
+		select {
+		case line := <-l.queue:
+			_ = l.logger.Log(line...)
+		default:
+			return
+		}
+	}
+}
+
 // Allow reports whether an entry with this outcome may be written at time now. It takes one
 // token from the outcome's rate limiter, or counts the entry as suppressed. Call it before
 // building an Entry, so that no work is spent on an entry that would be suppressed.
@@ -103,8 +119,11 @@
 	state := l.outcomes[outcome]
 	if state == nil {
 		state = &outcomeState{limiter: rate.NewLimiter(linesPerSecond, lineBurst)}
-		if outcome == OutcomeOK {
+		switch outcome {
+		case OutcomeOK:
 			state.limiter = rate.NewLimiter(successesPerSecond, 1)
+		case OutcomeCut:
+			state.limiter = rate.NewLimiter(linesPerSecond, cutBurst)
 		}
 		l.outcomes[outcome] = state
 	}
@@ -114,6 +133,23 @@
 // Write queues an entry for which Allow has returned true. It does not block: if the queue
 // is full, the line is dropped and counted.
 func (l *Log) Write(e Entry) {
+	select {
+	case l.queue <- l.line(e):
+		l.Counts.Add("written", 1)
+	default:
+		l.Counts.Add("dropped", 1)
+	}
+}
+
+// WriteNow is Write without the queue, for lines of the process's last moments, when Run may have
+// ended. The logger must not block.
+func (l *Log) WriteNow(e Entry) {
+	_ = l.logger.Log(l.line(e)...)
+	l.Counts.Add("written", 1)
+}
+
+// line returns the keys and values of e's line, with the number of lines suppressed before it.
+func (l *Log) line(e Entry) []any {
 	l.mu.Lock()
 	state := l.outcomeState(e.Outcome)
 	suppressed := state.suppressed
@@ -124,10 +160,5 @@
 	if suppressed > 0 {
 		line = append(line, "left_out", suppressed)
 	}
-	select {
-	case l.queue <- line:
-		l.Counts.Add("written", 1)
-	default:
-		l.Counts.Add("dropped", 1)
-	}
+	return line
 }
