Reproduced: a stop cuts statements that it has taken itself

A statement of an open transaction is served until the stop's end, whose closing of all connections then cuts it while the target runs it (TestStopCutsAStatementOfAnOpenTransaction: EOF instead of an answer); the same for one that was sent before the stop and outlasts it.

--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -17,13 +17,16 @@
 	"crocusyoke/internal/request"
 )
 
-// wordCodec reads each line of its connection as a READ, and writes a line for each answer.
+// wordCodec reads each line of its connection as a statement, and writes a line for each answer. A line
+// that is no verb of wordVerbs is a READ.
 type wordCodec struct {
 	in  *bufio.Reader
 	out io.Writer
 	buf string
 }
 
+var wordVerbs = map[string]Verb{"begin": VerbBegin, "write": VerbWrite, "commit": VerbCommit, "rollback": VerbRollback}
+
 func newWordCodec(conn net.Conn) Codec { return &wordCodec{in: bufio.NewReader(conn), out: conn} }
 
 func (c *wordCodec) Startup() (Startup, error) {
@@ -33,7 +36,11 @@
 
 func (c *wordCodec) Next() (Statement, error) {
 	line, err := c.in.ReadString('\n')
-	return stmt(VerbRead, strings.TrimSpace(line)), err
+	text := strings.TrimSpace(line)
+	if verb, ok := wordVerbs[text]; ok {
+		return stmt(verb, text), err
+	}
+	return stmt(VerbRead, text), err
 }
 
 func (c *wordCodec) SessionOpened() { c.buf += "welcome\n" }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -46,6 +46,8 @@
 		codec:  s.options.NewCodec(conn),
 		id:     fmt.Sprintf("%s.%d", s.options.Node, number),
 		state:  newSessionState(),
+
+		progress: progress{phase: phaseLogin},
 	}
 }
 
--- /dev/null
+++ b/internal/front/stop_test.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
+)
+
+// stopTime is how long a drain of these tests may take.
+const stopTime = 3 * time.Second
+
+// slowTarget is a fakeTarget whose statements take a time, or until their request is canceled.
+type slowTarget struct {
+	fakeTarget
+	chain *fakeChain
+	takes map[string]time.Duration
+}
+
+func newSlowTarget(takes map[string]time.Duration) *slowTarget {
+	d := &slowTarget{fakeTarget: fakeTarget{tx: txIdle}, takes: takes}
+	d.chain = &fakeChain{}
+	d.chain.answer = func(req *request.Request, call *Call) (*request.Response, error) {
+		return d.answer(req, call)
+	}
+	return d
+}
+
+// Serve implements request.Handler.
+func (d *slowTarget) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
+	call, err := DecodeCall(req.Messages)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-time.After(d.takes[call.Text]):
+		return d.chain.Serve(ctx, req)
+	case <-ctx.Done():
+		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", "t1", "canceled")
+	}
+}
+
+// End implements request.Handler.
+func (d *slowTarget) End(session string) { d.chain.End(session) }
+
+// startDrain begins a drain that may take stopTime.
+func startDrain(t *testing.T, s *Server) chan error {
+	ctx, cancel := context.WithTimeout(t.Context(), stopTime)
+	t.Cleanup(cancel)
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(ctx) }()
+	synctest.Wait()
+	return drained
+}
+
+// TestStopCutsAStatementOfAnOpenTransaction guards against a stop that takes a statement of a transaction
+// which it then cuts while the target runs it: the caller gets neither an answer nor a refusal.
+func TestStopCutsAStatementOfAnOpenTransaction(t *testing.T) {
+	for _, text := range []string{"write", "commit", "rollback"} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newSlowTarget(map[string]time.Duration{text: time.Second})
+			s, lines := newLoggedServer(d.chain)
+			s.options.Chain = d
+			caller := connectTo(t, s)
+			must.Eq(t, "ok", caller.send("begin"))
+			drained := startDrain(t, s)
+			must.Eq(t, "ok", caller.send("r"))
+			time.Sleep(stopTime - 200*time.Millisecond)
+			want := "transaction_lost"
+			if text == "rollback" {
+				want = "done"
+			}
+			must.Eq(t, want, caller.send(text))
+			must.Eq(t, "EOF", caller.readLine())
+			must.NoError(t, <-drained)
+			must.Eq(t, 1, d.chain.ended)
+			must.False(t, slices.Contains(d.chain.seen, "commit q commit"))
+			must.Eq(t, "", lines.String())
+		})
+	}
+}
+
+// TestStopCutsAStatementThatOutlastsIt guards against a stop that closes a connection under a statement
+// that was sent long before and still runs, without an answer.
+func TestStopCutsAStatementThatOutlastsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSlowTarget(map[string]time.Duration{"r": time.Hour})
+		s, _ := newLoggedServer(d.chain)
+		s.options.Chain = d
+		caller := connectTo(t, s)
+		caller.write("r")
+		synctest.Wait()
+		drained := startDrain(t, s)
+		must.Eq(t, "outcome_unknown", caller.readLine())
+		must.NoError(t, <-drained)
+	})
+}
