Stop: no statement is taken that its end would cut

Cause: a drain told its sessions to end when idle, and served statements of open transactions for as long as they came. When its time was over (in fact at the end of Finish, 5.15 s after the SIGTERM, when the process went on to its exit), it closed every connection that was left, also under a running statement. Class: work is taken without looking at whether its time fits before a deadline that ends it.

Change: a drain knows when it ends (the end of Finish). A statement of an open transaction is taken only if its timeout ends before that; later ones are refused as transaction_lost, which is true, since the transaction is rolled back. What still runs 0.4 s before the end is canceled and answered. So a connection is closed between two statements only.

--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -132,6 +132,15 @@
 // Current returns the step to run. Exit requires no work.
 func (c *Controller) Current() ScheduledStep { return c.current }
 
+// FinishDeadline returns the latest end of Finish, which leaves the stages after it their time.
+func (c *Controller) FinishDeadline() time.Time {
+	latest := c.end
+	for stage := len(c.plan) - 1; c.plan[stage].Step != Finish; stage-- {
+		latest = latest.Add(-c.stageLimit(stage))
+	}
+	return latest
+}
+
 // Done records the result of the current step and returns the next one. After Exit it has no
 // effect.
 func (c *Controller) Done(err error, now time.Time) ScheduledStep {
--- a/internal/controller/drain/drain_test.go
+++ b/internal/controller/drain/drain_test.go
@@ -68,6 +68,7 @@
 		c.Done(nil, start)
 	}
 	must.Eq(t, 20*time.Second-2*handOverTimeout, c.Current().Deadline.Sub(start))
+	must.Eq(t, c.Current().Deadline, c.FinishDeadline())
 }
 
 // TestAskedServesUntilTheBalancerKnows checks that callers are accepted for two polls of the
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -62,6 +63,7 @@
 
 // fakeChain is a filter chain that records requests and answers them by a function of the test.
 type fakeChain struct {
+	mu     sync.Mutex
 	seen   []string
 	answer func(req *request.Request, call *Call) (*request.Response, error)
 	ended  int
@@ -74,11 +76,17 @@
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
 	c.seen = append(c.seen, req.Kind.String()+" "+call.ID+" "+call.Text)
+	c.mu.Unlock()
 	return c.answer(req, call)
 }
 
-func (c *fakeChain) End(string) { c.ended++ }
+func (c *fakeChain) End(string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended++
+}
 
 // fakeTarget is a target that runs every statement. It holds only its transaction status.
 type fakeTarget struct{ tx byte }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -34,6 +34,8 @@
 	busy bool
 	// closing is set when the session must end as soon as it is not busy.
 	closing bool
+	// refusedByDrain is set when a drain has refused a statement of the session's transaction.
+	refusedByDrain bool
 	// progress is what the session is doing, and cutReported is set by logCut.
 	progress    progress
 	cutReported bool
@@ -170,7 +172,7 @@
 	case actionRefuse:
 		s.refuse(st, refusal)
 	case actionForward:
-		s.forward(ctx, st, kind)
+		s.forwardInTime(ctx, st, kind)
 	case actionRollback:
 		s.rollbackFailed(ctx, st)
 	}
@@ -272,18 +274,11 @@
 	if service == nil {
 		return nil, request.Refuse(request.CodeUnknownService, step, "", "service %q is not known", s.service)
 	}
-	profile := fleet.Profile{}
-	if p := config.Profile(service.Profile); p != nil {
-		profile = *p
-	}
+	profile := profileOf(config, service)
 	messages, err := call.Encode()
 	if err != nil {
 		return nil, request.Refuse(request.CodeProtocol, step, "", "encode").WithCause(err)
 	}
-	timeout := profile.Timeout.Std()
-	if timeout <= 0 {
-		timeout = DefaultTimeout
-	}
 	weight := 1
 	if c := config.Customer(s.customer); c != nil {
 		weight = max(1, c.Weight)
@@ -297,58 +292,29 @@
 		Kind:          kind,
 		Profile:       profile,
 		Weight:        weight,
-		Deadline:      s.server.options.Clock.Now().Add(timeout),
+		Deadline:      s.server.latestAnswer(s.server.options.Clock.Now().Add(timeoutOf(&profile))),
 		Messages:      messages,
 		ConfigVersion: config.Version,
 	}, nil
 }
 
-func (s *session) flush() error {
-	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return s.codec.Flush()
-}
-
-// beginStatement marks the session busy. A statement that was read is served, also if the session was
-// told to close meanwhile.
-func (s *session) beginStatement(st *Statement) {
-	now := s.server.options.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy = true
-	s.progress.phase, s.progress.statement, s.progress.verb, s.progress.began = phaseServing, st.ID, st.Verb, now
-	_ = s.conn.SetReadDeadline(time.Time{})
+func profileOf(config *fleet.Config, service *fleet.Service) fleet.Profile {
+	if p := config.Profile(service.Profile); p != nil {
+		return *p
+	}
+	return fleet.Profile{}
 }
 
-// endStatement marks the session idle, unless its transaction goes on. It reports false if the
-// session must end.
-func (s *session) endStatement() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.busy = s.state.txStatus != txIdle
-	s.progress.phase = phaseReading
-	switch {
-	case !s.busy:
-		s.progress.transactionBegan = time.Time{}
-	case s.progress.transactionBegan.IsZero():
-		s.progress.transactionBegan = s.progress.began
+func timeoutOf(profile *fleet.Profile) time.Duration {
+	if timeout := profile.Timeout.Std(); timeout > 0 {
+		return timeout
 	}
-	return s.busy || !s.closing
+	return DefaultTimeout
 }
 
-// idleReadTime is how long an idle session that is to close may still read a statement that its caller
-// has sent before.
-const idleReadTime = 50 * time.Millisecond
-
-// closeWhenIdle ends the session as soon as it is not busy. An idle session stops reading, so that it
-// ends without a statement that was read and not answered. A caller that has not logged in yet is
-// rejected by admit.
-func (s *session) closeWhenIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing = true
-	if s.admitted && !s.busy {
-		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
-	}
+func (s *session) flush() error {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return s.codec.Flush()
 }
 
 func (s *session) isAdmitted() bool {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusyoke/internal/clock"
@@ -64,10 +65,12 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// drain holds nil until Drain is called.
+	drain atomic.Pointer[drainTimes]
+
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
 	accepted  uint64
-	draining  bool
 	listeners []net.Listener
 }
 
@@ -147,34 +150,6 @@
 	})
 }
 
-// Drain stops accepting callers, ends each session as soon as it is idle and outside a
-// transaction, and returns nil when no session is left. If ctx ends first, it closes the
-// remaining sessions and returns the context's error.
-func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	listeners := s.listeners
-	for sess := range s.sessions {
-		sess.closeWhenIdle()
-	}
-	s.mu.Unlock()
-	for _, l := range listeners {
-		_ = l.Close()
-	}
-	ended := make(chan struct{})
-	go func() {
-		s.wg.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		s.closeSessions(cutAtLimit)
-		return ctx.Err()
-	}
-}
-
 // CloseWithdrawn ends the sessions whose key has been withdrawn, each as soon as it is
 // idle and outside a transaction. It is called when the configuration changes.
 func (s *Server) CloseWithdrawn() {
@@ -196,9 +171,3 @@
 		sess.close(why)
 	}
 }
-
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 )
 
@@ -100,3 +101,51 @@
 		must.NoError(t, <-drained)
 	})
 }
+
+// TestStopServesTransactionsThatCanEnd checks that a transaction goes on in a stop while its statements'
+// timeouts leave time for their answers, and for a time in any case.
+func TestStopServesTransactionsThatCanEnd(t *testing.T) {
+	for timeout, last := range map[time.Duration]time.Duration{
+		time.Second:     stopTime - answerTime - time.Second,
+		2 * stopTime:    transactionTime - time.Millisecond,
+		answerTime / 10: stopTime - answerTime - answerTime/10,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			config := testConfig()
+			config.Profiles[0].Timeout = fleet.Duration(timeout)
+			d := newSlowTarget(nil)
+			s, _ := newLoggedServer(d.chain)
+			s.options.Chain, s.options.Config = d, fixedConfig{config}
+			first, second := connectTo(t, s), connectTo(t, s)
+			must.Eq(t, "ok", first.send("begin"))
+			must.Eq(t, "ok", second.send("begin"))
+			drained := startDrain(t, s)
+			time.Sleep(last)
+			must.Eq(t, "ok", first.send("commit"))
+			time.Sleep(time.Millisecond)
+			must.Eq(t, "transaction_lost", second.send("write"))
+			must.NoError(t, <-drained)
+		})
+	}
+}
+
+// TestStopCutsTheRollbackOfACanceledStatement guards against a session that is closed before its caller has
+// ended the transaction whose statement the stop canceled.
+func TestStopCutsTheRollbackOfACanceledStatement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSlowTarget(map[string]time.Duration{"write": time.Hour})
+		s, lines := newLoggedServer(d.chain)
+		s.options.Chain = d
+		caller := connectTo(t, s)
+		must.Eq(t, "ok", caller.send("begin"))
+		caller.write("write")
+		synctest.Wait()
+		drained := startDrain(t, s)
+		must.Eq(t, "outcome_unknown", caller.readLine())
+		must.Eq(t, "done", caller.send("rollback"))
+		must.NoError(t, <-drained)
+		rolledBack := slices.Contains(d.chain.seen, "rollback - UNDO")
+		must.True(t, rolledBack != (d.chain.dropped == 1))
+		must.Eq(t, "", lines.String())
+	})
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -17,10 +17,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	callersDone := make(chan error, 1)
 	controller := drain.Begin(n.drainPlan(), limit, n.clock.Now())
+	callers := callerDrain{until: controller.FinishDeadline(), done: make(chan error, 1)}
 	for order := controller.Current(); order.Step != drain.Exit; {
-		err := n.runStep(ctx, order, callersDone)
+		err := n.runStep(ctx, order, callers)
 		order = controller.Done(err, n.clock.Now())
 	}
 	for _, o := range controller.Outcomes() {
@@ -35,23 +35,34 @@
 	return drain.VMListPlan
 }
 
-// runStep runs one step until its deadline. The step StopAccepting only starts the drain of the
-// callers' sessions. The drain continues during later steps, ends at the latest with stopCtx and
-// sends its result to callersDone, where the step Finish waits for it.
-func (n *Node) runStep(stopCtx context.Context, order drain.ScheduledStep, callersDone chan error) error {
+// callerDrain is the drain of the callers' sessions, which the step StopAccepting starts and the step
+// Finish waits for. It ends at until, the end of Finish, and sends its result to done.
+type callerDrain struct {
+	until time.Time
+	done  chan error
+}
+
+func (d callerDrain) run(ctx context.Context, server callerServer) {
+	ctx, cancel := context.WithDeadline(ctx, d.until)
+	defer cancel()
+	d.done <- server.Drain(ctx)
+}
+
+// runStep runs one step until its deadline.
+func (n *Node) runStep(stopCtx context.Context, order drain.ScheduledStep, callers callerDrain) error {
 	ctx, cancel := context.WithDeadline(stopCtx, order.Deadline)
 	defer cancel()
 	switch order.Step {
 	case drain.Announce:
 		n.membership.Leave(ctx)
 	case drain.StopAccepting:
-		go func() { callersDone <- n.front.Drain(stopCtx) }()
+		go callers.run(stopCtx, n.front)
 	case drain.Settle:
 		<-ctx.Done()
 		return nil
 	case drain.Finish:
 		select {
-		case err := <-callersDone:
+		case err := <-callers.done:
 			return err
 		case <-ctx.Done():
 			return ctx.Err()
