--- a/internal/front/cut.go
+++ b/internal/front/cut.go
@@ -55,8 +55,8 @@
 	cutByPanic = "panic"
 )
 
-// close closes the session's connection, and logs it if that cuts a statement or a transaction.
-func (s *session) close(why string) {
+// cut closes the session's connection at once, and logs it if that cuts a statement or a transaction.
+func (s *session) cut(why string) {
 	s.logCut(why, nil)
 	_ = s.conn.Close()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -168,6 +168,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for sess := range s.sessions {
-		sess.close(why)
+		sess.cut(why)
 	}
 }
