Front: a session's end waits for its caller to close

Callers saw a connection end without the answer, or within it, though the server had written it.

Cause: a session closed its socket as soon as it had written its last answer. If a message of the caller was still unread, the kernel resets the connection and drops what it has not sent yet, and a forwarder behind it may drop what it has not passed on. A stop could also end the process while its last answer was on its way.

Change: the session ends its sending side, then reads and drops what the caller still sends until the caller closes too, at most for 500 ms. Sockets without a sending side of their own are closed as before.

Callers that send nothing before they have read the answer lose nothing by a reset; for these only the process's end matters.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -61,7 +61,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer s.conn.Close()
+	defer s.close()
 	if !s.admit() {
 		return
 	}
