Route: a refusal by a former owner has that node probed at once

Now such a refusal has the owner probed ahead of its turn, at most ten times a second an address; its answer says that it leaves. TestFormerOwnerIsAskedAgainAndAgain.

--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -22,6 +22,8 @@
 	// Owner returns the owner's address. self is true if this node is the owner; ok is false if
 	// no owner is known.
 	Owner(group string) (address string, self bool, ok bool)
+	// Doubt reports that the node at address has refused a group because it does not own it any more.
+	Doubt(address string)
 }
 
 // ownerLink is a session's connection to the owner of its group.
@@ -144,6 +146,9 @@
 	if wasInTransaction || refusal.Code.Fate == request.Unknown || refusal.Code == request.CodeNoOwner {
 		f.dropLink(session, link)
 	}
+	if refusal.Code == request.CodeNoOwner && !link.self {
+		f.owners.Doubt(link.address)
+	}
 	if !wasInTransaction && !isBegin(kind) {
 		return err
 	}
--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -31,8 +31,9 @@
 
 // fakeFleet is a fleet of nodes whose owner moves.
 type fakeFleet struct {
-	nodes map[string]*fakeNode
-	owner string
+	nodes   map[string]*fakeNode
+	owner   string
+	doubted []string
 }
 
 func (f *fakeFleet) Open(address string) request.Handler { return f.nodes[address] }
@@ -41,6 +42,8 @@
 	return f.owner, f.owner == "self", f.owner != ""
 }
 
+func (f *fakeFleet) Doubt(address string) { f.doubted = append(f.doubted, address) }
+
 func newFakeFleet() (*Filter, *fakeFleet) {
 	f := &fakeFleet{nodes: map[string]*fakeNode{"self": {}, "a": {}, "b": {}}, owner: "a"}
 	return New(f.nodes["self"], f, f), f
@@ -111,3 +114,15 @@
 		must.Eq(t, 3, fleet.nodes["a"].served)
 	}
 }
+
+// TestFormerOwnerIsAskedAgainAndAgain guards against a node that goes on sending requests to an owner that
+// has handed the group over, because it does not know yet that the owner is leaving.
+func TestFormerOwnerIsAskedAgainAndAgain(t *testing.T) {
+	f, fleet := newFakeFleet()
+	fleet.nodes["a"].err = request.Refuse(request.CodeNoOwner, "owner", "a", "the group was handed over")
+	must.Eq(t, request.CodeNoOwner, codeOf(send(f, request.KindWrite)))
+	must.Eq(t, []string{"a"}, fleet.doubted)
+	fleet.owner, fleet.nodes["self"].err = "self", fleet.nodes["a"].err
+	must.Eq(t, request.CodeNoOwner, codeOf(send(f, request.KindWrite)))
+	must.Eq(t, []string{"a"}, fleet.doubted)
+}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,8 +33,8 @@
 type ownerTable map[string]ownerLocation
 
 // ownerTracker keeps the owner table up to date and notifies the node's components when the
-// node gains or loses the ownership of a group. All fields but node, table and unfit are used
-// only by the goroutine of run.
+// node gains or loses the ownership of a group. All fields but node, table, unfit and
+// doubtedAt are used only by the goroutine of run.
 type ownerTracker struct {
 	node  *Node
 	table atomic.Pointer[ownerTable]
@@ -46,6 +47,8 @@
 	unfitRevision uint64
 	// unfit records which nodes are passed over as owners of which groups.
 	unfit *unfitSet
+	// doubtedAt maps addresses to when Doubt last had them probed.
+	doubtedAt sync.Map
 }
 
 func newOwnerTracker(n *Node) *ownerTracker {
@@ -65,6 +68,21 @@
 	return p.address, p.name == o.node.settings.Node.Name, ok && p.name != ""
 }
 
+// doubtInterval is the shortest interval between two probes of a node because of Doubt.
+const doubtInterval = 100 * time.Millisecond
+
+// Doubt implements route.Owners: it has the node at address probed ahead of its turn. A node that has just
+// started believes all listed nodes alive, also one that is leaving.
+func (o *ownerTracker) Doubt(address string) {
+	now := o.node.clock.Now()
+	last, doubted := o.doubtedAt.Load(address)
+	if doubted && now.Sub(last.(time.Time)) < doubtInterval {
+		return
+	}
+	o.doubtedAt.Store(address, now)
+	o.node.membership.LinkLost(address)
+}
+
 // isComplete reports whether every group of the configuration in force has a known owner.
 func (o *ownerTracker) isComplete() bool {
 	config := o.node.config.Current()
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -28,8 +28,10 @@
 	return &response, nil
 }
 
-func (i *instantOwner) End(string)                                          {}
-func (i *instantOwner) Owner(string) (string, bool, bool)                   { return "", true, true }
+func (i *instantOwner) End(string)                        {}
+func (i *instantOwner) Owner(string) (string, bool, bool) { return "", true, true }
+
+func (i *instantOwner) Doubt(string)                                        {}
 func (i *instantOwner) Open(string) request.Handler                         { return i }
 func (i *instantOwner) Admit(context.Context, string) (bool, time.Duration) { return true, 0 }
 func (i *instantOwner) Settle(string, bool)                                 {}
