Stop: a session stays a moment for the statement that was just prepared

Callers with sessions of one operation send SET and PREPARE first, which the node answers itself. TestStopCutsAnOperationThatWasPrepared failed before (EOF instead of the answer).

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -159,7 +159,8 @@
 }
 
 // endStatement marks the session idle, unless its transaction goes on. It reports false if the
-// session must end.
+// session must end. A session that must end stays for idleReadTime if its caller has only prepared what it
+// is about to send.
 func (s *session) endStatement() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +172,10 @@
 	case s.progress.transactionBegan.IsZero():
 		s.progress.transactionBegan = s.progress.began
 	}
+	if s.closing && !s.busy && s.preparing {
+		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
+		return true
+	}
 	return (s.busy && !s.refusedByDrain) || !s.closing
 }
 
--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -26,7 +26,7 @@
 	buf string
 }
 
-var wordVerbs = map[string]Verb{"begin": VerbBegin, "write": VerbWrite, "commit": VerbCommit, "rollback": VerbRollback}
+var wordVerbs = map[string]Verb{"begin": VerbBegin, "write": VerbWrite, "commit": VerbCommit, "rollback": VerbRollback, "set": VerbSet}
 
 func newWordCodec(conn net.Conn) Codec { return &wordCodec{in: bufio.NewReader(conn), out: conn} }
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -25,6 +25,9 @@
 
 	service  string
 	customer string
+	// preparing is true if the last statement only changed the session's settings or prepared statements.
+	// Only the session's goroutine uses it.
+	preparing bool
 
 	mu sync.Mutex
 	// admitted is set once the caller has logged in.
@@ -180,6 +183,7 @@
 // serveStatement answers one statement.
 func (s *session) serveStatement(ctx context.Context, st *Statement) {
 	action, kind, refusal := s.state.plan(st)
+	s.preparing = action == actionAnswer
 	switch action {
 	case actionAnswer:
 		s.codec.Completed(s.state.txStatus)
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -149,3 +149,22 @@
 		must.Eq(t, "", lines.String())
 	})
 }
+
+// TestStopCutsAnOperationThatWasPrepared guards against a session that a stop ends between the preparation
+// of a statement and its execution.
+func TestStopCutsAnOperationThatWasPrepared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSlowTarget(map[string]time.Duration{"r": time.Second})
+		s, _ := newLoggedServer(d.chain)
+		s.options.Chain = d
+		caller, silent := connectTo(t, s), connectTo(t, s)
+		drained := startDrain(t, s)
+		must.Eq(t, "done", caller.send("set"))
+		must.Eq(t, "done", silent.send("set"))
+		time.Sleep(idleReadTime / 2)
+		must.Eq(t, "ok", caller.send("r"))
+		must.Eq(t, "EOF", caller.readLine())
+		must.Eq(t, "EOF", silent.readLine())
+		must.NoError(t, <-drained)
+	})
+}
