The log tells the requests that the end of a stop broke off

Cause: sessions that are still busy at a stop's end are closed with the context of the node's tasks. Their requests are decided and queued for the log after the log's own task has ended with the same context, so that none of these lines was written: exactly the requests that an engineer looks for. Change: the node writes what is queued after its tasks have ended. The logger's queue does not block.

--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -104,6 +104,7 @@
 		func(ctx context.Context) error { return n.watchSettings(ctx, h) })
 	_ = n.logger.Log("event", "started", "node", n.settings.Node.Name, "run", n.incarnation, "domain", n.settings.Node.Domain)
 	err = n.serve(ctx, sockets, tasks...)
+	n.requests.Flush()
 	_ = n.logger.Log("event", "stopped", "node", n.settings.Node.Name, "err", err)
 	return err
 }
--- a/internal/requestlog/log.go
+++ b/internal/requestlog/log.go
@@ -71,8 +71,8 @@
 	return &Log{logger: logger, queue: make(chan []any, queueCapacity), outcomes: make(map[string]*outcomeState)}
 }
 
-// Run writes queued lines until ctx is done, and then returns nil. Lines that are
-// still queued then are not written.
+// Run writes queued lines until ctx is done, and then returns nil. Flush writes those that are
+// still queued then.
 func (l *Log) Run(ctx context.Context) error {
 	for {
 		select {
@@ -84,6 +84,19 @@
 	}
 }
 
+// Flush writes the queued lines. It is called at the end of the process, when the requests that were
+// broken off have been decided.
+func (l *Log) Flush() {
+	for {
+		select {
+		case line := <-l.queue:
+			_ = l.logger.Log(line...)
+		default:
+			return
+		}
+	}
+}
+
 // Allow reports whether an entry with this outcome may be written at time now. It takes one
 // token from the outcome's rate limiter, or counts the entry as suppressed. Call it before
 // building an Entry, so that no work is spent on an entry that would be suppressed.
--- a/internal/requestlog/log_test.go
+++ b/internal/requestlog/log_test.go
@@ -58,3 +58,18 @@
 		must.Eq(t, "event=request id=7f session=n.1 outcome=late took=1s\n", out.String())
 	})
 }
+
+// TestLinesOfBrokenOffRequestsAreLost guards against a log without the requests that the end of a stop
+// broke off: they are decided after Run has ended.
+func TestLinesOfBrokenOffRequestsAreLost(t *testing.T) {
+	var out strings.Builder
+	l := New(log.NewLogfmtLogger(&out))
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	must.NoError(t, l.Run(ctx))
+	l.Write(Entry{ID: "7f", Session: "n.1", Outcome: "outcome_unknown"})
+	l.Write(Entry{ID: "80", Session: "n.2", Outcome: "outcome_unknown"})
+	l.Flush()
+	must.Eq(t, 2, strings.Count(out.String(), "\n"))
+	must.Eq(t, 0, len(l.queue))
+}
