--- a/internal/front/cut.go
+++ b/internal/front/cut.go
@@ -87,7 +87,7 @@
 	if cause != nil {
 		fields = append(fields, "cause", cause)
 	}
-	s.server.options.Log.WriteNow(requestlog.Entry{ID: p.statement, Session: s.id, Outcome: requestlog.OutcomeCut, Fields: fields})
+	s.server.options.Log.Write(requestlog.Entry{ID: p.statement, Session: s.id, Outcome: requestlog.OutcomeCut, Fields: fields})
 }
 
 // setPhase records the session's phase.
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -81,6 +81,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		must.ErrorIs(t, s.Drain(ctx), context.DeadlineExceeded)
+		s.options.Log.Flush()
 		must.Eq(t, "event=request id=q session=n1.2 outcome=cut why=\"the stop's time is over\" step=serving verb=read age=3s "+
 			"owner=n2 customer=maker service=orders stopping=true\n", lines.String())
 		must.Eq(t, "1", s.Counts.Get("sessions_cut").String())
--- a/internal/requestlog/log.go
+++ b/internal/requestlog/log.go
@@ -76,20 +76,22 @@
 	return &Log{logger: logger, queue: make(chan []any, queueCapacity), outcomes: make(map[string]*outcomeState)}
 }
 
-// Run writes queued lines until ctx is done, then those that are still queued, and returns nil.
+// Run writes queued lines until ctx is done, and then returns nil. Flush writes those that are
+// still queued then.
 func (l *Log) Run(ctx context.Context) error {
 	for {
 		select {
 		case line := <-l.queue:
 			_ = l.logger.Log(line...)
 		case <-ctx.Done():
-			l.writeQueued()
 			return nil
 		}
 	}
 }
 
-func (l *Log) writeQueued() {
+// Flush writes the queued lines. It is called at the end of the process, when the requests that were
+// broken off have been decided.
+func (l *Log) Flush() {
 	for {
 		select {
 		case line := <-l.queue:
@@ -141,13 +143,6 @@
 	}
 }
 
-// WriteNow is Write without the queue, for lines of the process's last moments, when Run may have
-// ended. The logger must not block.
-func (l *Log) WriteNow(e Entry) {
-	_ = l.logger.Log(l.line(e)...)
-	l.Counts.Add("written", 1)
-}
-
 // line returns the keys and values of e's line, with the number of lines suppressed before it.
 func (l *Log) line(e Entry) []any {
 	l.mu.Lock()
