Stand-in groups: slots, queue, work times, replacement of a target, one promotion server

A target that was killed no longer finishes what it had at work. Several groups can share one promotion call.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,39 +24,50 @@
 	// replica applies a commit. Both must be set before the first call.
 	PromoteAfter time.Duration
 	Lag          time.Duration
+	// Load is how the targets spend time. It must be set before the first call.
+	Load Load
 
-	httpServer     *httptest.Server
+	promotions     *Promotions
 	mu             sync.Mutex
 	targets        []*Target
 	promotionCalls []Promotion
+	runs           map[string]*Run
 }
 
 // NewGroup starts a group of targets with the given ids, of which the first is the primary.
 // The caller must call Close.
 func NewGroup(name string, targets ...string) *Group {
-	g := &Group{Name: name}
+	g := &Group{Name: name, runs: make(map[string]*Run)}
 	for i, id := range targets {
 		g.targets = append(g.targets, newTarget(g, id, i == 0))
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /promote", g.handlePromotion)
-	g.httpServer = httptest.NewServer(mux)
+	g.promotions = NewPromotions(g)
 	return g
 }
 
 // Close stops the promotion server and every target.
 func (g *Group) Close() {
-	g.httpServer.Close()
-	for _, t := range g.targets {
+	g.promotions.Close()
+	g.mu.Lock()
+	targets := slices.Clone(g.targets)
+	g.mu.Unlock()
+	for _, t := range targets {
 		t.Kill()
 	}
 }
 
-// PromotionAddress returns the IP:port of the server that accepts promotion calls.
-func (g *Group) PromotionAddress() string { return strings.TrimPrefix(g.httpServer.URL, "http://") }
+// PromotionAddress returns the IP:port of the server that accepts promotion calls for this group.
+func (g *Group) PromotionAddress() string { return g.promotions.Address() }
 
 // Target returns the target with the given id, or nil if there is none.
 func (g *Group) Target(id string) *Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.target(id)
+}
+
+// target is Target for callers that hold g.mu.
+func (g *Group) target(id string) *Target {
 	for _, t := range g.targets {
 		if t.ID == id {
 			return t
@@ -67,6 +76,34 @@
 	return nil
 }
 
+// Replace ends a target for good and starts a new one called id at its address, as a replica that has
+// its log.
+func (g *Group) Replace(old *Target, id string) *Target {
+	old.Kill()
+	g.mu.Lock()
+	t := makeTarget(g, id)
+	t.Address, t.RegisteredAddress, t.down = old.Address, old.RegisteredAddress, true
+	t.term, t.log = old.term, append([]logEntry(nil), old.log...)
+	t.appliedEntries = len(t.log)
+	g.targets = append(g.targets, t)
+	g.mu.Unlock()
+	t.Restart()
+	return t
+}
+
+// Leader returns the target that leads the highest term, or nil if none does.
+func (g *Group) Leader() *Target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var leader *Target
+	for _, t := range g.targets {
+		if t.primary && !t.down && (leader == nil || t.term > leader.term) {
+			leader = t
+		}
+	}
+	return leader
+}
+
 // Promotions returns the promotion calls accepted so far.
 func (g *Group) Promotions() []Promotion {
 	g.mu.Lock()
@@ -76,35 +113,29 @@
 
 // Entry returns the JSON value that a target registers in the platform's list of servers.
 func (g *Group) Entry(id, zone, state string) []byte {
+	t := g.Target(id)
+	address := t.RegisteredAddress
+	if address == "" {
+		address = t.Address
+	}
 	value, _ := json.Marshal(map[string]any{
-		"service": g.Name, "addr": g.Target(id).Address, "zone": zone, "version": "v1",
+		"service": g.Name, "addr": address, "zone": zone, "version": "v1",
 		"slots": 5, "state": state, "cold_left_ms": 0, "seq": 1,
 	})
 	return value
 }
 
-func (g *Group) handlePromotion(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Service string `json:"service"`
-		ID      string `json:"id"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Service != g.Name {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+// promote accepts a promotion call. It reports false if the target does not run.
+func (g *Group) promote(call Promotion) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.Target(body.ID)
+	t := g.target(call.Target)
 	if t == nil || t.down {
-		w.WriteHeader(http.StatusConflict)
-		return
+		return false
 	}
-	g.promotionCalls = append(g.promotionCalls, Promotion{
-		Target: body.ID,
-		Holder: r.Header.Get("Crocusyoke-Duty-Holder"),
-		Fence:  r.Header.Get("Crocusyoke-Fence-Token"),
-	})
+	g.promotionCalls = append(g.promotionCalls, call)
 	time.AfterFunc(g.PromoteAfter, func() { g.makePrimary(t) })
+	return true
 }
 
 // makePrimary makes t the primary of its next term. The other running targets become its
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,15 +28,23 @@
 type Target struct {
 	ID      string
 	Address string
+	// RegisteredAddress is the address in the target's entry, if it is reached through a proxy.
+	RegisteredAddress string
 
-	group    *Group
-	listener net.Listener
+	group     *Group
+	listener  net.Listener
+	slotsOnce sync.Once
+	slots     chan struct{}
+	// demand counts the statements that have a slot or wait for one.
+	demand atomic.Int64
 
 	// The fields below up to executed are guarded by group.mu. pausedForTerm is the term for
 	// which PAUSE stopped replication, or 0; appliedEntries is the number of log entries that
-	// reads see; executed holds the callers' statements.
+	// reads see; executed holds the callers' statements; generation counts
+	// how often the target was killed.
 	primary        bool
 	down           bool
+	generation     int
 	term           uint64
 	pausedForTerm  uint64
 	log            []logEntry
@@ -50,11 +58,17 @@
 }
 
 func newTarget(g *Group, id string, primary bool) *Target {
-	t := &Target{ID: id, maxConnections: 50, group: g, primary: primary, term: 1, conns: make(map[net.Conn]struct{})}
+	t := makeTarget(g, id)
+	t.primary = primary
 	t.listen("127.0.0.1:0")
 	return t
 }
 
+// makeTarget returns a replica that does not listen yet.
+func makeTarget(g *Group, id string) *Target {
+	return &Target{ID: id, maxConnections: 50, group: g, term: 1, conns: make(map[net.Conn]struct{})}
+}
+
 func (t *Target) listen(address string) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -72,33 +86,6 @@
 	}()
 }
 
-// Kill stops the target: its port refuses connections and the open ones are closed.
-func (t *Target) Kill() {
-	t.group.mu.Lock()
-	t.down = true
-	t.group.mu.Unlock()
-	_ = t.listener.Close()
-	t.Cut()
-}
-
-// Restart starts a target that was killed again, with the log that it had. If another target leads a
-// higher term, it is its replica.
-func (t *Target) Restart() {
-	g := t.group
-	g.mu.Lock()
-	for _, other := range g.targets {
-		if other.primary && !other.down && other.term > t.term {
-			t.primary, t.term = false, other.term
-			t.log = append([]logEntry(nil), other.log...)
-			t.appliedEntries = len(t.log)
-		}
-	}
-	t.down, t.pausedForTerm = false, 0
-	address := t.Address
-	g.mu.Unlock()
-	t.listen(address)
-}
-
 // SetRespond sets a function that may respond to each statement in place of the target; nil
 // removes it.
 func (t *Target) SetRespond(respond RespondFunc) {
@@ -167,6 +154,8 @@
 	txState  byte
 	readOnly bool
 	writes   map[string]string
+	// generation is the target's when the session began.
+	generation int
 }
 
 func (t *Target) serve(conn net.Conn) {
@@ -187,10 +176,19 @@
 		return
 	}
 	s := &session{target: t, out: conn, customer: fields[2], txState: 'I', settings: map[string]string{}, prepared: map[string]string{}}
+	t.group.mu.Lock()
+	s.generation = t.generation
+	t.group.mu.Unlock()
 	if atLimit {
 		s.send("ERROR MAXCONN too many connections")
 		return
 	}
+	if !t.acquireSlot() {
+		s.send("ERROR BUSY " + t.ID)
+		return
+	}
+	time.Sleep(t.group.Load.Handshake)
+	t.releaseSlot()
 	if fields[1] != t.group.Name || len(fields) > 3 && fields[3] != t.ID {
 		s.send("ERROR WRONGNODE " + t.ID)
 		return
@@ -228,7 +226,14 @@
 			return !closeConn
 		}
 	}
-	rows, failure := s.execute(st)
+	var rows []string
+	failure, lost := "BUSY "+s.target.ID, false
+	run := s.noteBegin(id)
+	s.work(text, func() { rows, failure, lost = s.execute(st) })
+	s.noteEnd(run, failure)
+	if lost {
+		return false
+	}
 	for _, row := range rows {
 		s.send("ROW " + row)
 	}
@@ -248,11 +253,22 @@
 }
 
 // execute carries out one statement. It returns the rows read, or the text of the error
-// response; failure is empty if the statement succeeded.
-func (s *session) execute(st Statement) (rows []string, failure string) {
-	t, g := s.target, s.target.group
+// response; failure is empty if the statement succeeded. lost is true, and nothing was done, if the
+// target has ended since the session began.
+func (s *session) execute(st Statement) (rows []string, failure string, lost bool) {
+	g := s.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s.hasLostTarget() {
+		return nil, "", true
+	}
+	rows, failure = s.executeStatement(st)
+	return rows, failure, false
+}
+
+// executeStatement is execute at a target that runs. The caller holds group.mu.
+func (s *session) executeStatement(st Statement) (rows []string, failure string) {
+	t := s.target
 	if st.ID != "-" {
 		settings := make(map[string]string, len(s.settings))
 		for name, value := range s.settings {
@@ -353,43 +369,3 @@
 	t.appliedEntries = len(t.log)
 	t.group.replicate(t)
 }
-
-// executeControl carries out a control command (STATUS, PAUSE, RESUME or STEPDOWN) and returns
-// the target's status as one row. PAUSE and STEPDOWN take a term and have no effect unless it
-// is newer than the target's. The caller holds group.mu.
-func (s *session) executeControl(command, arg string) (rows []string, failure string) {
-	t := s.target
-	requestedTerm, _ := strconv.ParseUint(arg, 10, 64)
-	switch {
-	case command == "PAUSE" && !t.primary && requestedTerm > t.term:
-		t.pausedForTerm = requestedTerm
-	case command == "RESUME":
-		t.pausedForTerm = 0
-		for _, other := range t.group.targets {
-			if other.primary && !other.down && other.term == t.term {
-				t.group.replicate(other)
-			}
-		}
-	case command == "STEPDOWN" && t.primary && requestedTerm > t.term:
-		t.primary = false
-	}
-	role := "replica"
-	if t.primary {
-		role = "primary"
-	}
-	t.mu.Lock()
-	conns := len(t.conns)
-	t.mu.Unlock()
-	return []string{fmt.Sprintf("%s %d %s %d 0 1 %d", role, t.term, formatPosition(t.term, len(t.log)), t.pausedForTerm, conns)}, ""
-}
-
-// WaitFor polls condition until it returns true, and returns false if it still does not after
-// timeout.
-func WaitFor(timeout time.Duration, condition func() bool) bool {
-	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		if condition() {
-			return true
-		}
-	}
-	return condition()
-}
