Soak as on the larger deployment, each statement judged, the planned work of the record

Nodes of three zones (3, 2 and 1), three groups, a balancer that follows the platform's rule, delays on the links of callers, targets and the store, work times with slots and a queue, sessions for one operation, transactions of up to 12 statements with pauses that outlast a stop.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -14,7 +13,7 @@
 
 // newSoakCommand returns the command that plays faults against the shipped binary.
 func newSoakCommand() *cobra.Command {
-	var o soak.Options
+	o := soak.DefaultOptions()
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Play faults drawn from a seed against hosted nodes, as real processes, and judge what callers saw",
@@ -35,12 +34,20 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.Uint64Var(&o.Seed, "seed", 1, "seed of the schedule and of the callers")
-	flags.DurationVar(&o.Length, "duration", time.Minute, "length of the schedule")
-	flags.IntVar(&o.Nodes, "nodes", 6, "nodes")
-	flags.IntVar(&o.Sessions, "sessions", 40, "callers' sessions at the same time")
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the schedule and of the callers")
+	flags.DurationVar(&o.Length, "duration", o.Length, "length of the schedule")
+	flags.StringVar(&o.Schedule, "schedule", o.Schedule, "mixed (planned work and faults) or record (planned work, mostly two nodes of a zone at once)")
+	flags.IntVar(&o.Nodes, "nodes", o.Nodes, "nodes")
+	flags.IntVar(&o.Groups, "groups", o.Groups, "groups of three targets each, at most 3")
+	flags.IntVar(&o.Sessions, "sessions", o.Sessions, "callers' sessions at the same time")
+	flags.DurationVar(&o.Work, "work", o.Work, "mean time of a read, write or commit at a target; 0 for none and no limits")
+	flags.IntVar(&o.Slots, "slots", o.Slots, "statements that a target runs at the same time")
+	flags.DurationVar(&o.Lag, "lag", o.Lag, "how far replicas are behind")
+	flags.DurationVar(&o.PromoteAfter, "promote-after", o.PromoteAfter, "how long a promotion takes")
+	flags.DurationVar(&o.CallerDelay, "caller-delay", o.CallerDelay, "one-way delay between callers and nodes; 0 for no proxy")
+	flags.DurationVar(&o.LinkDelay, "link-delay", o.LinkDelay, "one-way delay between nodes and targets or the store; 0 for no proxy")
 	flags.StringVar(&o.Binary, "binary", "", "the program to play against (default bin/crocusyoke)")
-	flags.StringVar(&o.Dir, "dir", "run/soak", "directory for settings, logs and report.json")
+	flags.StringVar(&o.Dir, "dir", o.Dir, "directory for settings, logs and report.json")
 	return cmd
 }
 
@@ -55,4 +62,7 @@
 			fmt.Fprintf(out, "    %s\n", violation)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(report.Counts)) {
+		fmt.Fprintf(out, "%7d %s\n", report.Counts[name], name)
+	}
 }
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -60,7 +60,7 @@
 func newTarget(g *Group, id string, primary bool) *Target {
 	t := makeTarget(g, id)
 	t.primary = primary
-	t.listen("127.0.0.1:0")
+	t.listen("")
 	return t
 }
 
@@ -70,7 +70,7 @@
 }
 
 func (t *Target) listen(address string) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenFixed(address)
 	if err != nil {
 		panic(err)
 	}
--- /dev/null
+++ b/internal/standin/soak/cut.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"crocusyoke/internal/standin/hosted"
+)
+
+const (
+	// statementTimeout is the time-out of the routes.
+	statementTimeout = time.Second
+	// judgeDelay is how long after a connection's end its last statement is judged: targets have finished
+	// by then, and faults that were active are known.
+	judgeDelay = 1500 * time.Millisecond
+	// inForceWithin is how long after its acknowledgement a configuration may take to be in force, and how
+	// long after SIGHUP a request may be sent that must not be cut.
+	inForceWithin = 3 * time.Second
+	// earlyTime is how long after SIGTERM a statement may be sent whose target's work in the last
+	// lastGraceShare of the grace period excuses that it is cut.
+	earlyTime      = 3 * time.Second
+	lastGraceShare = 6
+)
+
+// statement sends a statement to n and judges whether it was cut. Position is its place in its
+// transaction, from 1 on; single statements have 1.
+func (r *run) statement(c *caller, n *node, text string, position int) *answer {
+	a := c.send(text)
+	r.judge.count("statements")
+	if a.isUnanswered() {
+		r.judge.count("statements without an answer in 4 s")
+	}
+	signal, at := n.plannedWork(a.sentAt, a.endAt)
+	if signal == "" {
+		return a
+	}
+	r.judge.count("statements around planned work")
+	if position > 1 {
+		r.judge.count("of these in a transaction")
+		if a.sentAt.Sub(at) > earlyTime && signal == sigterm {
+			r.judge.count("of these sent later than 3 s after SIGTERM")
+		}
+	}
+	if a.err == nil {
+		r.judge.check(ruleCut, true, "")
+		return a
+	}
+	r.wait.Go(func() {
+		time.Sleep(judgeDelay)
+		r.judgeCut(&cut{answer: a, node: n, openedAt: c.openedAt, text: text, position: position, signal: signal, signalAt: at})
+	})
+	return a
+}
+
+// cut is a statement whose connection ended without a complete answer, around a signal to its node.
+type cut struct {
+	*answer
+	node     *node
+	openedAt time.Time
+	text     string
+	position int
+	signal   string
+	signalAt time.Time
+}
+
+// judgeCut judges a statement without an answer.
+func (r *run) judgeCut(c *cut) {
+	if r.judge.isExcused(c.sentAt, c.endAt) {
+		return
+	}
+	run, ran := r.findRun(c.id)
+	if reason := c.excuse(run, ran); reason != "" {
+		r.judge.count("ended without an answer: " + reason)
+		r.judge.check(ruleCut, true, "")
+		return
+	}
+	r.judge.check(ruleCut, false, "%s; the soak itself was late by up to %s", c.describe(run, ran),
+		r.lateness.during(c.sentAt, c.endAt).Round(time.Millisecond))
+}
+
+// excuse returns why the statement may have ended without an answer, or "".
+func (c *cut) excuse(run hosted.Run, ran bool) string {
+	switch {
+	case !ran && c.endAt.Sub(c.sentAt) <= slack:
+		return "read by no target, within the slack"
+	case ran && run.BrokeOff:
+		return "the target broke off"
+	case c.endAt.Sub(c.sentAt) >= statementTimeout:
+		return "time-out reached"
+	case ran && c.signal == sigterm && c.isAtWorkLate(run):
+		return "sent early, at work late"
+	}
+	return ""
+}
+
+// isAtWorkLate reports whether the target was at work in the last part of the grace period on a statement
+// that was sent early.
+func (c *cut) isAtWorkLate(run hosted.Run) bool {
+	deadline := c.signalAt.Add(grace)
+	endsLate := run.Ended.IsZero() || run.Ended.After(deadline.Add(-grace/lastGraceShare))
+	return c.sentAt.Sub(c.signalAt) <= earlyTime && run.Began.Before(deadline) && endsLate
+}
+
+func (c *cut) describe(run hosted.Run, ran bool) string {
+	since := func(at time.Time) string {
+		if at.IsZero() {
+			return "never"
+		}
+		return at.Sub(c.signalAt).Round(time.Millisecond).String()
+	}
+	text := fmt.Sprintf("%s %s at %s, statement %d of its operation: %s at %s; session opened %s, sent %s, ended %s (%v)",
+		c.id, c.text, c.node.name, c.position, c.signal, c.signalAt.UTC().Format("15:04:05.000"),
+		since(c.openedAt), since(c.sentAt), since(c.endAt), c.err)
+	if ran {
+		text += fmt.Sprintf("; at target %s from %s to %s %s", run.Target, since(run.Began), since(run.Ended), run.Result)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/standin/soak/cut_test.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/standin/hosted"
+)
+
+// TestCutStatementIsJudged checks which statements without an answer are violations. Times are in
+// milliseconds after the signal.
+func TestCutStatementIsJudged(t *testing.T) {
+	signalAt := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return signalAt.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		signal     string
+		sent, end  int
+		ran        bool
+		began      int
+		ended      int // 0 if the target has not ended the statement
+		brokeOff   bool
+		isViolated bool
+	}{
+		"run by a target":               {signal: sigterm, sent: 100, end: 120, ran: true, began: 105, ended: 130, isViolated: true},
+		"run, before the signal":        {signal: sigterm, sent: -50, end: 20, ran: true, began: -40, ended: 30, isViolated: true},
+		"run, late in a transaction":    {signal: sigterm, sent: 4900, end: 5600, ran: true, began: 4910, ended: 5700, isViolated: true},
+		"not run, at once":              {signal: sigterm, sent: 100, end: 290},
+		"not run, late":                 {signal: sigterm, sent: 100, end: 310, isViolated: true},
+		"the target broke off":          {signal: sigterm, sent: 100, end: 500, ran: true, began: 105, ended: 500, brokeOff: true},
+		"time-out":                      {signal: sigterm, sent: 100, end: 1100, ran: true, began: 105, ended: 1200},
+		"sent early, at work late":      {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 5001},
+		"sent early, never ended":       {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100},
+		"sent early, ended before":      {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 4999, isViolated: true},
+		"sent late, at work late":       {signal: sigterm, sent: 3001, end: 3900, ran: true, began: 3100, ended: 5500, isViolated: true},
+		"at work late but after SIGHUP": {signal: sighup, sent: 2900, end: 3800, ran: true, began: 3000, ended: 5500, isViolated: true},
+	} {
+		cut := &cut{answer: &answer{sentAt: at(c.sent), endAt: at(c.end)}, signal: c.signal, signalAt: signalAt}
+		run := hosted.Run{Began: at(c.began), BrokeOff: c.brokeOff}
+		if c.ended != 0 {
+			run.Ended = at(c.ended)
+		}
+		must.Eq(t, c.isViolated, cut.excuse(run, c.ran) == "", must.Sprint(name))
+	}
+}
+
+// TestPlannedWork checks which requests a signal concerns, and that the last SIGTERM is taken.
+func TestPlannedWork(t *testing.T) {
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	n := &node{stops: []time.Time{at(10), at(15)}, hangups: []time.Time{at(40)}}
+	for _, c := range []struct {
+		from, to   float64
+		wantSignal string
+		wantAt     float64
+	}{
+		{9, 9.9, "", 0},
+		{9, 10.1, sigterm, 10},
+		{14, 14.5, sigterm, 10},
+		{14, 15.1, sigterm, 15},
+		{21.9, 23, sigterm, 15},
+		{22.1, 23, "", 0},
+		{39, 40.1, sighup, 40},
+		{42.9, 44, sighup, 40},
+		{43.1, 44, "", 0},
+	} {
+		signal, since := n.plannedWork(at(c.from), at(c.to))
+		must.Eq(t, c.wantSignal, signal, must.Sprintf("%+v", c))
+		if signal != "" {
+			must.Eq(t, at(c.wantAt), since, must.Sprintf("%+v", c))
+		}
+	}
+}
+
+// TestLatenessIsMeasured checks that the worst lateness of a span is found, and none outside of it.
+func TestLatenessIsMeasured(t *testing.T) {
+	began := time.Unix(1000, 0)
+	var l lateness
+	l.note(began, began.Add(latenessInterval))
+	l.note(began.Add(time.Second), began.Add(1300*time.Millisecond))
+	must.Eq(t, 0, l.during(began, began.Add(500*time.Millisecond)))
+	must.Eq(t, 295*time.Millisecond, l.during(began.Add(1200*time.Millisecond), began.Add(1250*time.Millisecond)))
+}
--- /dev/null
+++ b/internal/standin/soak/database.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"crocusyoke/internal/standin/hosted"
+	"crocusyoke/internal/standin/link"
+)
+
+const (
+	// targetsPerGroup is the number of targets of a group, one in each zone.
+	targetsPerGroup = 3
+	// targetQueue is how many statements wait at a target before it refuses more.
+	targetQueue = 40
+	handshake   = 12 * time.Millisecond
+	// workSpread is the spread of the work times, as the standard deviation of their logarithm. Of
+	// longWorkEvery statements one takes minLongWork to maxLongWork.
+	workSpread    = 0.7
+	longWorkEvery = 300
+	minLongWork   = 100 * time.Millisecond
+	maxLongWork   = 900 * time.Millisecond
+	// drainTime is how long a target that is replaced goes on after its entry says draining, and
+	// maxDrainExtra how much longer it may. The new one's entry appears up to maxEntryDelay later.
+	drainTime     = 7 * time.Second
+	maxDrainExtra = 2 * time.Second
+	maxEntryDelay = 1200 * time.Millisecond
+)
+
+// groupNames are the names of the groups. The home of the third one, whose first target is in zone c, is the
+// only node of that zone, and node-a-3 owns it while that node is away.
+var groupNames = []string{"proofs", "pages", "stitch"}
+
+// database is one group of targets, and the links to them.
+type database struct {
+	group *hosted.Group
+	store *hosted.Store
+	links []*link.Link
+	// changing is held while a target is crashed or replaced.
+	changing sync.Mutex
+
+	mu sync.Mutex
+	// zones holds the zone of each target that has an entry, by its ID.
+	zones    map[string]string
+	replaced int
+}
+
+// newDatabase starts the group with the given index and registers its targets.
+func newDatabase(index int, o Options, store *hosted.Store) (*database, error) {
+	name := groupNames[index]
+	ids := make([]string, targetsPerGroup)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%s-%d", name, i+1)
+	}
+	d := &database{group: hosted.NewGroup(name, ids...), store: store, zones: make(map[string]string)}
+	d.group.PromoteAfter, d.group.Lag = o.PromoteAfter, o.Lag
+	if o.Work > 0 {
+		d.group.Load = hosted.Load{Slots: o.Slots, Queue: targetQueue, Handshake: handshake, Work: func() time.Duration { return drawWork(o.Work) }}
+	}
+	for i, id := range ids {
+		if o.LinkDelay > 0 {
+			t := d.group.Target(id)
+			l, err := link.Listen(t.Address, link.Symmetric(o.LinkDelay))
+			if err != nil {
+				d.close()
+				return nil, err
+			}
+			d.links = append(d.links, l)
+			t.RegisteredAddress = l.Address()
+		}
+		d.zones[id] = zones[(index+i)%len(zones)]
+		d.register(id, "ready")
+	}
+	return d, nil
+}
+
+func (d *database) close() {
+	d.group.Close()
+	for _, l := range d.links {
+		l.Close()
+	}
+}
+
+// drawWork returns a work time with the given mean, sometimes a far longer one.
+func drawWork(mean time.Duration) time.Duration {
+	if rand.IntN(longWorkEvery) == 0 {
+		return minLongWork + rand.N(maxLongWork-minLongWork)
+	}
+	return time.Duration(float64(mean) * math.Exp(workSpread*rand.NormFloat64()-workSpread*workSpread/2))
+}
+
+// register writes the entry of a target.
+func (d *database) register(id, state string) {
+	d.mu.Lock()
+	zone := d.zones[id]
+	d.mu.Unlock()
+	d.store.Put("servers", id, d.group.Entry(id, zone, state))
+}
+
+// ids returns the IDs of the targets that have entries.
+func (d *database) ids() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.zones))
+}
+
+// release replaces the primary as planned: its entry says that it is draining, it ends later, and a new
+// target comes in its place.
+func (d *database) release(random *rand.Rand) {
+	if !d.changing.TryLock() {
+		return
+	}
+	defer d.changing.Unlock()
+	old := d.group.Leader()
+	if old == nil {
+		return
+	}
+	d.register(old.ID, "draining")
+	time.Sleep(drainTime + upTo(random, maxDrainExtra))
+	d.mu.Lock()
+	d.replaced++
+	base, _, _ := strings.Cut(old.ID, "+")
+	id := fmt.Sprintf("%s+%d", base, d.replaced)
+	d.zones[id] = d.zones[old.ID]
+	delete(d.zones, old.ID)
+	d.mu.Unlock()
+	d.store.Delete("servers", old.ID)
+	d.group.Replace(old, id)
+	time.Sleep(upTo(random, maxEntryDelay))
+	d.register(id, "ready")
+}
+
+// oddEntries are entries of another writer. %ADDR% and %GROUP% stand for the target's address and group.
+var oddEntries = []string{
+	`{"service":"%GROUP%","addr":"%ADDR%","zone":"a","slots":5,"state":7}`,
+	`{"service":"%GROUP%","addr":"127.0.0.1:99999","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"%GROUP%","addr":"127.0.0.1:0","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"%GROUP%","addr":"%ADDR%","zone":"a","slots":1e400,"state":"ready"}`,
+	`{"service":"nowhere","addr":"%ADDR%","zone":"a","slots":5,"state":"ready"}`,
+	`{"service":"%GROUP%","addr":"%ADDR%","zone":"a","slots":5,"state":"ready","seq":` + strings.Repeat("[", 30000),
+	"\xff\xfe",
+	``,
+}
+
+// writeOddEntries replaces the entries of targets until their next heartbeat.
+func (d *database) writeOddEntries(ids []string, odd string) {
+	for _, id := range ids {
+		address := d.group.Target(id).RegisteredAddress
+		if address == "" {
+			address = d.group.Target(id).Address
+		}
+		entry := strings.NewReplacer("%ADDR%", address, "%GROUP%", d.group.Name).Replace(odd)
+		d.store.Put("servers", id, []byte(entry))
+	}
+	time.Sleep(oddEntryTime)
+	for _, id := range ids {
+		d.register(id, "ready")
+	}
+}
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
-	"strings"
+	"syscall"
 	"time"
 
 	"crocusyoke/internal/standin/hosted"
@@ -18,8 +18,6 @@
 	maxOddDelay  = 1200 * time.Millisecond
 	maxRouteGap  = 800 * time.Millisecond
 	unreadTime   = 3 * time.Second
-	// inForceWithin is how long after its acknowledgement a configuration may take to be in force.
-	inForceWithin = 3 * time.Second
 	// rejoinTime is how long a node that was started again may take until it is ready.
 	rejoinTime = 3 * time.Second
 )
@@ -34,6 +32,12 @@
 		r.changeRoutes(e)
 	case KindWithdraw:
 		r.withdraw()
+	case KindHangup:
+		r.hangUp(r.nodeOf(e))
+	case KindRelease:
+		r.databaseOf(e).release(randomOf(e))
+	case KindRecord:
+		r.playRecord(e)
 	case KindKill:
 		r.kill(e)
 	case KindPause:
@@ -64,21 +68,26 @@
 		}
 		defer closePipe()
 	}
+	r.terminate(n, string(e.Kind))
+	r.start(n)
+}
+
+// terminate sends SIGTERM to a node and judges that it ends within the grace period.
+func (r *run) terminate(n *node, kind string) {
 	began := time.Now()
-	n.mu.Lock()
-	n.stopAt = began
-	n.mu.Unlock()
+	n.noteStop(began)
 	if err := r.super.Terminate(n.name); err != nil {
 		r.judge.check(ruleOwnEnd, false, "%s had ended: %v", n.name, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	held := r.super.Wait(ctx, n.name) == nil
+	n.noteEnd()
 	if !held {
 		_ = r.super.Kill(n.name)
 	}
-	r.judge.check(ruleGrace, held || r.judge.isExcused(began, time.Now()), "%s (%s) still ran %s after SIGTERM", n.name, e.Kind, grace)
-	r.start(n)
+	r.judge.check(ruleGrace, held || r.judge.isExcused(began, time.Now()), "%s (%s) still ran %s after SIGTERM at %s",
+		n.name, kind, grace, began.UTC().Format("15:04:05.000"))
 }
 
 // restartUnread starts a node anew with a log that nobody reads, and waits until the log is full.
@@ -87,15 +96,14 @@
 	if err != nil {
 		return nil, false
 	}
-	n.mu.Lock()
-	n.stopAt = time.Now()
-	n.mu.Unlock()
+	n.noteStop(time.Now())
 	_ = r.super.Terminate(n.name)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	if r.super.Wait(ctx, n.name) != nil {
 		_ = r.super.Kill(n.name)
 	}
+	n.noteEnd()
 	if r.super.Start(spec) != nil {
 		closePipe()
 		return nil, false
@@ -104,9 +112,18 @@
 	return closePipe, true
 }
 
+// hangUp tells a node with SIGHUP that its settings have changed, unless its process has only just begun.
+func (r *run) hangUp(n *node) {
+	if !n.noteHangup(time.Now()) {
+		return
+	}
+	_ = r.super.Signal(n.name, syscall.SIGHUP)
+}
+
 // start starts a node again that has ended.
 func (r *run) start(n *node) {
 	time.Sleep(restartDelay)
+	n.noteStart(time.Now())
 	if err := r.super.Start(n.spec); err != nil {
 		r.judge.check(ruleOwnEnd, false, "start of %s: %v", n.name, err)
 	}
@@ -129,7 +146,7 @@
 	}
 	defer n.release()
 	_ = r.super.Pause(n.name)
-	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxPause))))
+	time.Sleep(upTo(randomOf(e), maxPause))
 	_ = r.super.Resume(n.name)
 }
 
@@ -142,69 +159,45 @@
 		return
 	}
 	r.configure(configuration{withoutJobs: true})
-	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxRouteGap))))
+	time.Sleep(upTo(randomOf(e), maxRouteGap))
 	r.configure(configuration{})
 }
 
 // crash crashes the primary, if all targets run, and starts it again. In half of the events the entries
 // of the others are odd for a while, from some time within the promotion on.
 func (r *run) crash(e Event) {
-	r.crashing.Lock()
-	defer r.crashing.Unlock()
-	for _, name := range targets {
-		t := r.group.Target(name)
-		if !t.Leads() {
-			continue
-		}
-		t.Kill()
-		if e.Variant%2 == 0 {
-			others := slices.DeleteFunc(slices.Clone(targets), func(other string) bool { return other == name })
-			time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxOddDelay))))
-			r.writeOddEntries(others, oddEntries[e.Index%len(oddEntries)])
-		}
-		time.Sleep(time.Second + time.Duration(randomOf(e).Int64N(int64(maxCrash))))
-		t.Restart()
+	d := r.databaseOf(e)
+	d.changing.Lock()
+	defer d.changing.Unlock()
+	t := d.group.Leader()
+	if t == nil {
 		return
 	}
-}
-
-// oddEntries are entries of another writer. %ADDR% stands for the target's address.
-var oddEntries = []string{
-	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":5,"state":7}`,
-	`{"service":"ledger","addr":"127.0.0.1:99999","zone":"a","slots":5,"state":"ready"}`,
-	`{"service":"ledger","addr":"127.0.0.1:0","zone":"a","slots":5,"state":"ready"}`,
-	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":1e400,"state":"ready"}`,
-	`{"service":"nowhere","addr":"%ADDR%","zone":"a","slots":5,"state":"ready"}`,
-	`{"service":"ledger","addr":"%ADDR%","zone":"a","slots":5,"state":"ready","seq":` + strings.Repeat("[", 30000),
-	"\xff\xfe",
-	``,
+	t.Kill()
+	if e.Variant%2 == 0 {
+		others := slices.DeleteFunc(d.ids(), func(id string) bool { return id == t.ID })
+		time.Sleep(upTo(randomOf(e), maxOddDelay))
+		d.writeOddEntries(others, oddEntries[e.Index%len(oddEntries)])
+	}
+	time.Sleep(time.Second + upTo(randomOf(e), maxCrash))
+	t.Restart()
 }
 
 // writeOddEntry replaces the entry of a target, or all of them.
 func (r *run) writeOddEntry(e Event) {
-	ids := targets
+	d := r.databaseOf(e)
+	ids := d.ids()
 	if e.Index%3 > 0 {
-		ids = targets[e.Index%len(targets):][:1]
-	}
-	r.writeOddEntries(ids, oddEntries[e.Variant%len(oddEntries)])
-}
-
-// writeOddEntries replaces the entries of targets until their next heartbeat.
-func (r *run) writeOddEntries(ids []string, odd string) {
-	for _, id := range ids {
-		r.store.Put("servers", id, []byte(strings.ReplaceAll(odd, "%ADDR%", r.group.Target(id).Address)))
-	}
-	time.Sleep(oddEntryTime)
-	for _, id := range ids {
-		r.store.Put("servers", id, r.group.Entry(id, zones[0], "ready"))
+		ids = ids[e.Index%len(ids):][:1]
 	}
+	d.writeOddEntries(ids, oddEntries[e.Variant%len(oddEntries)])
 }
 
 // turnCallsAway makes the store refuse calls, or not answer them, for a while.
 func (r *run) turnCallsAway(e Event) {
 	faults := []hosted.Fault{hosted.FaultBusy, hosted.FaultMany, hosted.FaultSilent, hosted.FaultLost}
 	r.store.SetFault(func(*http.Request) hosted.Fault { return faults[e.Variant%len(faults)] })
-	time.Sleep(time.Duration(randomOf(e).Int64N(int64(maxOutage))))
+	time.Sleep(upTo(randomOf(e), maxOutage))
 	r.store.SetFault(nil)
 }
 
@@ -219,7 +212,7 @@
 	time.Sleep(inForceWithin)
 	for _, n := range r.nodes {
 		askedAt := time.Now()
-		c, refused, err := connect(n.front, services[0], changingKey)
+		c, refused, err := connect(n.front, r.routes[0].name, changingKey)
 		if c != nil {
 			c.close()
 		}
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -37,6 +37,8 @@
 type judge struct {
 	mu    sync.Mutex
 	rules map[string]*Rule
+	// counts says how often what the rules check was met.
+	counts map[string]int
 	// faults holds the times from which to which faults were active.
 	faults []span
 }
@@ -44,7 +46,7 @@
 type span struct{ from, to time.Time }
 
 func newJudge() *judge {
-	j := &judge{rules: make(map[string]*Rule)}
+	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
 	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
@@ -66,6 +68,13 @@
 	}
 }
 
+// count counts a case of what.
+func (j *judge) count(what string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts[what]++
+}
+
 // noteFault records that a fault was active.
 func (j *judge) noteFault(from, to time.Time) {
 	j.mu.Lock()
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/standin/hosted"
+	"crocusyoke/internal/standin/link"
 	"crocusyoke/internal/standin/supervise"
 )
 
@@ -26,24 +27,65 @@
 	ErrBroken = errs.Class("rule broken")
 )
 
-// Options configures a run.
+// Options configures a run. DefaultOptions has what the command's flags have as defaults.
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Nodes is the number of nodes, Sessions that of callers' sessions at the same time.
-	Nodes, Sessions int
+	// Schedule is ScheduleMixed or ScheduleRecord.
+	Schedule string
+	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
+	// callers' sessions at the same time.
+	Nodes, Groups, Sessions int
+	// Work is the mean time that a target takes for a read, write or commit, and Slots how many it runs at the
+	// same time. If Work is 0, targets take no time, and run any number.
+	Work  time.Duration
+	Slots int
+	// Lag is how far replicas are behind, PromoteAfter how long a promotion takes.
+	Lag, PromoteAfter time.Duration
+	// CallerDelay is the one-way delay between callers and nodes, LinkDelay that between nodes and targets
+	// or the store.
+	CallerDelay, LinkDelay time.Duration
 	// Binary is the path of the shipped binary.
 	Binary string
 	// Dir receives settings, logs and the report; it is created.
 	Dir string
 }
 
+// DefaultOptions returns the options of a run as on the larger hosted deployment: its zones, groups,
+// delays, work times and limits.
+func DefaultOptions() Options {
+	return Options{
+		Seed: 1, Length: time.Minute, Schedule: ScheduleMixed,
+		Nodes: 6, Groups: 3, Sessions: 90,
+		Work: 11 * time.Millisecond, Slots: 5, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
+		CallerDelay: time.Millisecond, LinkDelay: 500 * time.Microsecond,
+		Dir: "run/soak",
+	}
+}
+
+// check reports options that can't be played.
+func (o *Options) check() error {
+	switch {
+	case o.Schedule != ScheduleMixed && o.Schedule != ScheduleRecord:
+		return Error.New("unknown schedule %q", o.Schedule)
+	case o.Groups < 1 || o.Groups > len(groupNames):
+		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
+	case o.Nodes < 1 || o.Nodes >= lockHost:
+		return Error.New("%d nodes; 1 to %d can be played", o.Nodes, lockHost-1)
+	case o.Work > 0 && o.Slots < 1:
+		return Error.New("%d slots", o.Slots)
+	}
+	return nil
+}
+
 // Report is the result of a run.
 type Report struct {
 	Seed       uint64           `json:"seed"`
 	Length     string           `json:"length"`
+	Schedule   string           `json:"schedule"`
 	Events     []Event          `json:"events"`
 	Rules      map[string]*Rule `json:"rules"`
+	Counts     map[string]int   `json:"counts"`
 	Written    int              `json:"acknowledged_writes"`
 	Promotions int              `json:"promotions"`
 }
@@ -55,69 +97,123 @@
 	// steadyKey is never withdrawn, changingKey is.
 	steadyKey   = "steady-key"
 	changingKey = "changing-key"
-	groupName   = "ledger"
 )
 
-var (
-	zones    = []string{"a", "b", "c"}
-	services = []string{"orders", "jobs"}
-	targets  = []string{"t1", "t2", "t3"}
-)
+var zones = []string{"a", "b", "c"}
 
 // run is one run of the soak.
 type run struct {
-	options  Options
-	judge    *judge
-	store    *hosted.Store
-	group    *hosted.Group
-	nodes    []*node
-	balancer *balancer
-	super    *supervise.Supervisor
-	ended    chan struct{}
-	wait     sync.WaitGroup
-	items    atomic.Uint64
-	version  atomic.Uint64
+	options Options
+	judge   *judge
+	store   *hosted.Store
+	// storeLink is the store as nodes reach it, nil if that is without delay.
+	storeLink  *link.Link
+	promotions *hosted.Promotions
+	databases  []*database
+	routes     []route
+	nodes      []*node
+	balancer   *balancer
+	super      *supervise.Supervisor
+	lateness   lateness
+	ended      chan struct{}
+	wait       sync.WaitGroup
+	items      atomic.Uint64
+	version    atomic.Uint64
 	// configuring is held while a key is withdrawn.
 	configuring sync.Mutex
-	// crashing is held while a target is down.
-	crashing sync.Mutex
 
-	mu      sync.Mutex
-	written map[string]bool
+	mu sync.Mutex
+	// written holds the acknowledged writes: their routes, by their items.
+	written map[string]route
 }
 
 // Play plays one run. Its error is of class ErrBroken if a rule was broken.
 func Play(ctx context.Context, o Options) (*Report, error) {
-	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	directory, err := takeDirectory(o.Dir)
+	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]bool), super: supervise.New()}
+	defer directory.Close()
+	network, err := takeNetwork(o.Nodes)
+	if err != nil {
+		return nil, err
+	}
+	defer network.release()
+	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]route), super: supervise.New()}
+	r.store = hosted.NewStore()
+	defer r.closeStandins()
 	defer r.super.Close()
-	r.store, r.group = hosted.NewStore(), hosted.NewGroup(groupName, targets...)
-	defer r.store.Close()
-	defer r.group.Close()
-	if err := r.startNodes(); err != nil {
+	if err := r.startDatabases(); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	events := Draw(o.Seed, o.Length)
+	if err := r.startNodes(network.prefix); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	events := Draw(o.Schedule, o.Seed, o.Length)
 	r.play(ctx, events)
 	return r.finish(events)
 }
 
-// startNodes starts all nodes and waits until they are ready.
-func (r *run) startNodes() error {
-	r.group.PromoteAfter = 300 * time.Millisecond
-	for i, id := range targets {
-		r.store.Put("servers", id, r.group.Entry(id, zones[i], "ready"))
+func (r *run) closeStandins() {
+	for _, n := range r.nodes {
+		if n.entry != nil {
+			n.entry.Close()
+		}
+	}
+	if r.storeLink != nil {
+		r.storeLink.Close()
+	}
+	if r.promotions != nil {
+		r.promotions.Close()
+	}
+	for _, d := range r.databases {
+		d.close()
+	}
+	r.store.Close()
+}
+
+func (r *run) startDatabases() error {
+	var groups []*hosted.Group
+	for i := range r.options.Groups {
+		d, err := newDatabase(i, r.options, r.store)
+		if err != nil {
+			return err
+		}
+		r.databases = append(r.databases, d)
+		groups = append(groups, d.group)
+		for _, kind := range []string{kindOrders, kindOrders, kindProofs, kindJobs} {
+			r.routes = append(r.routes, route{name: d.group.Name + "-" + kind, kind: kind, database: d})
+		}
 	}
+	r.promotions = hosted.NewPromotions(groups...)
 	r.configure(configuration{})
-	// Each run has addresses of its own, because a node's metrics port is fixed.
-	network := fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250)
+	return nil
+}
+
+// startNodes starts all nodes and waits until they are ready.
+func (r *run) startNodes(prefix string) error {
+	store := r.store.Address()
+	if r.options.LinkDelay > 0 {
+		l, err := link.Listen(store, link.Symmetric(r.options.LinkDelay))
+		if err != nil {
+			return err
+		}
+		r.storeLink, store = l, l.Address()
+	}
 	for i := range r.options.Nodes {
-		n, err := newNode(i, network, r.options.Dir, r.options.Binary, r.store.Address(), r.group.PromotionAddress())
+		n, err := newNode(i, prefix, r.options.Dir, r.options.Binary, store, r.promotions.Address())
 		if err != nil {
 			return err
 		}
+		if r.options.CallerDelay > 0 {
+			if n.entry, err = link.Listen(n.front, link.Symmetric(r.options.CallerDelay)); err != nil {
+				return err
+			}
+			n.callers = n.entry.Address()
+		}
 		r.nodes = append(r.nodes, n)
 		if err := r.super.Start(n.spec); err != nil {
 			return err
@@ -132,42 +228,12 @@
 	return nil
 }
 
-// configuration says what differs from the usual configuration.
-type configuration struct {
-	withoutKey  bool // changingKey is withdrawn
-	withoutJobs bool // the service jobs is dropped
-	extraRoutes int
-}
-
-// configure writes the next version of the configuration.
-func (r *run) configure(c configuration) {
-	keys := []string{steadyKey}
-	if !c.withoutKey {
-		keys = append(keys, changingKey)
-	}
-	route := func(name, kind string) map[string]any {
-		return map[string]any{"name": name, "database": name, "type": kind, "timeout_ms": 1000, "service": groupName, "max_staleness_ms": 1500}
-	}
-	routes := []any{route("orders", "primary")}
-	if !c.withoutJobs {
-		routes = append(routes, route("jobs", "read_your_writes"))
-	}
-	for i := range c.extraRoutes {
-		routes = append(routes, route(fmt.Sprint("extra", i), "primary"))
-	}
-	value, _ := json.Marshal(map[string]any{
-		"version": r.version.Add(1), "routes": routes, "services": []any{map[string]any{"name": groupName, "max_conns": 50}},
-		"tenants": []any{map[string]any{"name": "maker", "api_keys": keys, "rate_per_s": 10000, "burst": 10000}},
-	})
-	r.store.Put("op", "config", value)
-}
-
 // play runs the load and carries out the events.
 func (r *run) play(ctx context.Context, events []Event) {
 	start := time.Now()
 	var sessions, rest sync.WaitGroup
 	for i := range r.options.Sessions {
-		sessions.Go(func() { r.runSession(uint64(2 + i)) })
+		sessions.Go(func() { r.runUser(i) })
 	}
 	rest.Go(func() {
 		for !r.hasEnded() {
@@ -176,8 +242,11 @@
 		}
 	})
 	rest.Go(r.watch)
-	for _, n := range r.nodes {
-		rest.Go(func() { r.sendRefused(n) })
+	rest.Go(func() { r.lateness.measure(r.hasEnded) })
+	if r.options.Schedule == ScheduleMixed {
+		for _, n := range r.nodes {
+			rest.Go(func() { r.sendRefused(n) })
+		}
 	}
 	for _, event := range events {
 		select {
@@ -224,41 +293,51 @@
 
 func (r *run) newItem() string { return fmt.Sprintf("item%d", r.items.Add(1)) }
 
-func (r *run) noteWritten(items ...string) {
+func (r *run) noteWritten(to route, items ...string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, item := range items {
-		r.written[item] = true
+		r.written[item] = to
 	}
 }
 
-// hasRun reports whether a target has executed the statement with the given ID.
-func (r *run) hasRun(id string) bool {
-	for _, name := range targets {
-		for _, st := range r.group.Target(name).Ran() {
-			if st.ID == id {
-				return true
-			}
+// findRun returns a target's record of the statement with the given ID.
+func (r *run) findRun(id string) (hosted.Run, bool) {
+	for _, d := range r.databases {
+		if run, ok := d.group.Run(id); ok {
+			return run, true
 		}
 	}
-	return false
+	return hosted.Run{}, false
 }
 
-// finish judges what is left in the end and writes the report.
-func (r *run) finish(events []Event) (*Report, error) {
-	leads := func(name string) bool { return r.group.Target(name).Leads() }
-	if i := slices.IndexFunc(targets, leads); i >= 0 {
-		writes := r.group.Target(targets[i]).Writes()
-		for _, item := range slices.Sorted(maps.Keys(r.written)) {
-			r.judge.check(ruleKept, writes[item] > 0, "%s is missing at %s", item, targets[i])
+// judgeWrites judges that each acknowledged write is in its group's log once.
+func (r *run) judgeWrites(d *database) {
+	leader := d.group.Leader()
+	r.judge.check(ruleKept, leader != nil, "no target of %s leads in the end", d.group.Name)
+	if leader == nil {
+		return
+	}
+	writes := leader.Writes()
+	for _, item := range slices.Sorted(maps.Keys(r.written)) {
+		if r.written[item].database == d {
+			r.judge.check(ruleKept, writes[item] > 0, "%s is missing at %s", item, leader.ID)
 			r.judge.check(ruleOnce, writes[item] <= 1, "%s is there %d times", item, writes[item])
 		}
-	} else {
-		r.judge.check(ruleKept, false, "no target leads in the end")
+	}
+}
+
+// finish judges what is left in the end and writes the report.
+func (r *run) finish(events []Event) (*Report, error) {
+	promotions := 0
+	for _, d := range r.databases {
+		r.judgeWrites(d)
+		promotions += len(d.group.Promotions())
 	}
 	report := &Report{
-		Seed: r.options.Seed, Length: r.options.Length.String(), Events: events, Rules: r.judge.rules,
-		Written: len(r.written), Promotions: len(r.group.Promotions()),
+		Seed: r.options.Seed, Length: r.options.Length.String(), Schedule: r.options.Schedule,
+		Events: events, Rules: r.judge.rules, Counts: r.judge.counts,
+		Written: len(r.written), Promotions: promotions,
 	}
 	body, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
@@ -276,5 +355,18 @@
 // nodeOf returns the node that an event concerns.
 func (r *run) nodeOf(e Event) *node { return r.nodes[e.Index%len(r.nodes)] }
 
+// nodeCalled returns the node with the given name, or nil.
+func (r *run) nodeCalled(name string) *node {
+	for _, n := range r.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// databaseOf returns the database that an event concerns.
+func (r *run) databaseOf(e Event) *database { return r.databases[e.Variant%len(r.databases)] }
+
 // randomOf returns the source of an event's further choices.
 func randomOf(e Event) *rand.Rand { return rand.New(rand.NewPCG(uint64(e.Index), uint64(e.Variant))) }
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -8,7 +8,7 @@
 // Kind is the kind of an Event.
 type Kind string
 
-// The kinds of events. Those up to KindWithdraw are planned work, the others are faults.
+// The kinds of events. Those up to KindRecord are planned work, the others are faults.
 const (
 	// KindStop stops a node with SIGTERM and starts it again.
 	KindStop Kind = "stop"
@@ -18,6 +18,12 @@
 	KindConfigure Kind = "configure"
 	// KindWithdraw takes a key away and gives it back later.
 	KindWithdraw Kind = "withdraw"
+	// KindHangup sends SIGHUP to a node.
+	KindHangup Kind = "hang up"
+	// KindRelease replaces the primary of a group as planned.
+	KindRelease Kind = "release"
+	// KindRecord stops two nodes of zone a at almost the same moment, beside other planned work.
+	KindRecord Kind = "record"
 	// KindKill kills a node with SIGKILL and starts it again.
 	KindKill Kind = "kill"
 	// KindPause stops a node for a while with SIGSTOP.
@@ -31,14 +37,15 @@
 )
 
 var (
-	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw}
+	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord}
+	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
 	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
 
 // IsFault reports whether events of kind k are faults and not planned work.
 func (k Kind) IsFault() bool {
 	switch k {
-	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw:
+	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord:
 		return false
 	}
 	return true
@@ -61,15 +68,33 @@
 	phaseLength = 12 * time.Second
 	// maxGap is the longest time between two events.
 	maxGap = 1400 * time.Millisecond
+	// maxRecordGap is the longest time between two events of the schedule of the record, of which some
+	// overlap and others don't.
+	maxRecordGap = 9 * time.Second
 )
 
-// Draw returns the schedule of a run of the given length.
-func Draw(seed uint64, length time.Duration) []Event {
+// The schedules that a run can play.
+const (
+	// ScheduleMixed has planned work and faults.
+	ScheduleMixed = "mixed"
+	// ScheduleRecord has planned work only, mostly KindRecord.
+	ScheduleRecord = "record"
+)
+
+// Draw returns the events of a schedule of the given length.
+func Draw(schedule string, seed uint64, length time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, 1))
+	longest := maxGap
+	if schedule == ScheduleRecord {
+		longest = maxRecordGap
+	}
 	var events []Event
-	for at := warmUp; at < length; at += time.Duration(random.Int64N(int64(maxGap))) {
+	for at := warmUp; at < length; at += upTo(random, longest) {
 		kinds := plannedKinds
-		if (at/phaseLength)%2 == 1 {
+		switch {
+		case schedule == ScheduleRecord:
+			kinds = recordKinds
+		case (at/phaseLength)%2 == 1:
 			kinds = faultKinds
 		}
 		events = append(events, Event{
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -11,11 +11,11 @@
 // every kind of event comes in a few of them, faults in the mixed phases only.
 func TestScheduleIsRepeatable(t *testing.T) {
 	const length = 2 * time.Minute
-	must.Eq(t, Draw(7, length), Draw(7, length))
-	must.NotEq(t, Draw(7, length), Draw(8, length))
+	must.Eq(t, Draw(ScheduleMixed, 7, length), Draw(ScheduleMixed, 7, length))
+	must.NotEq(t, Draw(ScheduleMixed, 7, length), Draw(ScheduleMixed, 8, length))
 	seen := map[Kind]bool{}
 	for seed := range uint64(5) {
-		for _, event := range Draw(seed, length) {
+		for _, event := range Draw(ScheduleMixed, seed, length) {
 			seen[event.Kind] = true
 			must.False(t, event.Kind.IsFault() && (event.At/phaseLength)%2 == 0, must.Sprintf("%+v", event))
 		}
@@ -25,6 +25,22 @@
 	}
 }
 
+// TestRecordIsPlannedWork checks that the schedule of the record has no faults, and that its events come
+// both within and after the time that one of them takes.
+func TestRecordIsPlannedWork(t *testing.T) {
+	var overlapping, inSeries bool
+	events := Draw(ScheduleRecord, 7, 5*time.Minute)
+	for i, event := range events {
+		must.False(t, event.Kind.IsFault())
+		if i > 0 {
+			gap := event.At - events[i-1].At
+			overlapping = overlapping || gap < leadTime
+			inSeries = inSeries || gap > leadTime
+		}
+	}
+	must.True(t, overlapping && inSeries)
+}
+
 // TestFaultsExcuse checks which requests a fault excuses: those that it overlaps, and those that were sent
 // within stableTime after it.
 func TestFaultsExcuse(t *testing.T) {
