--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -31,7 +31,7 @@
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Schedule is ScheduleMixed or ScheduleRecord.
+	// Schedule is ScheduleAll, ScheduleMixed or ScheduleRecord.
 	Schedule string
 	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
 	// callers' sessions at the same time.
@@ -55,7 +55,7 @@
 // delays, work times and limits.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Length: time.Minute, Schedule: ScheduleMixed,
+		Seed: 1, Length: time.Minute, Schedule: ScheduleAll,
 		Nodes: 6, Groups: 3, Sessions: 90,
 		Work: 11 * time.Millisecond, Slots: 5, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
 		CallerDelay: time.Millisecond, LinkDelay: 500 * time.Microsecond,
@@ -66,7 +66,7 @@
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
-	case o.Schedule != ScheduleMixed && o.Schedule != ScheduleRecord:
+	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord}, o.Schedule):
 		return Error.New("unknown schedule %q", o.Schedule)
 	case o.Groups < 1 || o.Groups > len(groupNames):
 		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
@@ -243,7 +243,7 @@
 	})
 	rest.Go(r.watch)
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
-	if r.options.Schedule == ScheduleMixed {
+	if r.options.Schedule != ScheduleRecord {
 		for _, n := range r.nodes {
 			rest.Go(func() { r.sendRefused(n) })
 		}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -37,7 +38,8 @@
 )
 
 var (
-	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord}
+	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw}
+	morePlanned  = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
 	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
 	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
@@ -75,7 +77,9 @@
 
 // The schedules that a run can play.
 const (
-	// ScheduleMixed has planned work and faults.
+	// ScheduleAll has all kinds of planned work, and faults. ScheduleMixed lacks KindHangup, KindRelease and
+	// KindRecord.
+	ScheduleAll   = "all"
 	ScheduleMixed = "mixed"
 	// ScheduleRecord has planned work only, mostly KindRecord.
 	ScheduleRecord = "record"
@@ -96,6 +100,8 @@
 			kinds = recordKinds
 		case (at/phaseLength)%2 == 1:
 			kinds = faultKinds
+		case schedule == ScheduleAll:
+			kinds = morePlanned
 		}
 		events = append(events, Event{
 			At: at, Kind: kinds[random.IntN(len(kinds))], Index: random.IntN(1 << 16), Variant: random.IntN(1 << 16),
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,16 +12,16 @@
 // every kind of event comes in a few of them, faults in the mixed phases only.
 func TestScheduleIsRepeatable(t *testing.T) {
 	const length = 2 * time.Minute
-	must.Eq(t, Draw(ScheduleMixed, 7, length), Draw(ScheduleMixed, 7, length))
-	must.NotEq(t, Draw(ScheduleMixed, 7, length), Draw(ScheduleMixed, 8, length))
+	must.Eq(t, Draw(ScheduleAll, 7, length), Draw(ScheduleAll, 7, length))
+	must.NotEq(t, Draw(ScheduleAll, 7, length), Draw(ScheduleAll, 8, length))
 	seen := map[Kind]bool{}
 	for seed := range uint64(5) {
-		for _, event := range Draw(ScheduleMixed, seed, length) {
+		for _, event := range Draw(ScheduleAll, seed, length) {
 			seen[event.Kind] = true
 			must.False(t, event.Kind.IsFault() && (event.At/phaseLength)%2 == 0, must.Sprintf("%+v", event))
 		}
 	}
-	for _, kind := range append(plannedKinds, faultKinds...) {
+	for _, kind := range append(slices.Clone(morePlanned), faultKinds...) {
 		must.True(t, seen[kind], must.Sprint(kind))
 	}
 }
