Soak: what its own lateness can't tell apart

Two stops were judged too long though the nodes' logs say that they had ended after 5.50 and 5.54 s: the wait for the process and the end of its time were noticed together. Whether SIGKILL ended the process tells now. A statement that no target read, and that was sent late because the soak was late, is not counted as held for longer than the slack; statements that a target ran are judged as before.

--- a/internal/standin/soak/cut.go
+++ b/internal/standin/soak/cut.go
@@ -61,6 +61,9 @@
 	position int
 	signal   string
 	signalAt time.Time
+	// late is by how much this process was late meanwhile: it may have passed the statement on that much
+	// later than it was sent.
+	late time.Duration
 }
 
 // judgeCut judges a statement without an answer.
@@ -69,13 +72,14 @@
 		return
 	}
 	run, ran := r.findRun(c.id)
+	c.late = r.lateness.during(c.sentAt, c.endAt)
 	if reason := c.excuse(run, ran); reason != "" {
 		r.judge.count("ended without an answer: " + reason)
 		r.judge.check(ruleCut, true, "")
 		return
 	}
 	r.judge.check(ruleCut, false, "%s; the soak itself was late by up to %s", c.describe(run, ran),
-		r.lateness.during(c.sentAt, c.endAt).Round(time.Millisecond))
+		c.late.Round(time.Millisecond))
 }
 
 // excuse returns why the statement may have ended without an answer, or "".
@@ -83,6 +87,8 @@
 	switch {
 	case !ran && c.endAt.Sub(c.sentAt) <= slack:
 		return "read by no target, within the slack"
+	case !ran && c.endAt.Sub(c.sentAt) <= slack+c.late:
+		return "read by no target, within the slack and the time by which the soak was late"
 	case ran && run.BrokeOff:
 		return "the target broke off"
 	case c.endAt.Sub(c.sentAt) >= statementTimeout:
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"os/exec"
 	"slices"
 	"syscall"
 	"time"
@@ -84,12 +86,24 @@
 	held := r.super.Wait(ctx, n.name) == nil
 	n.noteEnd()
 	if !held {
+		// Whether SIGKILL ended the process tells if it still ran; this process may have noticed its end late.
 		_ = r.super.Kill(n.name)
+		held = !wasKilled(r.super.Exit(n.name))
 	}
 	r.judge.check(ruleGrace, held || r.judge.isExcused(began, time.Now()), "%s (%s) still ran %s after SIGTERM at %s",
 		n.name, kind, grace, began.UTC().Format("15:04:05.000"))
 }
 
+// wasKilled reports whether a process with the given exit error was ended by SIGKILL.
+func wasKilled(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGKILL
+}
+
 // restartUnread starts a node anew with a log that nobody reads, and waits until the log is full.
 func (r *run) restartUnread(n *node) (closePipe func(), ok bool) {
 	spec, closePipe, err := n.unreadPipe()
--- a/internal/standin/soak/lateness.go
+++ b/internal/standin/soak/lateness.go
@@ -11,8 +11,7 @@
 	latenessWindow   = 100 * time.Millisecond
 )
 
-// lateness measures by how much this process wakes late, so that a reader of a violation can tell how
-// exact its times are. It excuses nothing.
+// lateness measures by how much this process wakes late: its times are no more exact than that.
 type lateness struct {
 	mu    sync.Mutex
 	worst map[int64]time.Duration
