--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -88,6 +88,7 @@
 	if !held {
 		// Whether SIGKILL ended the process tells if it still ran; this process may have noticed its end late.
 		_ = r.super.Kill(n.name)
+		_ = r.super.Wait(context.Background(), n.name)
 		held = !wasKilled(r.super.Exit(n.name))
 	}
 	r.judge.check(ruleGrace, held || r.judge.isExcused(began, time.Now()), "%s (%s) still ran %s after SIGTERM at %s",
