--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -46,6 +46,7 @@
 	flags.DurationVar(&o.PromoteAfter, "promote-after", o.PromoteAfter, "how long a promotion takes")
 	flags.DurationVar(&o.CallerDelay, "caller-delay", o.CallerDelay, "one-way delay between callers and nodes; 0 for no proxy")
 	flags.DurationVar(&o.LinkDelay, "link-delay", o.LinkDelay, "one-way delay between nodes and targets or the store; 0 for no proxy")
+	flags.BoolVar(&o.ResetOvertakes, "reset-overtakes", false, "a reset discards what is under way between a node and a caller")
 	flags.StringVar(&o.Binary, "binary", "", "the program to play against (default bin/crocusyoke)")
 	flags.StringVar(&o.Dir, "dir", o.Dir, "directory for settings, logs and report.json")
 	return cmd
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -45,6 +45,8 @@
 	// CallerDelay is the one-way delay between callers and nodes, LinkDelay that between nodes and targets
 	// or the store.
 	CallerDelay, LinkDelay time.Duration
+	// ResetOvertakes makes a reset discard what is under way between a node and a caller.
+	ResetOvertakes bool
 	// Binary is the path of the shipped binary.
 	Binary string
 	// Dir receives settings, logs and the report; it is created.
@@ -209,7 +211,9 @@
 			return err
 		}
 		if r.options.CallerDelay > 0 {
-			if n.entry, err = link.Listen(n.front, link.Symmetric(r.options.CallerDelay)); err != nil {
+			options := link.Symmetric(r.options.CallerDelay)
+			options.ResetOvertakes = r.options.ResetOvertakes
+			if n.entry, err = link.Listen(n.front, options); err != nil {
 				return err
 			}
 			n.callers = n.entry.Address()
