Stop: a session whose transaction was refused stays for its ROLLBACK

Cause: a session was ended right after the refusal, although the state that it had told asks its caller for one more statement.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -160,7 +160,7 @@
 
 // endStatement marks the session idle, unless its transaction goes on. It reports false if the
 // session must end. A session that must end stays for idleReadTime if its caller has only prepared what it
-// is about to send.
+// is about to send, or has to end the transaction of which a statement was refused.
 func (s *session) endStatement() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,7 +172,8 @@
 	case s.progress.transactionBegan.IsZero():
 		s.progress.transactionBegan = s.progress.began
 	}
-	if s.closing && !s.busy && s.preparing {
+	mustRollBack := s.refusedByDrain && s.state.txStatus == txFailed
+	if s.closing && (!s.busy && s.preparing || mustRollBack) {
 		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
 		return true
 	}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -168,3 +168,26 @@
 		must.NoError(t, <-drained)
 	})
 }
+
+// TestStopDropsTheRollbackItAskedFor guards against a session that is closed right after a statement of its
+// transaction was refused: the caller's ROLLBACK, which must follow, gets no answer.
+func TestStopDropsTheRollbackItAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSlowTarget(nil)
+		s, lines := newLoggedServer(d.chain)
+		s.options.Chain = d
+		caller, silent := connectTo(t, s), connectTo(t, s)
+		must.Eq(t, "ok", caller.send("begin"))
+		must.Eq(t, "ok", silent.send("begin"))
+		drained := startDrain(t, s)
+		time.Sleep(stopTime - answerTime)
+		must.Eq(t, "transaction_lost", caller.send("write"))
+		must.Eq(t, "transaction_lost", silent.send("write"))
+		time.Sleep(idleReadTime / 2)
+		must.Eq(t, "done", caller.send("rollback"))
+		must.Eq(t, "EOF", caller.readLine())
+		must.Eq(t, "EOF", silent.readLine())
+		must.NoError(t, <-drained)
+		must.Eq(t, "", lines.String())
+	})
+}
