Owner: a group that is regained while it is being released serves at once

Callers get BUSY (not run, "is being handed over") from the node that owns their group: a node that loses a group begins to release it 2 s later, and waits up to 5 s for open transactions. If it gained the group again in that time, as when another owner stops or a home node leaves again, it went on to refuse every new request until the old release was over.

Cause: the release outlived the loss of ownership that it was for. SetOwned now ends a release that still waits; one that closes connections already runs to its end, and so does that of a stop.

TestRegainedGroupRefusesWork failed before (no_owner). TestStopKeepsWhatItReleases and TestSecondLossWaitsAnew fail with their guards broken, the latter in one of up to 30 repeats.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -41,10 +41,14 @@
 	sweptAt          time.Time
 	// exclusive is true while no other owner can exist (see Manager.SetExclusive).
 	exclusive bool
-	// releasing is set once the group refuses new work because it is handed over or closed.
+	// releasing is set while the group refuses new work because it is handed over or closed, closing once
+	// its connections are closed.
 	releasing bool
-	// idleReached is nil until release is called. signalIdle closes it.
+	closing   bool
+	// idleReached is nil unless the group is being released. signalIdle closes it. resumed ends a release
+	// whose group is owned again.
 	idleReached chan struct{}
+	resumed     chan struct{}
 	primary     string
 	term        uint64
 	// primaryCtx ends when primary is replaced; endPrimary ends it.
@@ -239,29 +243,50 @@
 
 // release refuses new work, waits until ctx ends for active requests and open transactions,
 // then closes the group. It returns an error if connections are still open after
-// closeTimeout.
-func (g *group) release(ctx context.Context) error {
+// closeTimeout. It reports false if resume was called in time, so that the group is not closed.
+func (g *group) release(ctx context.Context) (released bool, err error) {
 	g.mu.Lock()
 	g.releasing = true
 	if g.idleReached == nil {
-		g.idleReached = make(chan struct{})
+		g.idleReached, g.resumed = make(chan struct{}), make(chan struct{})
 	}
-	idle := g.idleReached
+	idle, resumed := g.idleReached, g.resumed
 	g.signalIdle()
 	g.notifyChanged()
 	g.mu.Unlock()
 	select {
 	case <-idle:
+	case <-resumed:
 	case <-ctx.Done():
 	}
+	g.mu.Lock()
+	g.closing = g.closing || g.idleReached == idle
+	released = g.closing
+	g.mu.Unlock()
+	if !released {
+		return false, nil
+	}
 	g.close()
-	return g.awaitDrained(ctx)
+	return true, g.awaitDrained(ctx)
+}
+
+// resume makes a group serve again that is being released, unless its connections are closed already.
+func (g *group) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.releasing || g.closing {
+		return
+	}
+	g.releasing = false
+	g.idleReached = nil
+	close(g.resumed)
+	g.notifyChanged()
 }
 
 // close rolls back open transactions, stops polling and closes every connection.
 func (g *group) close() {
 	g.mu.Lock()
-	g.releasing = true
+	g.releasing, g.closing = true, true
 	open := make([]*transaction, 0, len(g.transactions))
 	for _, tx := range g.transactions {
 		open = append(open, tx)
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -173,7 +173,7 @@
 }
 
 // SetOwned sets whether this node owns the group. An owned group is polled even without
-// requests.
+// requests, and it is not released any further unless the node stops.
 func (m *Manager) SetOwned(name string, owned bool) {
 	m.mu.Lock()
 	m.owned[name] = owned
@@ -182,6 +182,9 @@
 	} else {
 		delete(m.owned, name)
 	}
+	if g := m.groups[name]; g != nil && owned && !m.draining {
+		g.resume()
+	}
 	m.mu.Unlock()
 	if owned {
 		_, _ = m.groupOf(name)
@@ -209,7 +212,8 @@
 // Release prepares the handover of a group to another owner. It refuses new work as not run,
 // lets active requests and open transactions finish until ctx ends, then closes every
 // connection. It returns once no connection is open, or an error if some do not close in time.
-// Requests for the group are refused until SetOwned marks it as owned again.
+// Requests for the group are refused until SetOwned marks it as owned again, which ends a release
+// that still waits.
 func (m *Manager) Release(ctx context.Context, name string) error {
 	m.mu.Lock()
 	m.released[name] = true
@@ -220,8 +224,10 @@
 	if g == nil {
 		return nil
 	}
-	err := g.release(ctx)
-	m.remove(g)
+	released, err := g.release(ctx)
+	if released {
+		m.remove(g)
+	}
 	return err
 }
 
