Stop: what its review left in the callers' server

Each with a test of the review that failed before: - an open transaction between two statements was ended by a hard close at the limit, at any moment; it now ends 0.2 s before, through the last look for a statement (TestStopCutsAnIdleTransaction, TestStopCutsAStatementThatWasJustRead, moved to that moment); - on routes of 2 s and more a transaction had 2.8 s instead of half of the grace period (TestTransactionHasLessThanHalfOfTheGracePeriod); - a cut left no line if the session had been idle when it was told to close (TestCutIsNotLoggedAfterAnIdleOne); - a caller that was turned away held a place while its connection lingered (TestRejectedCallerHoldsAConnection). Besides: the accept loop counts as work that a drain waits for, so that the WaitGroup can't leave zero while it is waited on; a connection without a startup message holds a drain for 1 s, not to its end; the second look has 20 ms.

--- a/internal/front/cut.go
+++ b/internal/front/cut.go
@@ -66,10 +66,11 @@
 // the request, its age, the step that it had reached, the owner that served it, and why it was cut.
 func (s *session) logCut(why string, cause error) {
 	s.mu.Lock()
-	p, closing, reported := s.progress, s.closing, s.cutReported
-	s.cutReported = true
+	p, closing := s.progress, s.closing
+	first := p.isCut() && !s.cutReported
+	s.cutReported = s.cutReported || first
 	s.mu.Unlock()
-	if reported || !p.isCut() {
+	if !first {
 		return
 	}
 	s.server.Counts.Add("sessions_cut", 1)
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -10,13 +10,15 @@
 const (
 	// transactionTime is how long after its beginning a drain takes statements of open transactions in any
 	// case. Later ones are taken only if their timeout ends before the drain does.
-	transactionTime = 500 * time.Millisecond
+	transactionTime = 700 * time.Millisecond
 	// answerTime is the end of a drain's time, in which the statements that still run are canceled and
 	// answered.
 	answerTime = 400 * time.Millisecond
 	// idleReadTime is how long an idle session that is to close may still read a statement that its caller
 	// has sent before.
 	idleReadTime = 50 * time.Millisecond
+	// loginDrainTime is how long a drain waits for the startup message of a connection.
+	loginDrainTime = time.Second
 )
 
 // drainTimes are the times of a drain. They are zero if the drain may take any time.
@@ -26,6 +28,8 @@
 	// answersFrom is when the statements that still run are canceled, so that each has an answer before
 	// its connection is closed. No statement is taken from then on.
 	answersFrom time.Time
+	// readsUntil is when the sessions that wait for a statement of an open transaction end.
+	readsUntil time.Time
 }
 
 func newDrainTimes(ctx context.Context, now time.Time) *drainTimes {
@@ -34,7 +38,7 @@
 		return &drainTimes{}
 	}
 	reserve := min(answerTime, end.Sub(now)/4)
-	return &drainTimes{transactionsUntil: now.Add(transactionTime), answersFrom: end.Add(-reserve)}
+	return &drainTimes{transactionsUntil: now.Add(transactionTime), answersFrom: end.Add(-reserve), readsUntil: end.Add(-reserve / 2)}
 }
 
 // isAnswerTime reports whether no statement is to be taken any more.
@@ -57,7 +61,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	times := s.beginDrain(ctx)
 	if !times.answersFrom.IsZero() {
-		defer time.AfterFunc(times.answersFrom.Sub(s.options.Clock.Now()), s.cancel).Stop()
+		defer time.AfterFunc(times.answersFrom.Sub(s.options.Clock.Now()), func() { s.endSessions(times) }).Stop()
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -89,6 +93,26 @@
 	return times
 }
 
+// endSessions ends all sessions within the time for answers: statements that run are canceled, and no
+// statement is read after times.readsUntil.
+func (s *Server) endSessions(times *drainTimes) {
+	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sess := range s.sessions {
+		sess.readUntil(times.readsUntil)
+	}
+}
+
+// readUntil ends a session that waits for a statement at the given time.
+func (s *session) readUntil(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.progress.phase == phaseReading {
+		_ = s.conn.SetReadDeadline(end)
+	}
+}
+
 func (s *Server) isDraining() bool { return s.drain.Load() != nil }
 
 // latestAnswer returns deadline, or when a drain cancels what still runs if that is earlier.
@@ -172,6 +196,10 @@
 	case s.progress.transactionBegan.IsZero():
 		s.progress.transactionBegan = s.progress.began
 	}
+	if d := s.server.drain.Load(); s.busy && d != nil && d.isAnswerTime(s.server.options.Clock.Now()) {
+		_ = s.conn.SetReadDeadline(d.readsUntil)
+		return true
+	}
 	mustRollBack := s.refusedByDrain && s.state.txStatus == txFailed
 	if s.closing && (!s.busy && s.preparing || mustRollBack) {
 		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
@@ -187,7 +215,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
-	if s.admitted && !s.busy {
+	switch {
+	case !s.admitted:
+		_ = s.conn.SetReadDeadline(time.Now().Add(loginDrainTime))
+	case !s.busy:
 		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
 	}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -68,11 +68,10 @@
 	}
 }
 
-// run serves the session until it ends, and then closes its connection.
+// run serves the session until it ends.
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer s.close()
 	if !s.admit() {
 		return
 	}
@@ -150,7 +149,7 @@
 }
 
 // lastReadTime is how long an idle session looks once more for a statement after its time to read is over.
-const lastReadTime = 5 * time.Millisecond
+const lastReadTime = 20 * time.Millisecond
 
 // readStatement reads the next statement. A statement that arrived in the time to read is read also if
 // this process got no processor until that time was over.
@@ -169,6 +168,9 @@
 	if contain.Error.Has(err) {
 		s.logPanic(err)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.logCut(cutAtLimit, nil)
+	}
 	if !ErrProtocol.Has(err) {
 		if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
 			s.server.Counts.Add("sessions_broken", 1)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -67,6 +67,8 @@
 
 	// drain holds nil until Drain is called.
 	drain atomic.Pointer[drainTimes]
+	// lingering counts connections of sessions that have ended (see session.linger).
+	lingering atomic.Int64
 
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
@@ -103,22 +105,29 @@
 		s.cancel()
 		s.closeSessions(cutAtExit)
 	})()
+	s.wg.Add(1)
+	s.acceptCallers(ctx, listener)
+	s.wg.Done()
+	s.wg.Wait()
+	return nil
+}
+
+// acceptCallers starts a session for each connection until listener is closed or ctx ends.
+func (s *Server) acceptCallers(ctx context.Context, listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			break
+			return
 		}
 		if err != nil {
 			s.recordAcceptError(err)
 			if s.options.Clock.Sleep(ctx, acceptRetryDelay) != nil {
-				break
+				return
 			}
 			continue
 		}
 		s.startSession(conn)
 	}
-	s.wg.Wait()
-	return nil
 }
 
 // acceptRetryDelay is the pause after an accept error, such as a lack of file descriptors, which
@@ -144,12 +153,22 @@
 	s.Counts.Add("sessions", 1)
 	s.wg.Go(func() {
 		sess.runContained(s.ctx)
-		s.mu.Lock()
-		delete(s.sessions, sess)
-		s.mu.Unlock()
+		if s.remove(sess) {
+			sess.linger()
+		}
+		_ = sess.conn.Close()
 	})
 }
 
+// remove removes a session that has ended. It reports whether its connection may linger: those of sessions
+// come first.
+func (s *Server) remove(sess *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+	return len(s.sessions)+int(s.lingering.Load()) < s.options.MaxConnections
+}
+
 // CloseWithdrawn ends the sessions whose key has been withdrawn, each as soon as it is
 // idle and outside a transaction. It is called when the configuration changes.
 func (s *Server) CloseWithdrawn() {
