Owner: a node that ends sends the answers that it has

Callers of other nodes were told that the outcome is unknown, of writes that the owner had confirmed: a stop waits for the last request of a group, but its answer was dropped when the server's context ended in the same moment, or discarded with the connection. The server now writes what it has, waits for answers at most 0.1 s, and keeps its connections 20 ms after the last one.

--- a/internal/front/ending_test.go
+++ b/internal/front/ending_test.go
@@ -127,3 +127,22 @@
 	startup.Key = "wrong"
 	return startup, err
 }
+
+// TestStopTakesAStatementWithoutTimeToAnswerIt guards against a single statement that is taken in the time
+// that a drain has reserved for answers.
+func TestStopTakesAStatementWithoutTimeToAnswerIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newSlowTarget(map[string]time.Duration{"rollback": stopTime - answerTime})
+		s, _ := newLoggedServer(d.chain)
+		s.options.Chain = d
+		caller := connectTo(t, s)
+		drained := startDrain(t, s)
+		for range (stopTime - answerTime) / idleReadTime * 2 {
+			must.Eq(t, "done", caller.send("set"))
+			time.Sleep(idleReadTime / 2)
+		}
+		must.Eq(t, "shutdown", caller.send("r"))
+		must.NoError(t, <-drained)
+		must.SliceEmpty(t, d.chain.seen)
+	})
+}
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -51,8 +51,10 @@
 		counters.Add(counterMalformed, 1)
 		return false
 	}
+	s.server.answering.Add(1)
+	defer s.server.answering.Add(-1)
 	answer := s.serve(ctx, frame.toRequest(s.context, s.server.clock.Now()))
-	if ctx.Err() != nil {
+	if s.stream.Context().Err() != nil {
 		return false
 	}
 	if err := writeFrame(s.stream, &answer); err != nil {
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -75,6 +76,8 @@
 	sessions request.Handler
 	handlers map[peer.Kind]handler
 	wait     sync.WaitGroup
+	// answering counts the requests of sessions that are being served or answered.
+	answering atomic.Int64
 
 	mu sync.Mutex
 	// activeSessions holds the sessions that have a stream, by session ID.
@@ -116,6 +119,7 @@
 	defer s.wait.Wait()
 	defer transport.Close()
 	defer listener.Close()
+	defer s.awaitAnswers(ctx)
 	for {
 		conn, err := listener.Accept(ctx)
 		if ctx.Err() != nil {
@@ -139,12 +143,36 @@
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
+			s.awaitAnswers(ctx)
 			return
 		}
 		s.wait.Go(func() { s.serveStream(ctx, caller, stream) })
 	}
 }
 
+const (
+	// maxAnswerWait bounds the wait for answers to sessions at the server's end.
+	maxAnswerWait = 100 * time.Millisecond
+	// answerSendTime is how long the server keeps its connections after the last answer to a session was
+	// written, since closing a connection drops what has not been sent.
+	answerSendTime = 20 * time.Millisecond
+	answerPoll     = time.Millisecond
+)
+
+// awaitAnswers waits for the answers of requests that end with the server, if ctx has ended, and until
+// they are sent.
+func (s *Server) awaitAnswers(ctx context.Context) {
+	if ctx.Err() == nil {
+		return
+	}
+	background := context.WithoutCancel(ctx)
+	end := s.clock.Now().Add(maxAnswerWait)
+	for s.answering.Load() > 0 && s.clock.Now().Before(end) {
+		_ = s.clock.Sleep(background, answerPoll)
+	}
+	_ = s.clock.Sleep(background, answerSendTime)
+}
+
 func (s *Server) serveStream(ctx context.Context, caller Peer, stream *quic.Stream) {
 	defer stream.Close()
 	defer stream.CancelRead(0)
