PostgreSQL callers: nothing begins in the end of a drain that is not canceled

A rollback that followed a canceled statement, and an exchange that had been sent ahead, ran with their full timeout when the drain's time was almost over, and were cut by its end. Found in review. TestStopCutsTheRollbackAfterACanceledStatement and TestStopCutsAnExchangeThatWasSentAhead failed before.

--- a/internal/pgfront/serve.go
+++ b/internal/pgfront/serve.go
@@ -237,6 +237,9 @@
 	ctx, stop := context.WithDeadline(c.ctx, c.request.Deadline)
 	defer stop()
 	c.setRunning(stop)
+	if c.server.isEnding() {
+		stop()
+	}
 	c.startWatch()
 	resp, err := c.options.Chain.Serve(ctx, &c.request)
 	c.stopWatch()
