A stop ends at its limit, also while a group waits for a statement

Seen by callers: nothing yet; a node that stops could be killed by the platform. Cause: the step "hand over groups" waits up to 2 s beyond its deadline for connections that still run a statement of another node's caller (owner: awaitDrained). A killed process writes none of the lines of its stop and does not tell its peers that its connections end. Change: the stop waits for no step beyond its own limit. A step may still outlast its own deadline where there is time, so that such statements are answered.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,7 +20,7 @@
 	controller := drain.Begin(n.drainPlan(), limit, n.clock.Now())
 	callers := callerDrain{until: controller.FinishDeadline(), done: make(chan error, 1)}
 	for order := controller.Current(); order.Step != drain.Exit; {
-		err := n.runStep(ctx, order, callers)
+		err := n.runStepWithin(ctx, order, callers)
 		order = controller.Done(err, n.clock.Now())
 	}
 	for _, o := range controller.Outcomes() {
@@ -48,6 +48,19 @@
 	d.done <- server.Drain(ctx)
 }
 
+// runStepWithin is runStep, except that it does not wait for the step beyond the end of stopCtx: a step
+// may take a while to clean up after its deadline.
+func (n *Node) runStepWithin(stopCtx context.Context, order drain.ScheduledStep, callers callerDrain) error {
+	done := make(chan error, 1)
+	go func() { done <- n.runStep(stopCtx, order, callers) }()
+	select {
+	case err := <-done:
+		return err
+	case <-stopCtx.Done():
+		return stopCtx.Err()
+	}
+}
+
 // runStep runs one step until its deadline.
 func (n *Node) runStep(stopCtx context.Context, order drain.ScheduledStep, callers callerDrain) error {
 	ctx, cancel := context.WithDeadline(stopCtx, order.Deadline)
