A fetch from a peer ends with the node, and none begins after it

Seen by callers: nothing; a process ended later than its stop. Cause: catalog.Runner.ObservePeer is called by the membership with a context that never ends. Besides, a probe's answer that arrives while Run waits added to a WaitGroup that is being waited for, for which Go may panic ("WaitGroup is reused before previous Wait has returned"; by its source, not seen in a run). Change: a fetch ends with Run, and after Run's end none is started.

--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -154,17 +154,16 @@
 func (r *Runner) ObservePeer(ctx context.Context, address string, k Knowledge) {
 	r.ObserveEra(k.Changed.Era, address)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	if k.Changed.Era == r.era {
 		r.role.Confirm(r.o.Clock.Now().Add(-time.Duration(k.ConfirmedAgeMillis) * time.Millisecond))
 	}
-	lacks := r.lacks(k)
-	start := lacks && !r.fetching
-	r.fetching = r.fetching || lacks
-	delay := r.fetchDelay(k)
-	r.mu.Unlock()
-	if start {
-		r.wait.Go(func() { r.fetchFromPeer(ctx, address, k, delay) })
+	if r.fetching || !r.lacks(k) || r.running.Err() != nil {
+		return
 	}
+	r.fetching = true
+	delay := r.fetchDelay(k)
+	r.wait.Go(func() { r.fetchFromPeer(ctx, address, k, delay) })
 }
 
 // lacks reports whether this node lacks something of k. The caller holds r.mu.
@@ -202,6 +201,9 @@
 		r.fetching = false
 		r.mu.Unlock()
 	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.running, cancel)()
 	if r.o.Clock.Sleep(ctx, delay) != nil {
 		return
 	}
@@ -209,8 +211,8 @@
 	if !lacks {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
-	defer cancel()
+	ctx, endCall := context.WithTimeout(ctx, peerFetchTimeout)
+	defer endCall()
 	r.Counters.Add("peer_fetches", 1)
 	var reply FetchReply
 	err := r.o.Peers.Call(ctx, address, peer.KindConfig, request, &reply)
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -173,7 +173,7 @@
 // Run follows the tables until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
-	defer r.stop()
+	defer r.end()
 	r.wait.Go(func() { r.followTable(ctx, platform.TableConfiguration, r.configuration) })
 	r.wait.Go(func() { r.followTable(ctx, platform.TableTargets, r.targets) })
 	r.wait.Go(func() { r.followTable(ctx, platform.TableNodes, r.nodes) })
@@ -181,6 +181,13 @@
 	return nil
 }
 
+// end ends r.running. No fetch from a peer is started after it has returned.
+func (r *Runner) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stop()
+}
+
 // updateTable applies change to a table and publishes the result if anything changed. The
 // rows were current at time at, which is used only for the table of nodes.
 func (r *Runner) updateTable(name string, t *table, at time.Time, change func() bool) {
