An accept error of the readiness or metrics port ends no session

Seen by callers: nothing yet; all connections of a node would break off at once. Cause: http.Server.Serve gives up at any accept error that Go does not call temporary, such as a lack of memory (ENOBUFS, ENOMEM). The task then returns an error, the group of tasks ends, and with it all sessions. The callers' port has always gone on (front.Server.Serve). Change: both ports go on after a pause, and log the error.

--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -298,12 +297,7 @@
 func (n *Node) serveReadiness(ctx context.Context, listener net.Listener, path string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, n.handleHealth)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: opsTimeout}
-	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return Error.Wrap(err)
-	}
-	return nil
+	return n.serveHTTP(ctx, listener, mux)
 }
 
 // watchSettings reloads the settings at each value from h.Reloads and when they have changed,
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -32,13 +31,7 @@
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: opsTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return n.serveHTTP(ctx, listener, mux)
 }
 
 // publishVars publishes the counters of the node's components through expvar.
