A task that does not end holds the process for 0.2 s at most

Seen by callers: nothing yet; a node that stops could be killed by the platform. Cause: after the stop, which may take grace_s - 0.4 s, the process waited without limit until all tasks had returned. By reading, some outlast the end of their context: a session with a request at another node by 0.3 s (quicpeer.cancelTimeout), a call that orders a promotion by up to 2 s (platform/duty sets a deadline and does not watch its context). Change: the node waits for its tasks 0.2 s at most, then says so in its log and ends; with the 0.1 s for the log that stays 0.1 s below grace_s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -359,11 +359,32 @@
 		}
 		return nil
 	})
-	err := group.Wait()
+	err := n.awaitTasks(runCtx, group)
 	_ = n.peers.Close()
 	return err
 }
 
+// taskEndTimeout is how long a node waits for its tasks after their context has ended. It is shorter than
+// what the stop leaves of the time until the platform kills the process.
+const taskEndTimeout = 200 * time.Millisecond
+
+// awaitTasks waits until all tasks of group have ended, at most for taskEndTimeout after the end of ctx,
+// the context of the group. It returns the error that ended ctx, or nil if that was a stop.
+func (n *Node) awaitTasks(ctx context.Context, group *errgroup.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Wait() }()
+	<-ctx.Done()
+	timer := time.NewTimer(taskEndTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timer.C:
+		_ = n.logger.Log("event", "tasks left", "waited", taskEndTimeout)
+		return ignoreCanceled(context.Cause(ctx))
+	}
+}
+
 func ignoreCanceled(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
