The log tells the steps of a stop as they end

An engineer who sees a log that ends within a stop could not tell whether the stop had begun, nor how far it had got: all its lines were written at its end, and a process that is killed at grace_s writes none (TestKilledStopLeavesNoLine on the code before: no line). Now a line tells the beginning and the limit, and each step has its line when it ends.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -17,15 +17,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	_ = n.logger.Log("event", "stopping", "limit", limit)
 	controller := drain.Begin(n.drainPlan(), limit, n.clock.Now())
 	callers := callerDrain{until: controller.FinishDeadline(), done: make(chan error, 1)}
 	for order := controller.Current(); order.Step != drain.Exit; {
 		err := n.runStepWithin(ctx, order, callers)
 		order = controller.Done(err, n.clock.Now())
+		outcomes := controller.Outcomes()
+		n.logStep(outcomes[len(outcomes)-1])
 	}
-	for _, o := range controller.Outcomes() {
-		_ = n.logger.Log("msg", "stopping", "step", o.Step, "took", o.Took, "err", o.Err)
-	}
+}
+
+// logStep logs a step as soon as it is done, because the process may not live to the end of its stop.
+func (n *Node) logStep(o drain.Outcome) {
+	_ = n.logger.Log("msg", "stopping", "step", o.Step, "took", o.Took, "err", o.Err)
 }
 
 func (n *Node) drainPlan() drain.Plan {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -128,3 +128,31 @@
 		must.Eq(t, 0, len(answered), must.Sprint("the statement must still run when the stop ends"))
 	})
 }
+
+// lineWriter is a writer that sends each line to a channel.
+type lineWriter chan string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
+// TestKilledStopLeavesNoLine guards against a log that tells nothing of a stop if the process is killed
+// before the end of its stop.
+func TestKilledStopLeavesNoLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lines := make(chan string, 100)
+		n := newStoppableNode(10*time.Second, time.Second)
+		n.logger = log.NewLogfmtLogger(lineWriter(lines))
+		go n.stop(t.Context())
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		var out string
+		for len(lines) > 0 {
+			out += <-lines
+		}
+		must.StrContains(t, out, "event=stopping limit=10s\n")
+		must.StrContains(t, out, "msg=stopping step=settle took=2.3s err=null\n")
+		time.Sleep(10 * time.Second)
+	})
+}
