--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 )
 
 // The kinds of routes: reads and writes at the primary, reads of a bounded age, and reads of the
@@ -18,6 +19,9 @@
 // routeTypes are the platform's names of the kinds of routes.
 var routeTypes = map[string]string{kindOrders: "primary", kindProofs: "bounded_staleness", kindJobs: "read_your_writes"}
 
+// timeouts are the time-outs of a statement by the kind of its route.
+var timeouts = map[string]time.Duration{kindOrders: time.Second, kindProofs: 3 * time.Second, kindJobs: time.Second}
+
 // maxStalenessMS is the highest age of what is read on routes that bound it.
 const maxStalenessMS = 1500
 
@@ -43,7 +47,7 @@
 	var routes, services []any
 	add := func(name, kind string, d *database) {
 		routes = append(routes, map[string]any{
-			"name": name, "database": name, "type": routeTypes[kind], "timeout_ms": statementTimeout.Milliseconds(),
+			"name": name, "database": name, "type": routeTypes[kind], "timeout_ms": timeouts[kind].Milliseconds(),
 			"service": d.group.Name, "max_staleness_ms": maxStalenessMS,
 		})
 	}
--- a/internal/standin/soak/cut.go
+++ b/internal/standin/soak/cut.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// statementTimeout is the time-out of the routes.
-	statementTimeout = time.Second
 	// judgeDelay is how long after a connection's end its last statement is judged: targets have finished
 	// by then, and faults that were active are known.
 	judgeDelay = 1500 * time.Millisecond
@@ -24,7 +22,7 @@
 
 // statement sends a statement to n and judges whether it was cut. Position is its place in its
 // transaction, from 1 on; single statements have 1.
-func (r *run) statement(c *caller, n *node, text string, position int) *answer {
+func (r *run) statement(c *caller, n *node, to route, text string, position int) *answer {
 	a := c.send(text)
 	r.judge.count("statements")
 	if a.isUnanswered() {
@@ -47,7 +45,7 @@
 	}
 	r.wait.Go(func() {
 		time.Sleep(judgeDelay)
-		r.judgeCut(&cut{answer: a, node: n, openedAt: c.openedAt, text: text, position: position, signal: signal, signalAt: at})
+		r.judgeCut(&cut{answer: a, node: n, route: to, openedAt: c.openedAt, text: text, position: position, signal: signal, signalAt: at})
 	})
 	return a
 }
@@ -56,6 +54,7 @@
 type cut struct {
 	*answer
 	node     *node
+	route    route
 	openedAt time.Time
 	text     string
 	position int
@@ -91,7 +90,7 @@
 		return "read by no target, within the slack and the time by which the soak was late"
 	case ran && run.BrokeOff:
 		return "the target broke off"
-	case c.endAt.Sub(c.sentAt) >= statementTimeout:
+	case c.endAt.Sub(c.sentAt) >= timeouts[c.route.kind]:
 		return "time-out reached"
 	case ran && c.signal == sigterm && c.isAtWorkLate(run):
 		return "sent early, at work late"
@@ -114,8 +113,8 @@
 		}
 		return at.Sub(c.signalAt).Round(time.Millisecond).String()
 	}
-	text := fmt.Sprintf("%s %s at %s, statement %d of its operation: %s at %s; session opened %s, sent %s, ended %s (%v)",
-		c.id, c.text, c.node.name, c.position, c.signal, c.signalAt.UTC().Format("15:04:05.000"),
+	text := fmt.Sprintf("%s %s to %s at %s, statement %d of its operation: %s at %s; session opened %s, sent %s, ended %s (%v)",
+		c.id, c.text, c.route.name, c.node.name, c.position, c.signal, c.signalAt.UTC().Format("15:04:05.000"),
 		since(c.openedAt), since(c.sentAt), since(c.endAt), c.err)
 	if ran {
 		text += fmt.Sprintf("; at target %s from %s to %s %s", run.Target, since(run.Began), since(run.Ended), run.Result)
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -23,9 +23,9 @@
 	// workSpread is the spread of the work times, as the standard deviation of their logarithm. Of
 	// longWorkEvery statements one takes minLongWork to maxLongWork.
 	workSpread    = 0.7
-	longWorkEvery = 300
+	longWorkEvery = 400
 	minLongWork   = 100 * time.Millisecond
-	maxLongWork   = 900 * time.Millisecond
+	maxLongWork   = 2500 * time.Millisecond
 	// drainTime is how long a target that is replaced goes on after its entry says draining, and
 	// maxDrainExtra how much longer it may. The new one's entry appears up to maxEntryDelay later.
 	drainTime     = 7 * time.Second
--- a/internal/standin/soak/session.go
+++ b/internal/standin/soak/session.go
@@ -99,7 +99,7 @@
 		return u.transact(c, n)
 	}
 	text, item := u.draw(c, isOneOf(u.random, shareWrites))
-	a := u.run.statement(c, n, text, 1)
+	a := u.run.statement(c, n, u.route, text, 1)
 	if a.acknowledged() && item != "" {
 		u.run.noteWritten(u.route, item)
 	}
@@ -112,7 +112,7 @@
 		return true
 	}
 	for _, text := range []string{"SET mode fast", "PREPARE " + preparedRead + " READ q", "PREPARE " + preparedWrite + " WRITE q"} {
-		if a := u.run.statement(c, n, text, 1); a.state != "I" || a.code != "" {
+		if a := u.run.statement(c, n, u.route, text, 1); a.state != "I" || a.code != "" {
 			return false
 		}
 	}
@@ -145,7 +145,7 @@
 	if readOnly {
 		begin = "BEGIN READ"
 	}
-	if a := u.run.statement(c, n, begin, 1); a.state != "T" {
+	if a := u.run.statement(c, n, u.route, begin, 1); a.state != "T" {
 		return a.state == "I"
 	}
 	longest := u.drawPause()
@@ -154,12 +154,12 @@
 	for i := range count {
 		time.Sleep(upTo(u.random, longest))
 		text, item := u.draw(c, !readOnly && isOneOf(u.random, shareWrites))
-		a := u.run.statement(c, n, text, 2+i)
+		a := u.run.statement(c, n, u.route, text, 2+i)
 		if a.err != nil {
 			return false
 		}
 		if a.state != "T" {
-			return a.state == "I" || u.run.statement(c, n, "ROLLBACK", 3+i).state == "I"
+			return a.state == "I" || u.run.statement(c, n, u.route, "ROLLBACK", 3+i).state == "I"
 		}
 		if item != "" && a.code == "" {
 			items = append(items, item)
@@ -170,9 +170,9 @@
 		return false
 	}
 	if isOneOf(u.random, shareRolledBack) {
-		return u.run.statement(c, n, "ROLLBACK", 2+count).state == "I"
+		return u.run.statement(c, n, u.route, "ROLLBACK", 2+count).state == "I"
 	}
-	a := u.run.statement(c, n, "COMMIT", 2+count)
+	a := u.run.statement(c, n, u.route, "COMMIT", 2+count)
 	if a.acknowledged() {
 		u.run.noteWritten(u.route, items...)
 	}
