--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +90,18 @@
 		time.Sleep(time.Hour)
 	})
 }
+
+// TestCallerThatLeftCountsAsCut guards against lines about callers that had closed their connections before
+// the answer, among which those about sessions that the node cut are lost.
+func TestCallerThatLeftCountsAsCut(t *testing.T) {
+	for _, cause := range []error{syscall.EPIPE, syscall.ECONNRESET, os.ErrDeadlineExceeded} {
+		s, lines := newLoggedServer(&fakeChain{})
+		serverConn, callerConn := net.Pipe()
+		sess := newSession(s, serverConn, 1)
+		sess.beginStatement(&read)
+		sess.handleWriteError(&net.OpError{Op: "write", Err: cause})
+		s.options.Log.Flush()
+		must.Eq(t, errors.Is(cause, os.ErrDeadlineExceeded), strings.Contains(lines.String(), "outcome=cut"))
+		_ = callerConn.Close()
+	}
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"crocusyoke/internal/contain"
@@ -142,7 +143,7 @@
 	s.serveStatement(ctx, &statement)
 	s.setPhase(phaseAnswering)
 	if err := s.flush(); err != nil {
-		s.logCut(cutByWrite, err)
+		s.handleWriteError(err)
 		return false
 	}
 	return s.endStatement()
@@ -182,6 +183,16 @@
 	_ = s.flush()
 }
 
+// handleWriteError records that an answer could not be written. If the caller has closed the connection, it
+// was not the node that cut the session.
+func (s *session) handleWriteError(err error) {
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		s.server.Counts.Add("answers_unwanted", 1)
+		return
+	}
+	s.logCut(cutByWrite, err)
+}
+
 // serveStatement answers one statement.
 func (s *session) serveStatement(ctx context.Context, st *Statement) {
 	action, kind, refusal := s.state.plan(st)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -55,7 +55,8 @@
 // concurrent use.
 type Server struct {
 	options Options
-	// Counts counts statements, sessions that were opened, refused, broken, cut or withdrawn, accept
+	// Counts counts statements, sessions that were opened, refused, broken, cut or withdrawn, answers
+	// that their callers no longer wanted, accept
 	// errors, malformed input, and rollbacks without an answer.
 	Counts expvar.Map
 	// Refused counts refused sessions and statements by refusal code.
