Owner: a member's name is not shared with its configuration

Built with the race detector, real nodes showed one race: member.target is replaced with the configuration under the group's lock, and its name was read without it by requests that end. The text is the same, so no effect is known. The name has a field of its own now, which never changes.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -148,7 +148,7 @@
 // a new one. g.mu is held.
 func (g *group) memberFor(old []*member, t *fleet.Target) *member {
 	for _, m := range old {
-		if m.target.Name == t.Name && m.target.Address == t.Address {
+		if m.name == t.Name && m.target.Address == t.Address {
 			m.target = *t
 			g.resize(m)
 			return m
@@ -318,7 +318,7 @@
 		select {
 		case <-m.pool.Drained():
 		case <-ctx.Done():
-			return Error.New("release of %s: connections to %s still open", g.name, m.target.Name)
+			return Error.New("release of %s: connections to %s still open", g.name, m.name)
 		}
 	}
 	return nil
@@ -336,7 +336,7 @@
 	now := g.now()
 	g.mu.Lock()
 	g.syncEvidence()
-	status.Target = m.target.Name
+	status.Target = m.name
 	g.evidence.Observe(sentAt, now, status)
 	m.recordStatus(status, sentAt)
 	for _, other := range g.members {
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -23,7 +23,10 @@
 // concurrent use. readablePosition is the last known log position that reads at the target
 // reflect, and coveredAt is the time from which the age of the data at that position is measured.
 type member struct {
-	group    *group
+	group *group
+	// name is the target's name, which never changes. The other fields of target are replaced with the
+	// configuration; the group's mu guards them.
+	name     string
 	target   fleet.Target
 	schedule *schedule.Scheduler
 	pool     *pool.Pool
@@ -50,6 +53,7 @@
 	ctx, stop := context.WithCancel(g.ctx)
 	m := &member{
 		group:  g,
+		name:   t.Name,
 		target: *t,
 		wake:   make(chan struct{}, 1),
 		stop:   stop,
@@ -139,7 +143,7 @@
 // candidate describes m to package choose. The group's mu is held.
 func (m *member) candidate(now time.Time, req *request.Request) choose.Candidate {
 	return choose.Candidate{
-		Name:         m.target.Name,
+		Name:         m.name,
 		Domain:       m.target.Domain,
 		Leaving:      m.target.Leaving,
 		StatusKnown:  !m.statusAt.IsZero() && now.Sub(m.statusAt) <= evidence.MaxObservationAge,
@@ -211,7 +215,7 @@
 		}
 		g.freeSlot(m, w, schedule.TransactionUnchanged)
 	}
-	return request.Refuse(request.CodeTimeout, "schedule", m.target.Name, "time ran out while waiting for a slot").WithCause(ctx.Err())
+	return request.Refuse(request.CodeTimeout, "schedule", m.name, "time ran out while waiting for a slot").WithCause(ctx.Err())
 }
 
 // freeSlot frees w's slot. change says what the statement did to its session's transaction.
@@ -224,7 +228,7 @@
 
 func withPeer(refusal *request.Refusal, m *member) *request.Refusal {
 	if refusal != nil {
-		refusal.Peer = m.target.Name
+		refusal.Peer = m.name
 	}
 	return refusal
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -76,7 +76,7 @@
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
-		if ok && m.target.Name == primary && !m.isUnreachable() {
+		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
 	}
@@ -149,5 +149,5 @@
 	}
 	g.syncEvidence()
 	name, term, ok := g.evidence.Primary(now)
-	return ok && name == r.member.target.Name && term == r.term
+	return ok && name == r.member.name && term == r.term
 }
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -99,7 +99,7 @@
 		m.recordPollSent(sentAt)
 		status, err = contain.Call("poll", func() (target.Status, error) { return control.Status(ctx) })
 		if err == nil && g.options.Suspended()-before > suspensionTolerance {
-			err = Error.New("poll of %s: VM was suspended before the answer arrived", m.target.Name)
+			err = Error.New("poll of %s: VM was suspended before the answer arrived", m.name)
 		}
 	}
 	g.manager.counts.polls.Add(1)
@@ -143,7 +143,7 @@
 	}
 	g.mu.Unlock()
 	if g.options.Unreachable != nil {
-		g.options.Unreachable(g.name, m.target.Name, sentAt)
+		g.options.Unreachable(g.name, m.name, sentAt)
 	}
 }
 
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -63,7 +63,7 @@
 	case <-tx.ended:
 		return nil
 	case <-ctx.Done():
-		return request.Refuse(request.CodeTimeout, "transaction", tx.member.target.Name, "the session's former transaction has not ended in time")
+		return request.Refuse(request.CodeTimeout, "transaction", tx.member.name, "the session's former transaction has not ended in time")
 	}
 }
 
@@ -163,7 +163,7 @@
 	if ctx.Err() != nil {
 		r.member.pool.Put(conn)
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
-		return nil, request.Refuse(request.CodeTimeout, "exchange", r.member.target.Name, "time ran out before anything was sent")
+		return nil, request.Refuse(request.CodeTimeout, "exchange", r.member.name, "time ran out before anything was sent")
 	}
 	o := g.exchange(ctx, conn, r.req, r.attemptTimeout(ctx, g.now()), r.replica)
 	tx := g.finishExchange(ctx, r, conn, &o)
@@ -191,12 +191,12 @@
 // nothing was sent; the next attempt prefers another target if one will do.
 func (g *group) refuseNoConnection(ctx context.Context, r *execution, err error) *request.Refusal {
 	if ctx.Err() != nil {
-		return request.Refuse(request.CodeTimeout, "connect", r.member.target.Name, "no connection in time").WithCause(err)
+		return request.Refuse(request.CodeTimeout, "connect", r.member.name, "no connection in time").WithCause(err)
 	}
 	g.mu.Lock()
 	r.member.recordExchange(true, logpos.Position{})
 	g.mu.Unlock()
-	return markRetryable(request.Refuse(request.CodeNoTarget, "connect", r.member.target.Name, "no connection: %v", err))
+	return markRetryable(request.Refuse(request.CodeNoTarget, "connect", r.member.name, "no connection: %v", err))
 }
 
 // finishExchange frees the slot and returns the connection. If the exchange left a transaction
@@ -249,7 +249,7 @@
 // refuseFailed returns the refusal for an exchange without an answer. It is retryable if
 // nothing was sent, and once for a read.
 func (g *group) refuseFailed(ctx context.Context, r *execution, o *exchangeResult) *request.Refusal {
-	peer := r.member.target.Name
+	peer := r.member.name
 	if refusal := o.refusal(); refusal != nil {
 		return refusal
 	}
@@ -271,7 +271,7 @@
 func (g *group) accept(ctx context.Context, r *execution, o *exchangeResult) (*request.Response, *request.Refusal) {
 	if o.reply.Outcome == target.ReadOnly && (r.replica || choose.NeedsPrimary(r.req.Kind)) {
 		r.primaryOnly = true
-		refusal := request.Refuse(request.CodeReplicaWrite, "exchange", r.member.target.Name, "target is read-only")
+		refusal := request.Refuse(request.CodeReplicaWrite, "exchange", r.member.name, "target is read-only")
 		if r.replica {
 			refusal = markRetryable(refusal)
 		}
@@ -280,7 +280,7 @@
 	if r.replica {
 		return g.acceptReplica(r, o)
 	}
-	claim, needed := claimOf(r.req, r.member.target.Name, r.term, o)
+	claim, needed := claimOf(r.req, r.member.name, r.term, o)
 	if !needed {
 		return newResponse(r.req, r.member, false, o), nil
 	}
@@ -297,7 +297,7 @@
 // refuseUnconfirmed returns the refusal for an answer that was not confirmed. It is retryable
 // for reads.
 func (g *group) refuseUnconfirmed(r *execution, why string) *request.Refusal {
-	refusal := request.Refuse(request.CodeOutcomeUnknown, "acknowledge", r.member.target.Name, "%s", why)
+	refusal := request.Refuse(request.CodeOutcomeUnknown, "acknowledge", r.member.name, "%s", why)
 	if r.req.Kind == request.KindRead {
 		return markRetryable(refusal)
 	}
@@ -314,7 +314,7 @@
 		return newResponse(r.req, r.member, true, o), nil
 	}
 	r.primaryOnly = true
-	return nil, markRetryable(request.Refuse(request.CodeOutcomeUnknown, "acknowledge", r.member.target.Name, "the replica's answer is too old"))
+	return nil, markRetryable(request.Refuse(request.CodeOutcomeUnknown, "acknowledge", r.member.name, "the replica's answer is too old"))
 }
 
 // claimOf returns the claim that must be confirmed before an answer of the primary is passed
@@ -356,7 +356,7 @@
 		TxStatus: o.reply.TxStatus,
 		Position: o.reply.Position,
 		Replica:  replica,
-		Target:   m.target.Name,
+		Target:   m.name,
 		Repeated: o.repeated,
 		Times:    request.Times{AtTarget: o.answeredAt.Sub(o.sentAt), Exchanges: 1},
 	}
--- a/internal/owner/snapshot.go
+++ b/internal/owner/snapshot.go
@@ -73,7 +73,7 @@
 	}
 	var head logpos.Position
 	for _, m := range g.members {
-		if m.target.Name == status.Primary {
+		if m.name == status.Primary {
 			head = m.readablePosition
 		}
 	}
@@ -85,7 +85,7 @@
 
 func (m *member) snapshot(now time.Time, head logpos.Position) TargetStatus {
 	status := TargetStatus{
-		Name:         m.target.Name,
+		Name:         m.name,
 		Address:      m.target.Address,
 		Domain:       m.target.Domain,
 		Leaving:      m.target.Leaving,
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -58,7 +58,7 @@
 	if ctx.Err() != nil {
 		g.freeSlot(m, slot, schedule.TransactionUnchanged)
 		g.endUnsentStatement(tx)
-		return nil, request.Refuse(request.CodeTimeout, "exchange", m.target.Name, "time ran out before anything was sent")
+		return nil, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
 	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
 	kept := g.endStatement(tx, slot, &o)
@@ -77,7 +77,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.transactions[tx.session] != tx || tx.aborting {
-		return request.Refuse(request.CodeTransactionLost, "transaction", tx.member.target.Name, "the transaction has ended")
+		return request.Refuse(request.CodeTransactionLost, "transaction", tx.member.name, "the transaction has ended")
 	}
 	if tx.busy {
 		return request.Refuse(request.CodeProtocol, "transaction", g.options.Self, "a statement of this session still runs")
@@ -131,7 +131,7 @@
 // evaluateInTransaction turns the result of a statement in a transaction into a response or a
 // refusal.
 func (g *group) evaluateInTransaction(ctx context.Context, req *request.Request, tx *transaction, o *exchangeResult) (*request.Response, *request.Refusal) {
-	peer := tx.member.target.Name
+	peer := tx.member.name
 	if o.err != nil {
 		g.manager.counts.transactionsLost.Add(1)
 		if !o.sent {
