--- a/internal/standin/link/carry.go
+++ b/internal/standin/link/carry.go
@@ -51,6 +51,9 @@
 	// reverse carries the other direction of the connection; nil if there is none.
 	reverse *carrier
 
+	// deliveredAt is when the last bytes were written to the receiver, and endSeenAt when the sender's
+	// stream was seen to end, in nanoseconds since 1970; 0 before.
+	deliveredAt, endSeenAt atomic.Int64
 	// sawEnd is set once the sender has ended its stream, wasReset once its reset discards bytes.
 	sawEnd, wasReset atomic.Bool
 	queue            chan chunk
@@ -81,6 +84,9 @@
 			}
 		}
 		due := time.Now().Add(c.delay)
+		if err != nil {
+			c.endSeenAt.Store(time.Now().UnixNano())
+		}
 		if err == io.EOF {
 			c.sawEnd.Store(true)
 		}
@@ -132,5 +138,6 @@
 			}
 			return
 		}
+		c.deliveredAt.Store(time.Now().UnixNano())
 	}
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -50,6 +50,8 @@
 	cut    [directions]int64
 	closed bool
 	open   map[*socket]struct{}
+	// passages holds the carriers of the last connection from each address, ended ones too.
+	passages map[string][directions]*carrier
 }
 
 // Listen starts a Link on a free port of the loopback interface. The caller must call Close.
@@ -60,7 +62,7 @@
 	}
 	l := &Link{
 		target: target, options: options, listener: listener,
-		cut: [directions]int64{NoCut, NoCut}, open: make(map[*socket]struct{}),
+		cut: [directions]int64{NoCut, NoCut}, open: make(map[*socket]struct{}), passages: make(map[string][directions]*carrier),
 	}
 	l.wait.Go(l.accept)
 	return l, nil
@@ -81,6 +83,25 @@
 	l.cut[direction] = bytes
 }
 
+// Passage returns when the link last delivered bytes to the target on the connection from an address, and
+// when it saw the target's stream end, as exactly as this process can tell; zero times if it has not.
+func (l *Link) Passage(from string) (delivered, ended time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	carriers, ok := l.passages[from]
+	if !ok {
+		return delivered, ended
+	}
+	return timeOf(carriers[Forward].deliveredAt.Load()), timeOf(carriers[Backward].endSeenAt.Load())
+}
+
+func timeOf(nanoseconds int64) time.Time {
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanoseconds)
+}
+
 // Reset resets all open connections at both ends.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -137,6 +158,9 @@
 	var wait sync.WaitGroup
 	forward, backward := l.carrier(near, far, Forward), l.carrier(far, near, Backward)
 	forward.reverse, backward.reverse = backward, forward
+	l.mu.Lock()
+	l.passages[conn.RemoteAddr().String()] = [directions]*carrier{forward, backward}
+	l.mu.Unlock()
 	wait.Go(forward.run)
 	wait.Go(backward.run)
 	wait.Wait()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -92,6 +92,17 @@
 	}
 }
 
+// TestPassageIsStamped checks when a carrier has delivered its last bytes and seen the end of its stream.
+func TestPassageIsStamped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		c := &carrier{delay: 10 * time.Millisecond, remaining: NoCut}
+		play(c, io.EOF, "a", "b")
+		must.Eq(t, 11*time.Millisecond, timeOf(c.deliveredAt.Load()).Sub(began))
+		must.Eq(t, 2*time.Millisecond, timeOf(c.endSeenAt.Load()).Sub(began))
+	})
+}
+
 // TestResetOvertakes checks that a reset discards the bytes that are under way, if it is to.
 func TestResetOvertakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -154,6 +165,9 @@
 	_, err = io.ReadFull(conn, answer)
 	must.NoError(t, err)
 	must.Eq(t, "hello", string(answer))
+	delivered, ended := l.Passage(conn.LocalAddr().String())
+	must.False(t, delivered.IsZero())
+	must.True(t, ended.IsZero())
 	l.Reset()
 	_, err = conn.Read(answer)
 	must.Error(t, err)
--- a/internal/standin/soak/cut_test.go
+++ b/internal/standin/soak/cut_test.go
@@ -23,30 +23,39 @@
 		ended      int // 0 if the target has not ended the statement
 		brokeOff   bool
 		late       int
+		delivered  int    // at the node, if closed is set
+		closed     int    // by the node; 0 if that is not known
 		kind       string // of the route; kindOrders if empty
 		isViolated bool
 	}{
-		"run by a target":               {signal: sigterm, sent: 100, end: 120, ran: true, began: 105, ended: 130, isViolated: true},
-		"run, before the signal":        {signal: sigterm, sent: -50, end: 20, ran: true, began: -40, ended: 30, isViolated: true},
-		"run, late in a transaction":    {signal: sigterm, sent: 4900, end: 5600, ran: true, began: 4910, ended: 5700, isViolated: true},
-		"not run, at once":              {signal: sigterm, sent: 100, end: 290},
-		"not run, late":                 {signal: sigterm, sent: 100, end: 310, isViolated: true},
-		"not run, late with the soak":   {signal: sigterm, sent: 100, end: 310, late: 10},
-		"run, late with the soak":       {signal: sigterm, sent: 100, end: 310, late: 10, ran: true, began: 105, ended: 400, isViolated: true},
-		"the target broke off":          {signal: sigterm, sent: 100, end: 500, ran: true, began: 105, ended: 500, brokeOff: true},
-		"time-out":                      {signal: sigterm, sent: 100, end: 1100, ran: true, began: 105, ended: 1200},
-		"time-out of 3 s":               {signal: sigterm, sent: 100, end: 3100, ran: true, began: 105, ended: 3200, kind: kindProofs},
-		"within a time-out of 3 s":      {signal: sigterm, sent: 100, end: 3000, ran: true, began: 105, ended: 3200, kind: kindProofs, isViolated: true},
-		"sent early, at work late":      {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 5001},
-		"sent early, never ended":       {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100},
-		"sent early, ended before":      {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 4999, isViolated: true},
-		"sent late, at work late":       {signal: sigterm, sent: 3001, end: 3900, ran: true, began: 3100, ended: 5500, isViolated: true},
-		"at work late but after SIGHUP": {signal: sighup, sent: 2900, end: 3800, ran: true, began: 3000, ended: 5500, isViolated: true},
+		"run by a target":                {signal: sigterm, sent: 100, end: 120, ran: true, began: 105, ended: 130, isViolated: true},
+		"run, before the signal":         {signal: sigterm, sent: -50, end: 20, ran: true, began: -40, ended: 30, isViolated: true},
+		"run, late in a transaction":     {signal: sigterm, sent: 4900, end: 5600, ran: true, began: 4910, ended: 5700, isViolated: true},
+		"not run, at once":               {signal: sigterm, sent: 100, end: 290},
+		"not run, late":                  {signal: sigterm, sent: 100, end: 310, isViolated: true},
+		"not run, late with the soak":    {signal: sigterm, sent: 100, end: 310, late: 10},
+		"run, late with the soak":        {signal: sigterm, sent: 100, end: 310, late: 10, ran: true, began: 105, ended: 400, isViolated: true},
+		"not run, closed before it came": {signal: sigterm, sent: 100, end: 900, delivered: 500, closed: 499},
+		"not run, never delivered":       {signal: sigterm, sent: 100, end: 900, delivered: 50, closed: 899},
+		"not run, not held for long":     {signal: sigterm, sent: 100, end: 900, delivered: 500, closed: 700},
+		"not run, held":                  {signal: sigterm, sent: 100, end: 900, delivered: 500, closed: 701, isViolated: true},
+		"the target broke off":           {signal: sigterm, sent: 100, end: 500, ran: true, began: 105, ended: 500, brokeOff: true},
+		"time-out":                       {signal: sigterm, sent: 100, end: 1100, ran: true, began: 105, ended: 1200},
+		"time-out of 3 s":                {signal: sigterm, sent: 100, end: 3100, ran: true, began: 105, ended: 3200, kind: kindProofs},
+		"within a time-out of 3 s":       {signal: sigterm, sent: 100, end: 3000, ran: true, began: 105, ended: 3200, kind: kindProofs, isViolated: true},
+		"sent early, at work late":       {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 5001},
+		"sent early, never ended":        {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100},
+		"sent early, ended before":       {signal: sigterm, sent: 3000, end: 3900, ran: true, began: 3100, ended: 4999, isViolated: true},
+		"sent late, at work late":        {signal: sigterm, sent: 3001, end: 3900, ran: true, began: 3100, ended: 5500, isViolated: true},
+		"at work late but after SIGHUP":  {signal: sighup, sent: 2900, end: 3800, ran: true, began: 3000, ended: 5500, isViolated: true},
 	} {
 		if c.kind == "" {
 			c.kind = kindOrders
 		}
 		cut := &cut{route: route{kind: c.kind}, answer: &answer{sentAt: at(c.sent), endAt: at(c.end)}, signal: c.signal, signalAt: signalAt, late: time.Duration(c.late) * time.Millisecond}
+		if c.closed != 0 {
+			cut.delivered, cut.closed = at(c.delivered), at(c.closed)
+		}
 		run := hosted.Run{Began: at(c.began), BrokeOff: c.brokeOff}
 		if c.ended != 0 {
 			run.Ended = at(c.ended)
