--- a/internal/front/cut.go
+++ b/internal/front/cut.go
@@ -37,6 +37,16 @@
 	transactionBegan time.Time
 }
 
+// observeTransaction records whether a transaction is open after the last statement.
+func (p *progress) observeTransaction(open bool) {
+	switch {
+	case !open:
+		p.transactionBegan = time.Time{}
+	case p.transactionBegan.IsZero():
+		p.transactionBegan = p.began
+	}
+}
+
 // isCut reports whether ending the session now leaves a statement without an answer, or a transaction
 // without its end.
 func (p *progress) isCut() bool {
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -11,6 +11,11 @@
 // then, so that no part of it can be committed. A COMMIT or ROLLBACK that the filter chain refuses
 // ends the transaction itself.
 //
+// A statement that was read is answered before its connection is closed, also by a drain: a drain takes no
+// statement that it would have to cut, cancels what still runs in time for an answer, and a session that
+// has ended waits a moment for its caller to close. Only a caller that keeps a transaction open without a
+// statement, or does not read its answer, is cut.
+//
 // The package does not depend on a particular protocol: reading and writing messages is left
 // to a Codec.
 package front
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -21,7 +21,7 @@
 	loginDrainTime = time.Second
 )
 
-// drainTimes are the times of a drain. They are zero if the drain may take any time.
+// drainTimes are the times of a drain, in their order. They are zero if the drain may take any time.
 type drainTimes struct {
 	// transactionsUntil is the end of transactionTime.
 	transactionsUntil time.Time
@@ -38,7 +38,11 @@
 		return &drainTimes{}
 	}
 	reserve := min(answerTime, end.Sub(now)/4)
-	return &drainTimes{transactionsUntil: now.Add(transactionTime), answersFrom: end.Add(-reserve), readsUntil: end.Add(-reserve / 2)}
+	return &drainTimes{
+		transactionsUntil: now.Add(transactionTime),
+		answersFrom:       end.Add(-reserve),
+		readsUntil:        end.Add(-reserve / 2),
+	}
 }
 
 // isAnswerTime reports whether no statement is to be taken any more.
@@ -183,29 +187,33 @@
 }
 
 // endStatement marks the session idle, unless its transaction goes on. It reports false if the
-// session must end. A session that must end stays for idleReadTime if its caller has only prepared what it
-// is about to send, or has to end the transaction of which a statement was refused.
+// session must end.
 func (s *session) endStatement() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = s.state.txStatus != txIdle
 	s.progress.phase = phaseReading
-	switch {
-	case s.state.txStatus != txOpen:
-		s.progress.transactionBegan = time.Time{}
-	case s.progress.transactionBegan.IsZero():
-		s.progress.transactionBegan = s.progress.began
-	}
-	if d := s.server.drain.Load(); s.busy && d != nil && d.isAnswerTime(s.server.options.Clock.Now()) {
-		_ = s.conn.SetReadDeadline(d.readsUntil)
+	s.progress.observeTransaction(s.state.txStatus == txOpen)
+	if end, limited := s.lastReadEnd(); limited {
+		_ = s.conn.SetReadDeadline(end)
 		return true
 	}
+	return (s.busy && !s.refusedByDrain) || !s.closing
+}
+
+// lastReadEnd returns until when the session reads a last statement, if it must end but its caller has
+// something to send: what it has just prepared, or the end of a transaction. s.mu is held.
+func (s *session) lastReadEnd() (end time.Time, limited bool) {
+	d := s.server.drain.Load()
+	if s.busy && d != nil && d.isAnswerTime(s.server.options.Clock.Now()) {
+		return d.readsUntil, true
+	}
 	mustRollBack := s.refusedByDrain && s.state.txStatus == txFailed
-	if s.closing && (!s.busy && s.preparing || mustRollBack) {
-		_ = s.conn.SetReadDeadline(time.Now().Add(idleReadTime))
-		return true
+	hasPrepared := !s.busy && s.preparing
+	if s.closing && (hasPrepared || mustRollBack) {
+		return time.Now().Add(idleReadTime), true
 	}
-	return (s.busy && !s.refusedByDrain) || !s.closing
+	return time.Time{}, false
 }
 
 // closeWhenIdle ends the session as soon as it is not busy. An idle session stops reading, so that it
