--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -38,6 +38,9 @@
 	busy bool
 	// closing is set when the session must end as soon as it is not busy.
 	closing bool
+	// endedByCaller is set when reading shows that the caller has ended the session or its connection.
+	// Only the session's goroutine uses it.
+	endedByCaller bool
 	// refusedByDrain is set when a drain has refused a statement of the session's transaction.
 	refusedByDrain bool
 	// progress is what the session is doing, and cutReported is set by logCut.
@@ -173,6 +176,7 @@
 		s.logCut(cutAtLimit, nil)
 	}
 	if !ErrProtocol.Has(err) {
+		s.endedByCaller = !contain.Error.Has(err) && !errors.Is(err, os.ErrDeadlineExceeded)
 		if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
 			s.server.Counts.Add("sessions_broken", 1)
 		}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -154,7 +154,7 @@
 	s.Counts.Add("sessions", 1)
 	s.wg.Go(func() {
 		sess.runContained(s.ctx)
-		if s.remove(sess) {
+		if s.remove(sess) && !sess.endedByCaller {
 			sess.linger()
 		}
 		_ = sess.conn.Close()
