Configuration: when a version was heard of, where it came from, how old the confirmation was

The logs named the version and its row, so that a version that came late to the first node, one that spread slowly, and one that was known and not fetched looked the same. Now: 'configuration heard', and on 'configuration' source, heard_ago and confirmed_ago; known_version and confirmed_age_ms in the metrics. go test ./internal/run/catalog ./platform ./docs passes.

--- a/internal/run/catalog/era.go
+++ b/internal/run/catalog/era.go
@@ -11,8 +11,8 @@
 // errLateAnswer means that the store has answered in an earlier era than the latest one observed.
 var errLateAnswer = errs.Class("late answer")
 
-// eraFromStore is the source of an era that a response of the store has stated.
-const eraFromStore = "store"
+// sourceStore is the source of what a response of the store has stated, as opposed to a peer's address.
+const sourceStore = "store"
 
 // ObserveEra is called with the era of a response of the store, or with the one that a peer has
 // told. If it is later than all before, the tables that were followed in an earlier era have to be
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -181,13 +181,13 @@
 	if err != nil {
 		return err
 	}
-	r.ObserveEra(revision.Era, eraFromStore)
+	r.ObserveEra(revision.Era, sourceStore)
 	if r.isLate(revision) {
 		return errLateAnswer.New("table %s of era %d", name, revision.Era)
 	}
 	r.confirm(sentAt)
 	r.logUnusedRead(name, t, revision)
-	r.updateTable(name, t, sentAt, func() bool {
+	r.updateTable(name, t, sourceStore, sentAt, func() bool {
 		return t.replace(Snapshot{Rows: rows, Version: revision.Version, Era: revision.Era})
 	})
 	return nil
@@ -220,13 +220,13 @@
 	if err != nil {
 		return err
 	}
-	r.ObserveEra(revision.Era, eraFromStore)
+	r.ObserveEra(revision.Era, sourceStore)
 	if revision.Era != after.Era {
 		return platform.ErrHistoryExpired.New("table %s: followed in era %d, the store is in era %d", name, after.Era, revision.Era)
 	}
 	now := r.o.Clock.Now()
 	r.confirm(now)
-	r.updateTable(name, t, now, func() bool { return t.apply(changes, revision) })
+	r.updateTable(name, t, sourceStore, now, func() bool { return t.apply(changes, revision) })
 	if len(changes) == 0 {
 		return nil
 	}
--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -155,6 +155,7 @@
 	r.ObserveEra(k.Changed.Era, address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.noteHeard(address, k)
 	if k.Changed.Era == r.era {
 		r.role.Confirm(r.o.Clock.Now().Add(-time.Duration(k.ConfirmedAgeMillis) * time.Millisecond))
 	}
@@ -217,7 +218,7 @@
 	var reply FetchReply
 	err := r.o.Peers.Call(ctx, address, peer.KindConfig, request, &reply)
 	if err == nil {
-		err = r.mergeReply(reply)
+		err = r.mergeReply(reply, address)
 	}
 	if err != nil {
 		_ = r.o.Logger.Log("event", "fetch failed", "peer", address, "err", err)
@@ -243,10 +244,11 @@
 	}, r.lacks(k)
 }
 
-func (r *Runner) mergeReply(reply FetchReply) error {
+// mergeReply applies the answer of the peer at address.
+func (r *Runner) mergeReply(reply FetchReply, address string) error {
 	if len(reply.Deltas) == 0 {
-		r.mergeSnapshot(platform.TableConfiguration, r.configuration, reply.Configuration)
-		r.mergeSnapshot(platform.TableTargets, r.targets, reply.Targets)
+		r.mergeSnapshot(platform.TableConfiguration, r.configuration, reply.Configuration, address)
+		r.mergeSnapshot(platform.TableTargets, r.targets, reply.Targets, address)
 		return nil
 	}
 	body, err := decompress(reply.Deltas)
@@ -257,29 +259,29 @@
 	if err := cbor.Unmarshal(body, &all); err != nil {
 		return Error.Wrap(err)
 	}
-	r.mergeDelta(platform.TableConfiguration, r.configuration, all.Configuration)
-	r.mergeDelta(platform.TableTargets, r.targets, all.Targets)
-	r.mergeDelta(platform.TableNodes, r.nodes, all.Nodes)
-	r.mergeDocument(all.Document, all.DocumentEra)
+	r.mergeDelta(platform.TableConfiguration, r.configuration, all.Configuration, address)
+	r.mergeDelta(platform.TableTargets, r.targets, all.Targets, address)
+	r.mergeDelta(platform.TableNodes, r.nodes, all.Nodes, address)
+	r.mergeDocument(all.Document, all.DocumentEra, address)
 	return nil
 }
 
 // mergeDocument puts a peer's configuration in force if it is newer than the known one.
-func (r *Runner) mergeDocument(value []byte, era uint64) {
+func (r *Runner) mergeDocument(value []byte, era uint64, source string) {
 	if len(value) == 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.takeDocument(value, platform.Revision{Era: era}) {
+	if r.takeDocument(value, platform.Revision{Era: era}, source) {
 		r.publish()
 	}
 }
 
-func (r *Runner) mergeSnapshot(name string, t *table, c Snapshot) {
-	r.updateTable(name, t, r.o.Clock.Now(), func() bool { return t.replace(c) })
+func (r *Runner) mergeSnapshot(name string, t *table, c Snapshot, source string) {
+	r.updateTable(name, t, source, r.o.Clock.Now(), func() bool { return t.replace(c) })
 }
 
-func (r *Runner) mergeDelta(name string, t *table, d Delta) {
-	r.updateTable(name, t, r.o.Clock.Now(), func() bool { return t.applyDelta(d) })
+func (r *Runner) mergeDelta(name string, t *table, d Delta, source string) {
+	r.updateTable(name, t, source, r.o.Clock.Now(), func() bool { return t.applyDelta(d) })
 }
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -49,20 +49,21 @@
 	}
 }
 
-// decodeConfigurationRow decodes the configuration's row if it has changed. The caller holds r.mu.
-func (r *Runner) decodeConfigurationRow() {
+// decodeConfigurationRow decodes the configuration's row, which came from source, if it has changed. The
+// caller holds r.mu.
+func (r *Runner) decodeConfigurationRow(source string) {
 	row, ok := r.configuration.rows[r.o.ConfigurationKey]
 	revision := platform.Revision{Era: r.configuration.followed.Era, Version: row.Version}
 	if !ok || revision == r.decodedRow {
 		return
 	}
 	r.decodedRow = revision
-	r.takeDocument(row.Value, revision)
+	r.takeDocument(row.Value, revision, source)
 }
 
-// takeDocument decodes a document of the configuration and takes it unless the known one is newer.
-// It reports whether the document was taken. The caller holds r.mu.
-func (r *Runner) takeDocument(value []byte, revision platform.Revision) bool {
+// takeDocument decodes a document of the configuration, which came from source, and takes it unless the
+// known one is newer. It reports whether the document was taken. The caller holds r.mu.
+func (r *Runner) takeDocument(value []byte, revision platform.Revision, source string) bool {
 	decoded, err := contain.Call("decode configuration", func() (*catalog.Configuration, error) {
 		return r.o.Decoder.Configuration(value)
 	})
@@ -75,7 +76,7 @@
 			"row_version", revision.Version, "era", revision.Era)
 		return false
 	}
-	_ = r.o.Logger.Log("event", "configuration", "version", decoded.Version, "row_version", revision.Version, "era", revision.Era)
+	r.logTaken(decoded.Version, revision, source)
 	r.document = document{decoded: decoded, value: value, era: revision.Era}
 	return true
 }
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -75,7 +75,8 @@
 type Runner struct {
 	o       Options
 	current atomic.Pointer[fleet.Config]
-	// Counters counts table reads, feed calls, changes, failures and fetches from peers.
+	// Counters counts table reads, feed calls, changes, failures and fetches from peers, and shows
+	// the version of the newest known configuration and the age of the store's last confirmation.
 	Counters expvar.Map
 	wait     sync.WaitGroup
 	// running ends, by stop, when Run ends.
@@ -94,6 +95,8 @@
 	eraContext context.Context
 	endEra     context.CancelFunc
 	document   document
+	// heard is the newest configuration that a peer has told of.
+	heard heardVersion
 	// decodedRow is the revision of the configuration's row that was last decoded.
 	decodedRow platform.Revision
 	// roster holds the members of the groups. decodedTargets holds the entries that its last change
@@ -128,6 +131,8 @@
 		stop:          stop,
 		retainedNodes: make(map[string]platform.Row),
 	}
+	r.Counters.Set("known_version", expvar.Func(r.knownVersion))
+	r.Counters.Set("confirmed_age_ms", expvar.Func(r.confirmedAgeMillis))
 	r.roster = roster.New(roster.Options{IsGroup: r.isGroup, IsSynchronous: r.isSynchronous})
 	return r
 }
@@ -189,8 +194,9 @@
 }
 
 // updateTable applies change to a table and publishes the result if anything changed. The
-// rows were current at time at, which is used only for the table of nodes.
-func (r *Runner) updateTable(name string, t *table, at time.Time, change func() bool) {
+// rows come from source, the store or the address of a peer, and were current at time at, which is
+// used only for the table of nodes.
+func (r *Runner) updateTable(name string, t *table, source string, at time.Time, change func() bool) {
 	if name == platform.TableNodes {
 		r.updateNodes(at, change)
 		return
@@ -203,7 +209,7 @@
 	}
 	r.Counters.Add(changeCounters[name], 1)
 	restored := r.noteRestored(name, t, former)
-	r.decodeConfigurationRow()
+	r.decodeConfigurationRow(source)
 	if name == platform.TableTargets {
 		r.updateRoster(restored)
 	}
