Readers: lost readers are missed before a change is due

What callers saw: on fleets above 12 nodes, with the store away from all readers, or their held calls silent, requests were handled as an older configuration says, by nodes that reached the store (CONFIG).

Cause: bounds of time that no bound of the users' went into. A node relied on its peers for 8 to 12 s after the last confirmation, a reader waited 7 s for a held call, and a feed that began before the fleet was known was held for 28 s. An answer about any table confirmed all of them, and its age was counted from the arrival of a peer's answer, so that each hop made it younger.

Now a confirmation is an answer about the configuration, got while the store answers for the other tables too; it travels with the node that got it. Nodes have an order: readers first, then by hash. A node for which no node before it has confirmed within its patience, 3 s to 5.8 s at 295 nodes, follows the configuration itself, 3 s later the other tables; it stops once a node before it confirms again. So few nodes call the store, whoever reaches it. Calls of readers end one after the other; the first call and the one after a failure are answered at once; a call that is not answered in time ends the others, whose connections may be as silent.

TestOnlyReadersCallTheStore plays all six readers now: a single one no longer keeps a node from the store, and it still counts every call of the node.

--- a/internal/controller/reader/reader.go
+++ b/internal/controller/reader/reader.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
+	"math"
 	"slices"
 	"time"
 
@@ -15,17 +15,21 @@
 	// minReaders is the smallest number of readers of a larger fleet. Each failure domain has at
 	// least one.
 	minReaders = 6
-	// MaxSilence is how long a node that is not a reader relies on its peers after it last heard
-	// that the store confirmed the tables.
-	MaxSilence = 8 * time.Second
-	// silenceJitter is the largest random addition to MaxSilence, so that not all nodes turn to the
-	// store at once.
-	silenceJitter = 4 * time.Second
-	// StandInTime is how long a node then follows the tables itself. It does not end earlier, since
-	// what the node confirms comes back to it from its peers.
-	StandInTime = 30 * time.Second
+	// MinPatience is how long the first node after the readers relies on their confirmations.
+	MinPatience = 3 * time.Second
+	// patienceStep is added to the patience each time the number of nodes that have lost theirs
+	// doubles.
+	patienceStep = 500 * time.Millisecond
+	// otherTablesPatience is added to the patience for all tables but the configuration.
+	otherTablesPatience = 3 * time.Second
 )
 
+// ID identifies a node in confirmations. It is a hash of the node's name.
+type ID uint32
+
+// IDOf returns the ID of the node called name.
+func IDOf(name string) ID { return ID(xxhash.Sum64String("reader\x00"+name) >> 32) }
+
 // Node is a live node.
 type Node struct {
 	Name   string
@@ -35,14 +39,30 @@
 // Choose returns the names of the readers among nodes: all of a small fleet, otherwise one of each
 // failure domain and as many others as minReaders asks for.
 func Choose(nodes []Node) []string {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
-	})
+	readers, _ := order(nodes)
+	names := make([]string, len(readers))
+	for i, n := range readers {
+		names[i] = n.Name
+	}
+	return names
+}
+
+// rankedNode is a Node with its ID.
+type rankedNode struct {
+	Node
+	id ID
+}
+
+// order returns the readers among nodes and the other nodes, each sorted by ID.
+func order(nodes []Node) (readers, others []rankedNode) {
+	ranked := make([]rankedNode, len(nodes))
+	for i, n := range nodes {
+		ranked[i] = rankedNode{n, IDOf(n.Name)}
+	}
+	slices.SortFunc(ranked, compareRanked)
 	if len(nodes) <= MaxAllReaders {
-		return names(ranked)
+		return ranked, nil
 	}
-	var chosen, others []Node
 	seen := make(map[string]bool)
 	for _, n := range ranked {
 		if seen[n.Domain] {
@@ -50,65 +70,108 @@
 			continue
 		}
 		seen[n.Domain] = true
-		chosen = append(chosen, n)
+		readers = append(readers, n)
 	}
-	missing := min(len(others), max(0, minReaders-len(chosen)))
-	return names(append(chosen, others[:missing]...))
+	missing := min(len(others), max(0, minReaders-len(readers)))
+	readers = append(readers, others[:missing]...)
+	slices.SortFunc(readers, compareRanked)
+	return readers, others[missing:]
 }
 
-func rank(n Node) uint64 { return xxhash.Sum64String("reader\x00" + n.Name) }
+func compareRanked(a, b rankedNode) int {
+	return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.Name, b.Name))
+}
 
-func names(nodes []Node) []string {
-	out := make([]string, len(nodes))
-	for i, n := range nodes {
-		out[i] = n.Name
-	}
-	return out
+// Confirmation is an answer of the store that shows that its tables are followed.
+type Confirmation struct {
+	// At is when the call was answered, or, if the answer may have been older, when it was sent.
+	At time.Time
+	// By is the node that got the answer; 0 if that is not known.
+	By ID
 }
 
 // Role tells one node whether it follows the tables itself. It is not safe for concurrent use.
 type Role struct {
-	self string
-	// patience is MaxSilence with this node's jitter.
-	patience time.Duration
+	self     string
+	id       ID
 	isReader bool
 	relies   bool
-	// confirmedAt is the latest time at which the tables are known to have been confirmed by the
-	// store, or when the Role was created.
-	confirmedAt time.Time
-	// standInUntil is until when the node follows the tables although it is not a reader.
-	standInUntil time.Time
+	// readers holds the IDs of the readers. place is this node's place among them, or among the other
+	// nodes.
+	readers map[ID]bool
+	place   int
+	// patience is how long this node relies on the confirmations of the nodes before it.
+	patience time.Duration
+	// newest is the newest known confirmation. It is by this node, at the time at which the Role was
+	// created, before there is one.
+	newest Confirmation
+	// reliedAt is when the newest confirmation by a node before this one was made.
+	reliedAt time.Time
 }
 
 // NewRole returns the Role of the node called self, which follows the tables itself until SetNodes
 // says otherwise.
-func NewRole(self string, now time.Time, rng *rand.Rand) *Role {
-	jitter := time.Duration(rng.Int64N(int64(silenceJitter)))
-	return &Role{self: self, patience: MaxSilence + jitter, isReader: true, confirmedAt: now}
+func NewRole(self string, now time.Time) *Role {
+	id := IDOf(self)
+	return &Role{self: self, id: id, isReader: true, newest: Confirmation{At: now, By: id}, reliedAt: now}
 }
 
 // SetNodes applies the live nodes.
 func (r *Role) SetNodes(nodes []Node) {
-	r.isReader = slices.Contains(Choose(nodes), r.self)
+	readers, others := order(nodes)
+	r.readers = make(map[ID]bool, len(readers))
+	for _, n := range readers {
+		r.readers[n.id] = true
+	}
 	r.relies = len(nodes) > MaxAllReaders
+	self := rankedNode{Node{Name: r.self}, r.id}
+	if r.place, r.isReader = slices.BinarySearchFunc(readers, self, compareRanked); !r.isReader {
+		r.place, _ = slices.BinarySearchFunc(others, self, compareRanked)
+	}
+	r.patience = patienceAt(r.place)
 }
 
-// Confirm records that the store confirmed the tables at time at, as seen by this node or a peer.
-func (r *Role) Confirm(at time.Time) {
-	if at.After(r.confirmedAt) {
-		r.confirmedAt = at
+// Phase returns this node's part of interval, if the readers share it evenly: the later, the further back
+// in their order. For a node that is not a reader it is the whole interval.
+func (r *Role) Phase(interval time.Duration) time.Duration {
+	if !r.isReader || len(r.readers) == 0 {
+		return interval
 	}
+	return interval * time.Duration(r.place+1) / time.Duration(len(r.readers))
 }
 
-// ConfirmedAge returns how long ago the store last confirmed the tables.
-func (r *Role) ConfirmedAge(now time.Time) time.Duration { return max(0, now.Sub(r.confirmedAt)) }
+// patienceAt returns the patience of the node that place others without a reader's role precede.
+func patienceAt(place int) time.Duration {
+	return MinPatience + time.Duration(math.Log2(1+float64(place)/minReaders)*float64(patienceStep))
+}
 
-// ShouldFollow reports whether the node follows the tables itself.
-func (r *Role) ShouldFollow(now time.Time) bool {
-	if r.ConfirmedAge(now) > r.patience {
-		r.standInUntil = now.Add(StandInTime)
+// Confirm records a confirmation that this node or a peer got.
+func (r *Role) Confirm(c Confirmation) {
+	if c.At.After(r.newest.At) {
+		r.newest = c
 	}
-	return r.isReader || now.Before(r.standInUntil)
+	if r.isBefore(c.By) && c.At.After(r.reliedAt) {
+		r.reliedAt = c.At
+	}
+}
+
+// isBefore reports whether the node with the given ID is before this one in the order.
+func (r *Role) isBefore(id ID) bool { return r.readers[id] && id != r.id || id < r.id }
+
+// Newest returns the newest known confirmation.
+func (r *Role) Newest() Confirmation { return r.newest }
+
+// ConfirmedAge returns how long ago the store last confirmed the tables.
+func (r *Role) ConfirmedAge(now time.Time) time.Duration { return max(0, now.Sub(r.newest.At)) }
+
+// FollowsConfiguration reports whether the node follows the configuration itself.
+func (r *Role) FollowsConfiguration(now time.Time) bool {
+	return r.isReader || now.Sub(r.reliedAt) > r.patience
+}
+
+// FollowsOtherTables reports whether the node follows the tables of targets and nodes itself.
+func (r *Role) FollowsOtherTables(now time.Time) bool {
+	return r.isReader || now.Sub(r.reliedAt) > r.patience+otherTablesPatience
 }
 
 // IsReader reports whether the node is one of the readers.
--- a/internal/controller/reader/reader_test.go
+++ b/internal/controller/reader/reader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -48,18 +47,75 @@
 	}
 }
 
-// TestSilentReadersAreNotReliedOn checks that a node reads by itself once no confirmation has
-// reached it for MaxSilence, and stops after StandInTime if confirmations have come since.
+// confirmBy makes r know a confirmation at time at by the node called name.
+func confirmBy(r *Role, name string, at time.Time) { r.Confirm(Confirmation{At: at, By: IDOf(name)}) }
+
+// othersOf returns the names of the nodes that are not readers, in their order.
+func othersOf(nodes []Node) []string {
+	_, others := order(nodes)
+	names := make([]string, len(others))
+	for i, n := range others {
+		names[i] = n.Name
+	}
+	return names
+}
+
+// TestSilentReadersAreNotReliedOn checks that a node reads by itself once no confirmation by a node
+// before it has reached it for its patience, the other tables later than the configuration, and no longer
+// once there is one again.
 func TestSilentReadersAreNotReliedOn(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := NewRole("nobody", now, rand.New(rand.NewPCG(1, 2)))
-	must.True(t, r.ShouldFollow(now))
-	r.SetNodes(fleetOf(295, 6))
-	must.False(t, r.ShouldFollow(now.Add(MaxSilence)))
-	now = now.Add(MaxSilence + silenceJitter)
-	must.True(t, r.ShouldFollow(now))
-	r.Confirm(now.Add(StandInTime - time.Second))
-	must.True(t, r.ShouldFollow(now.Add(StandInTime-time.Millisecond)))
-	r.Confirm(now.Add(StandInTime))
-	must.False(t, r.ShouldFollow(now.Add(StandInTime)))
+	nodes := fleetOf(295, 6)
+	reader, first := Choose(nodes)[0], othersOf(nodes)[0]
+	r := NewRole(first, now)
+	must.True(t, r.FollowsConfiguration(now))
+	must.True(t, r.FollowsOtherTables(now))
+	r.SetNodes(nodes)
+	must.False(t, r.FollowsConfiguration(now.Add(MinPatience)))
+	must.True(t, r.FollowsConfiguration(now.Add(MinPatience+time.Millisecond)))
+	must.False(t, r.FollowsOtherTables(now.Add(MinPatience+otherTablesPatience)))
+	must.True(t, r.FollowsOtherTables(now.Add(MinPatience+otherTablesPatience+time.Millisecond)))
+	confirmBy(r, reader, now.Add(time.Second))
+	must.False(t, r.FollowsConfiguration(now.Add(time.Second+MinPatience)))
+}
+
+// TestOwnConfirmationEndsNoStandIn checks that neither a node's own confirmation, which comes back to it
+// from its peers, nor one by a node behind it in the order makes it rely on others.
+func TestOwnConfirmationEndsNoStandIn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := fleetOf(295, 6)
+	others := othersOf(nodes)
+	r := NewRole(others[1], now)
+	r.SetNodes(nodes)
+	now = now.Add(time.Minute)
+	confirmBy(r, others[1], now)
+	confirmBy(r, others[2], now)
+	must.True(t, r.FollowsConfiguration(now))
+	must.Eq(t, 0, r.ConfirmedAge(now))
+	confirmBy(r, others[0], now)
+	must.False(t, r.FollowsConfiguration(now))
+}
+
+// TestPatienceEndsBeforeChangesAreDue checks that the nodes turn to the store a few at first, each later
+// group twice as large, and the last of 295 nodes before 6 s, the time in which a change has to be in
+// force there.
+func TestPatienceEndsBeforeChangesAreDue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := fleetOf(295, 6)
+	countAt := func(age time.Duration) (count int) {
+		for _, name := range othersOf(nodes) {
+			r := NewRole(name, now)
+			r.SetNodes(nodes)
+			if r.FollowsConfiguration(now.Add(age)) {
+				count++
+			}
+		}
+		return count
+	}
+	must.Zero(t, countAt(MinPatience))
+	for doublings := range 5 {
+		at := MinPatience + time.Duration(doublings)*patienceStep + time.Millisecond
+		must.Between(t, minReaders*(1<<doublings-1), countAt(at), minReaders*(1<<doublings-1)+1)
+	}
+	must.Eq(t, len(othersOf(nodes)), countAt(6*time.Second))
 }
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -226,14 +226,14 @@
 			}
 			return body
 		},
-		receive: func(node string, attached []byte, _ time.Time) {
+		receive: func(node string, attached []byte, sentAt time.Time) {
 			var update peerUpdate
 			if cbor.Unmarshal(attached, &update) != nil {
 				return
 			}
 			n.owners.receiveUnfit(node, update.Unfit)
 			if m, ok := n.membership.View().Member(node); ok {
-				config.ObservePeer(context.Background(), m.Address, update.Knowledge)
+				config.ObservePeer(context.Background(), m.Address, update.Knowledge, sentAt)
 			}
 		},
 		fetch: func(_ context.Context, _ string, payload []byte) (any, error) {
--- a/internal/run/catalog/era.go
+++ b/internal/run/catalog/era.go
@@ -24,25 +24,33 @@
 		r.mu.Unlock()
 		return
 	}
-	former, end := r.era, r.endEra
+	former := r.era
 	r.era = era
-	r.eraContext, r.endEra = context.WithCancel(context.Background())
 	r.mu.Unlock()
-	end()
+	r.endCallsUnderWay()
 	_ = r.o.Logger.Log("event", "store era", "era", era, "former", former, "source", source)
 }
 
-// startCall returns a context for a call about t, which ends with ctx or as soon as a later era is
-// observed, and whether t was followed in an earlier era than the latest one observed before. The
-// caller must call release.
-func (r *Runner) startCall(ctx context.Context, t *table) (inEra context.Context, release func(), outdated bool) {
+// endCallsUnderWay ends all calls that follow the tables, because the store may never answer them.
+func (r *Runner) endCallsUnderWay() {
+	r.mu.Lock()
+	end := r.endCalls
+	r.callsContext, r.endCalls = context.WithCancel(context.Background())
+	r.mu.Unlock()
+	end()
+}
+
+// startCall returns a context for a call about t, which ends with ctx or by endCallsUnderWay, and
+// whether t was followed in an earlier era than the latest one observed before. The caller must call
+// release.
+func (r *Runner) startCall(ctx context.Context, t *table) (call context.Context, release func(), outdated bool) {
 	r.mu.Lock()
-	era := r.eraContext
+	calls := r.callsContext
 	outdated = t.isKnown() && t.followed.Era < r.era
 	r.mu.Unlock()
-	inEra, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(era, cancel)
-	return inEra, func() {
+	call, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(calls, cancel)
+	return call, func() {
 		stop()
 		cancel()
 	}, outdated
--- a/internal/run/catalog/fleet_test.go
+++ b/internal/run/catalog/fleet_test.go
@@ -63,7 +63,7 @@
 
 var errNoNode = errors.New("no node at this address")
 
-// startFleet starts count nodes in ten failure domains and waits until they have chosen their readers.
+// startFleet starts count nodes in six failure domains and waits until they have chosen their readers.
 func startFleet(t *testing.T, count int) *testFleet {
 	t.Helper()
 	f := &testFleet{feed: newFakeFeed(), nodes: make(map[string]*testNode, count)}
@@ -121,7 +121,7 @@
 
 // testVM returns the node called name as the platform lists it. Its address is its name.
 func testVM(name string) platform.VM {
-	return platform.VM{Name: name, Address: name, Domain: "d" + name[len(name)-1:], State: platform.VMLive}
+	return platform.VM{Name: name, Address: name, Domain: fmt.Sprint("d", int(name[len(name)-1]-48)%6), State: platform.VMLive}
 }
 
 func (n *testNode) receiveNodes(rows []platform.Row, at time.Time) {
@@ -148,12 +148,12 @@
 	return body
 }
 
-func (n *testNode) receiveAttachment(from string, attached []byte, _ time.Time) {
+func (n *testNode) receiveAttachment(from string, attached []byte, sentAt time.Time) {
 	var k Knowledge
 	if err := cbor.Unmarshal(attached, &k); err != nil {
 		panic(err)
 	}
-	n.runner.ObservePeer(context.Background(), from, k)
+	n.runner.ObservePeer(context.Background(), from, k, sentAt)
 }
 
 // Call implements peer.Caller.
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/platform"
 )
 
 const (
-	// followWait is how long the store may delay the response of a feed without changes. For the
-	// table of configuration it is reliedFollowWait if other nodes rely on this one, which then
-	// tells them that the store has answered. followSlack is added for the timeout of the whole
-	// call.
-	followWait       = 28 * time.Second
-	reliedFollowWait = 4 * time.Second
-	followSlack      = 3 * time.Second
 	// roleCheckInterval is the delay between two checks whether this node has to follow the tables
 	// itself.
 	roleCheckInterval = 250 * time.Millisecond
@@ -35,8 +30,9 @@
 	// backoffMin and backoffMax bound the delay after a failed call, before jitter.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 1500 * time.Millisecond
-	// standInBackoffMax is the longest delay of a node that follows the tables only because it
-	// has not heard from the readers: there may be hundreds of them.
+	// standInBackoffMin and standInBackoffMax are the same for a node that follows the tables only
+	// because it has not heard from the readers: there may be hundreds of them.
+	standInBackoffMin = time.Second
 	standInBackoffMax = 6 * time.Second
 )
 
@@ -55,44 +51,56 @@
 	if r.o.FirstStart {
 		r.awaitFirstStart(ctx, name, t)
 	}
-	backoff := backoffMin
+	var backoff time.Duration
 	needsRead := true
 	for ctx.Err() == nil {
-		if r.reliesOnPeers(t) {
-			needsRead = false
+		if r.reliesOnPeers(name, t) {
+			needsRead, backoff = false, 0
 			_ = r.o.Clock.Sleep(ctx, roleCheckInterval)
 			continue
 		}
 		var err error
-		inEra, release, outdated := r.startCall(ctx, t)
+		call, release, outdated := r.startCall(ctx, t)
 		reading := needsRead || outdated
 		if reading {
 			err = r.readTable(ctx, name, t)
 		} else {
-			err = r.followChanges(inEra, name, t)
+			err = r.followChanges(call, name, t)
 		}
 		if ctx.Err() != nil {
 			release()
 			return
 		}
+		if !reading && err != nil && call.Err() != nil {
+			// The call was ended by endCallsUnderWay, which says nothing about the store.
+			r.setHold(t, holdNot)
+			release()
+			continue
+		}
 		needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
 		r.noteLost(name, t, err)
 		switch {
 		case err == nil && !reading:
-			backoff = backoffMin
+			backoff = 0
 		case err != nil:
 			r.Counters.Add("feed_errors", 1)
-			_ = r.o.Clock.Sleep(inEra, r.jitter(backoff))
-			backoff = min(2*backoff, r.maxBackoff())
+			backoff = r.nextBackoff(backoff)
+			_ = r.o.Clock.Sleep(call, r.jitter(backoff))
 		}
 		release()
 	}
 }
 
-// noteLost records whether the last call about t has failed, with err, and logs changes of that.
+// noteLost records whether the last call about t has failed, with err, and logs changes of that. If the
+// store has not answered a call about the configuration in time, the other calls are ended too: their
+// connections may be as silent.
 func (r *Runner) noteLost(name string, t *table, err error) {
 	r.mu.Lock()
 	changed := t.lostAt.IsZero() == (err != nil)
+	t.isAway = err != nil && !platform.ErrHistoryExpired.Has(err) && !errLateAnswer.Has(err)
+	if err != nil {
+		t.hold = holdNot
+	}
 	switch {
 	case err == nil:
 		t.lostAt = time.Time{}
@@ -104,6 +112,9 @@
 	if changed {
 		_ = r.o.Logger.Log("event", "feed", "table", name, "lost", err != nil, "version", version, "err", err)
 	}
+	if changed && name == platform.TableConfiguration && errors.Is(err, context.DeadlineExceeded) {
+		r.endCallsUnderWay()
+	}
 }
 
 // followed returns the revision up to which t was followed.
@@ -134,19 +145,32 @@
 }
 
 // reliesOnPeers reports whether the node has a copy of t that its peers keep up to date.
-func (r *Runner) reliesOnPeers(t *table) bool {
+func (r *Runner) reliesOnPeers(name string, t *table) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return t.isKnown() && !r.role.ShouldFollow(r.o.Clock.Now())
+	now := r.o.Clock.Now()
+	follows := r.role.FollowsOtherTables(now)
+	if name == platform.TableConfiguration {
+		follows = r.role.FollowsConfiguration(now)
+	}
+	relies := t.isKnown() && !follows
+	if relies != t.isRelied {
+		t.isRelied, t.hold = relies, holdNot
+		_ = r.o.Logger.Log("event", "follow", "table", name, "itself", !relies, "reader", r.role.IsReader(),
+			"confirmed_ago", r.role.ConfirmedAge(now))
+	}
+	return relies
 }
 
-func (r *Runner) maxBackoff() time.Duration {
+// nextBackoff returns the delay, before jitter, that follows a failed call after the delay last, which is
+// 0 if the call before was answered.
+func (r *Runner) nextBackoff(last time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.role.IsReader() {
-		return backoffMax
+		return min(max(2*last, backoffMin), backoffMax)
 	}
-	return standInBackoffMax
+	return min(max(2*last, standInBackoffMin), standInBackoffMax)
 }
 
 // NodeRow returns the row of the table of nodes with the given key, as this node knows it; only its
@@ -159,11 +183,23 @@
 	return row, r.nodes.isKnown()
 }
 
-// confirm records that the store has answered a call that was sent at sentAt.
-func (r *Runner) confirm(sentAt time.Time) {
+// noteStoreAnswer records that the store has answered a call at time at, or later. The caller holds r.mu.
+func (r *Runner) noteStoreAnswer(at time.Time) {
+	if at.After(r.answeredAt) {
+		r.answeredAt = at
+	}
+}
+
+// confirm records that the store has answered a call about the table called name; what it answered was
+// current at time at. Only answers about the configuration confirm the tables, and only while the store
+// answers for the other tables too.
+func (r *Runner) confirm(name string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.role.Confirm(sentAt)
+	r.noteStoreAnswer(at)
+	if name == platform.TableConfiguration && !r.targets.isAway && !r.nodes.isAway {
+		r.role.Confirm(reader.Confirmation{At: at, By: reader.IDOf(r.o.Self)})
+	}
 }
 
 func (r *Runner) jitter(d time.Duration) time.Duration {
@@ -185,7 +221,7 @@
 	if r.isLate(revision) {
 		return errLateAnswer.New("table %s of era %d", name, revision.Era)
 	}
-	r.confirm(sentAt)
+	r.confirm(name, sentAt)
 	r.logUnusedRead(name, t, revision)
 	r.updateTable(name, t, sourceStore, sentAt, func() bool {
 		return t.replace(Snapshot{Rows: rows, Version: revision.Version, Era: revision.Era})
@@ -206,14 +242,9 @@
 }
 
 func (r *Runner) followChanges(ctx context.Context, name string, t *table) error {
-	r.mu.Lock()
-	after := t.followed
-	wait := followWait
-	if r.role.PeersRely() && name == platform.TableConfiguration {
-		wait = reliedFollowWait
-	}
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
+	after := r.followed(t)
+	wait, slack := r.holdTimes(name, t)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	r.Counters.Add("feed_calls", 1)
 	changes, revision, err := r.o.Feed.Follow(ctx, name, after, wait)
@@ -225,7 +256,8 @@
 		return platform.ErrHistoryExpired.New("table %s: followed in era %d, the store is in era %d", name, after.Era, revision.Era)
 	}
 	now := r.o.Clock.Now()
-	r.confirm(now)
+	r.confirm(name, now)
+	r.noteAnswered(t, wait, len(changes))
 	r.updateTable(name, t, sourceStore, now, func() bool { return t.apply(changes, revision) })
 	if len(changes) == 0 {
 		return nil
--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
 )
@@ -26,12 +27,30 @@
 type Knowledge struct {
 	// Changed holds the versions of the last changes that the node knows.
 	Changed Versions `cbor:"1,keyasint"`
-	// ConfirmedAgeMillis is how long ago the store last confirmed the tables to the node or to
-	// one whose knowledge reached it.
-	ConfirmedAgeMillis uint32 `cbor:"2,keyasint"`
+	// AnsweredAgeMillis is how long ago the store last answered a call about any table, of the node
+	// or of one whose knowledge reached it.
+	AnsweredAgeMillis uint32 `cbor:"2,keyasint"`
 	// ConfigurationVersion is the operator's version of the newest configuration that the node
 	// knows. The store may have lost it in a restore.
 	ConfigurationVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// ConfirmedBy is the node that got the newest confirmation (reader.Confirmation) that the node knows,
+	// ConfirmedAgeMillis its age. Nodes of an earlier release state neither, so ConfirmedBy is 0.
+	ConfirmedBy        reader.ID `cbor:"4,keyasint,omitempty"`
+	ConfirmedAgeMillis uint32    `cbor:"5,keyasint,omitempty"`
+}
+
+// confirmation returns the newest confirmation that the node knew at the time at, when it told k.
+func (k *Knowledge) confirmation(at time.Time) reader.Confirmation {
+	age := k.ConfirmedAgeMillis
+	if k.ConfirmedBy == 0 {
+		age = k.AnsweredAgeMillis
+	}
+	return reader.Confirmation{At: at.Add(-time.Duration(age) * time.Millisecond), By: k.ConfirmedBy}
+}
+
+// answeredAt returns when the store last answered a call, as the node knew it at the time at.
+func (k *Knowledge) answeredAt(at time.Time) time.Time {
+	return at.Add(-time.Duration(k.AnsweredAgeMillis) * time.Millisecond)
 }
 
 // FetchRequest asks a node for its tables.
@@ -83,8 +102,10 @@
 			Nodes:         r.nodes.changedVersionIn(r.era),
 			Era:           r.era,
 		},
-		ConfirmedAgeMillis:   uint32(r.role.ConfirmedAge(now).Milliseconds()),
+		AnsweredAgeMillis:    uint32(max(0, now.Sub(r.answeredAt)).Milliseconds()),
 		ConfigurationVersion: r.document.version(),
+		ConfirmedBy:          r.role.Newest().By,
+		ConfirmedAgeMillis:   uint32(r.role.ConfirmedAge(now).Milliseconds()),
 	}
 }
 
@@ -148,16 +169,18 @@
 	return out, Error.Wrap(err)
 }
 
-// ObservePeer is called when the node at address has told k. If this node still lacks a change
+// ObservePeer is called when the node at address has told k in the answer to a message that was sent at
+// sentAt. If this node still lacks a change
 // after some time, which depends on how it gets the tables, it fetches them from that node. Only
 // one fetch is pending at a time; reports that arrive meanwhile are ignored.
-func (r *Runner) ObservePeer(ctx context.Context, address string, k Knowledge) {
+func (r *Runner) ObservePeer(ctx context.Context, address string, k Knowledge, sentAt time.Time) {
 	r.ObserveEra(k.Changed.Era, address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.noteHeard(address, k)
 	if k.Changed.Era == r.era {
-		r.role.Confirm(r.o.Clock.Now().Add(-time.Duration(k.ConfirmedAgeMillis) * time.Millisecond))
+		r.role.Confirm(k.confirmation(sentAt))
+		r.noteStoreAnswer(k.answeredAt(sentAt))
 	}
 	if r.fetching || !r.lacks(k) || r.running.Err() != nil {
 		return
--- a/internal/run/catalog/reader_test.go
+++ b/internal/run/catalog/reader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +25,7 @@
 // nonReader returns the name of a node that is not a reader.
 func nonReader(nodes []reader.Node) string {
 	for _, n := range nodes {
-		role := reader.NewRole(n.Name, time.Time{}, rand.New(rand.NewPCG(1, 1)))
+		role := reader.NewRole(n.Name, time.Time{})
 		if role.SetNodes(nodes); !role.IsReader() {
 			return n.Name
 		}
@@ -45,6 +44,28 @@
 	return versions
 }
 
+// startReaders starts the readers of a fleet over the feed f.
+func startReaders(t *testing.T, nodes []reader.Node, f *fakeFeed) []*Runner {
+	t.Helper()
+	var readers []*Runner
+	for _, name := range reader.Choose(nodes) {
+		r := startRunnerAs(t, name, f, nil)
+		synctest.Wait()
+		r.SetNodes(nodes)
+		readers = append(readers, r)
+	}
+	return readers
+}
+
+// observeInTurn lets r hear of the peers in turn for the duration d, as often as it sends probes.
+func observeInTurn(t *testing.T, r *Runner, peers []*Runner, d time.Duration) {
+	t.Helper()
+	for i := range int(d / (250 * time.Millisecond)) {
+		r.ObservePeer(t.Context(), "reader", peers[i%len(peers)].Knowledge(), time.Now())
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
 // TestOnlyReadersCallTheStore checks that a node of a large fleet that is not a reader makes no
 // call to the store once it has the tables, and still follows every change.
 func TestOnlyReadersCallTheStore(t *testing.T) {
@@ -53,25 +74,23 @@
 		f, own := newFakeFeed(), newFakeFeed()
 		setInitialRows(f)
 		setInitialRows(own)
-		other := startRunner(t, f, nil)
-		r := startRunnerAs(t, nonReader(nodes), own, fakePeers{other})
+		readers := startReaders(t, nodes, f)
+		r := startRunnerAs(t, nonReader(nodes), own, fakePeers{readers[0]})
 		synctest.Wait()
 		r.SetNodes(nodes)
-		time.Sleep(followWait + time.Second)
 		calls := r.Counters.Get("feed_calls").String()
+		observeInTurn(t, r, readers, followWait+time.Second)
 		for i := range 40 {
 			f.set(platform.TableTargets, fmt.Sprint("t", i), "a", i%2 == 0)
-			time.Sleep(time.Second)
-			r.ObservePeer(t.Context(), "other", other.Knowledge())
-			time.Sleep(time.Millisecond)
-			must.Eq(t, rowVersions(other), rowVersions(r))
+			observeInTurn(t, r, readers, time.Second)
+			must.Eq(t, rowVersions(readers[0]), rowVersions(r))
 		}
 		must.Eq(t, calls, r.Counters.Get("feed_calls").String())
 	})
 }
 
 // TestSilentReadersAreReplaced checks that a node that is not a reader follows the tables itself
-// once no confirmation has reached it for longer than reader.MaxSilence.
+// once no confirmation has reached it for longer than its patience.
 func TestSilentReadersAreReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := largeFleet(295)
@@ -80,7 +99,7 @@
 		r := startRunnerAs(t, nonReader(nodes), f, nil)
 		synctest.Wait()
 		r.SetNodes(nodes)
-		time.Sleep(followWait + 2*reader.MaxSilence)
+		time.Sleep(followWait + 2*reader.MinPatience)
 		f.set(platform.TableConfiguration, "config", "7", false)
 		synctest.Wait()
 		must.Eq(t, 7, r.Current().Version)
--- a/internal/run/catalog/restore_test.go
+++ b/internal/run/catalog/restore_test.go
@@ -100,14 +100,14 @@
 		f.set(platform.TableConfiguration, "config", "7", false)
 		f.set(platform.TableTargets, "t3", "a3", false)
 		time.Sleep(time.Second)
-		r.ObservePeer(t.Context(), "other", other.Knowledge())
+		r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 		time.Sleep(time.Second)
 		must.Eq(t, 7, r.Current().Version)
 		restoreAfterOutage(f, lost)
 		f.set(platform.TableConfiguration, "config", "9", false)
 		for range inForceWithin / (500 * time.Millisecond) {
 			time.Sleep(500 * time.Millisecond)
-			r.ObservePeer(t.Context(), "other", other.Knowledge())
+			r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 		}
 		must.Eq(t, 9, r.Current().Version)
 	})
@@ -129,7 +129,7 @@
 		r := startRunner(t, f, fakePeers{other})
 		synctest.Wait()
 		must.Eq(t, 1, r.Current().Version)
-		r.ObservePeer(t.Context(), "other", other.Knowledge())
+		r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 		time.Sleep(2 * peerFetchDelay)
 		must.Eq(t, 7, r.Current().Version)
 	})
@@ -298,7 +298,7 @@
 		f.set(platform.TableConfiguration, "config", "9", false)
 		f.set(platform.TableTargets, "t3", "a3", false)
 		time.Sleep(inForceWithin)
-		r.ObservePeer(t.Context(), "other", other.Knowledge())
+		r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 		time.Sleep(time.Second)
 		must.Eq(t, 9, r.Current().Version)
 		must.Eq(t, "t1 t2 t3", r.targetNames())
@@ -319,7 +319,7 @@
 		time.Sleep(5 * time.Second)
 		f.set(platform.TableTargets, "t2", "", true)
 		for range 9 {
-			r.ObservePeer(t.Context(), "other", other.Knowledge())
+			r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 			r.ObservePoll("t2", time.Now(), false)
 			time.Sleep(500 * time.Millisecond)
 		}
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -89,12 +89,12 @@
 	configuration *table
 	targets       *table
 	nodes         *table
-	// era is the latest era of the store that was observed. eraContext ends, by endEra, when a
-	// later one is observed.
-	era        uint64
-	eraContext context.Context
-	endEra     context.CancelFunc
-	document   document
+	// era is the latest era of the store that was observed.
+	era uint64
+	// callsContext ends, by endCalls, when the calls that the store holds may never be answered.
+	callsContext context.Context
+	endCalls     context.CancelFunc
+	document     document
 	// heard is the newest configuration that a peer has told of.
 	heard heardVersion
 	// decodedRow is the revision of the configuration's row that was last decoded.
@@ -108,7 +108,10 @@
 	retainedNodes      map[string]platform.Row
 	nodesRetainedUntil time.Time
 	subscribers        []func(*fleet.Config)
-	fetching           bool
+	// answeredAt is when the store last answered a call about any table, of this node or of one whose
+	// knowledge reached it.
+	answeredAt time.Time
+	fetching   bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
 	// when role is based on them.
 	knowsNodes bool
@@ -116,20 +119,21 @@
 
 // New returns a Runner with empty tables.
 func New(o Options) *Runner {
-	eraContext, endEra := context.WithCancel(context.Background())
+	callsContext, endCalls := context.WithCancel(context.Background())
 	running, stop := context.WithCancel(context.Background())
 	r := &Runner{
 		o:             o,
 		random:        o.Random,
-		role:          reader.NewRole(o.Self, o.Clock.Now(), o.Random),
+		role:          reader.NewRole(o.Self, o.Clock.Now()),
 		configuration: newTable(),
 		targets:       newTable(),
 		nodes:         newTable(),
-		eraContext:    eraContext,
-		endEra:        endEra,
+		callsContext:  callsContext,
+		endCalls:      endCalls,
 		running:       running,
 		stop:          stop,
 		retainedNodes: make(map[string]platform.Row),
+		answeredAt:    o.Clock.Now(),
 	}
 	r.Counters.Set("known_version", expvar.Func(r.knownVersion))
 	r.Counters.Set("confirmed_age_ms", expvar.Func(r.confirmedAgeMillis))
@@ -149,15 +153,20 @@
 	return max(r.configuration.changedVersion, r.targets.changedVersion)
 }
 
-// SetNodes applies the live nodes, from which the readers are chosen.
+// SetNodes applies the live nodes, from which the readers are chosen. Once other nodes rely on this one,
+// calls that the store could hold for longer than that allows are ended.
 func (r *Runner) SetNodes(nodes []reader.Node) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	was := r.role.IsReader()
+	was, reliedBefore := r.role.IsReader(), r.role.PeersRely()
 	r.role.SetNodes(nodes)
-	if is := r.role.IsReader(); is != was {
+	is, relied := r.role.IsReader(), r.role.PeersRely()
+	r.mu.Unlock()
+	if is != was {
 		_ = r.o.Logger.Log("event", "reader", "reads", is, "nodes", len(nodes))
 	}
+	if relied && !reliedBefore {
+		r.endCallsUnderWay()
+	}
 }
 
 // Subscribe registers f to be called after each change of the configuration, one call at a
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -333,7 +333,7 @@
 		r := startRunner(t, downFeed, fakePeers{other})
 		synctest.Wait()
 		must.Nil(t, r.Current())
-		r.ObservePeer(t.Context(), "other", other.Knowledge())
+		r.ObservePeer(t.Context(), "other", other.Knowledge(), time.Now())
 		time.Sleep(2 * peerFetchDelay)
 		must.Eq(t, 1, r.Current().Version)
 		must.Eq(t, "t1 t2", r.targetNames())
--- a/internal/run/catalog/targets.go
+++ b/internal/run/catalog/targets.go
@@ -92,7 +92,7 @@
 	for r.o.Clock.Sleep(r.running, rosterInterval) == nil {
 		r.mu.Lock()
 		now := r.o.Clock.Now()
-		if r.roster.Advance(now, r.isStoreAway(now)) {
+		if r.roster.Advance(now, r.isStoreAway()) {
 			r.logRosterChanges()
 			r.publish()
 		}
@@ -116,9 +116,9 @@
 
 // isStoreAway reports whether the calls about targets fail and neither this node nor a peer has had an
 // answer of the store since. The caller holds r.mu.
-func (r *Runner) isStoreAway(now time.Time) bool {
+func (r *Runner) isStoreAway() bool {
 	lostAt := r.targets.lostAt
-	return !lostAt.IsZero() && r.role.ConfirmedAge(now) > now.Sub(lostAt)
+	return !lostAt.IsZero() && r.answeredAt.Before(lostAt)
 }
 
 // ObservePoll records whether a target answered this node's poll that was sent at sentAt. A target
