Configuration: a new version is told to contacts at once, and fetched behind a dead peer

What callers saw: at 295 nodes the last node had a version 0.5 to 1.9 s after the first, since nodes hear of it only in answers to their own probes; and a node that was fetching from a peer which did not answer, or waited for rows of nodes, ignored all who told it of a newer configuration meanwhile, for up to 1 s.

A node that takes a configuration now tells the peers that it probes most often (at the distances 1, 2, 4 ... in its cell, and its far nodes), where nodes rely on each other for it; they fetch it, and tell on. It does so at most five times a second. An announcement confirms nothing, since its age is not known. The best offer that comes while a fetch is under way or waits is next.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -25,6 +25,9 @@
 func (n *Node) registerHandlers() {
 	n.server.Handle(peer.KindProbe, false, n.membership.HandleProbe)
 	n.server.Handle(peer.KindConfig, false, n.exchange.fetch)
+	if n.exchange.news != nil {
+		n.server.Handle(peer.KindNews, false, n.exchange.news)
+	}
 	n.server.Handle(peer.KindQuotaReport, false, n.quota.HandleShare)
 	n.server.Handle(peer.KindSuspect, false, n.promotion.HandleSuspect)
 	n.server.Handle(peer.KindUnfit, false, n.handleUnfit)
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -194,6 +194,7 @@
 		Clock:            n.clock,
 		Logger:           n.logger,
 		Random:           mathrand.New(mathrand.NewPCG(seed(), seed())),
+		Contacts:         n.membership.Contacts,
 		OnNodesChanged:   func(rows []platform.Row, at time.Time) { n.membership.SetListed(register.VMs(rows), at) },
 	})
 }
@@ -243,6 +244,16 @@
 			}
 			return config.AnswerFetch(request)
 		},
+		news: func(_ context.Context, from string, payload []byte) (any, error) {
+			var k runcatalog.Knowledge
+			if err := cbor.Unmarshal(payload, &k); err != nil {
+				return nil, err
+			}
+			if m, ok := n.membership.View().Member(from); ok {
+				config.ObserveAnnouncement(context.Background(), m.Address, k)
+			}
+			return struct{}{}, nil
+		},
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,8 @@
 	receive func(node string, attached []byte, sentAt time.Time)
 	// fetch handles calls of peer.KindConfig.
 	fetch peer.ServeFunc
+	// news handles calls of peer.KindNews; nil if nodes send none.
+	news peer.ServeFunc
 }
 
 // pollObserver is told whether targets answer this node's polls.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,7 @@
 	KindUnfit                       // ownership: announce the groups that a node can't serve
 	KindCancel                      // entry: cancel a caller's running statement
 	KindStatus                      // cli: read a node's status
+	KindNews                        // configuration: announce a new version
 )
 
 // ErrRefused is the class of errors that show that the other node is running: it closed the
--- /dev/null
+++ b/internal/run/catalog/announce.go
@@ -0,0 +1,68 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"crocusyoke/internal/peer"
+)
+
+const (
+	// announceInterval is the shortest time between two announcements of one node. The last of several
+	// versions that follow each other more quickly is always announced.
+	announceInterval = 200 * time.Millisecond
+	// announceTimeout bounds the announcement to one peer.
+	announceTimeout = 500 * time.Millisecond
+)
+
+// startAnnouncing lets announceVersions tell this node's contacts of the configuration that it has just
+// taken, if nodes of this fleet rely on each other for it. The caller holds r.mu.
+func (r *Runner) startAnnouncing() {
+	if r.announcing || r.o.Contacts == nil || !r.role.PeersRely() || r.running.Err() != nil {
+		return
+	}
+	r.announcing = true
+	r.wait.Go(r.announceVersions)
+}
+
+// announceVersions announces the newest configuration until it has announced the last one.
+func (r *Runner) announceVersions() {
+	for {
+		k := r.Knowledge()
+		for _, address := range r.o.Contacts() {
+			r.wait.Go(func() { r.announce(address, k) })
+		}
+		if r.o.Clock.Sleep(r.running, announceInterval) != nil || r.endAnnouncing(k.ConfigurationVersion) {
+			return
+		}
+	}
+}
+
+// endAnnouncing ends the announcing if announced is the version of the newest configuration, and reports
+// whether it has.
+func (r *Runner) endAnnouncing(announced uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announcing = r.document.version() > announced
+	return !r.announcing
+}
+
+func (r *Runner) announce(address string, k Knowledge) {
+	ctx, cancel := context.WithTimeout(r.running, announceTimeout)
+	defer cancel()
+	r.Counters.Add("announcements", 1)
+	var reply struct{}
+	if err := r.o.Peers.Call(ctx, address, peer.KindNews, k, &reply); err != nil {
+		r.Counters.Add("announcements_failed", 1)
+	}
+}
+
+// ObserveAnnouncement is called when the node at address has told k without having been asked. It is as
+// ObservePeer, but how old k is is not known, so the store's confirmation in it counts for nothing.
+func (r *Runner) ObserveAnnouncement(ctx context.Context, address string, k Knowledge) {
+	r.ObserveEra(k.Changed.Era, address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noteHeard(address, k)
+	r.considerOffer(ctx, address, k)
+}
--- a/internal/run/catalog/fleet_test.go
+++ b/internal/run/catalog/fleet_test.go
@@ -107,6 +107,7 @@
 	n.runner = New(Options{
 		Feed: n, Decoder: fakeDecoder{}, ConfigurationKey: "config", Self: name, Peers: n, Clock: clock.Wall{},
 		Logger: log.NewNopLogger(), Random: rand.New(rand.NewPCG(uint64(index), 2)), OnNodesChanged: n.receiveNodes,
+		Contacts: n.membership.Contacts,
 	})
 	n.membership.Subscribe(func(v *membership.View) {
 		var live []reader.Node
@@ -184,8 +185,16 @@
 }
 
 func (n *testNode) serve(ctx context.Context, from string, kind peer.Kind, payload []byte) (any, error) {
-	if kind == peer.KindProbe {
+	switch kind {
+	case peer.KindProbe:
 		return n.membership.HandleProbe(ctx, from, payload)
+	case peer.KindNews:
+		var k Knowledge
+		if err := cbor.Unmarshal(payload, &k); err != nil {
+			return nil, err
+		}
+		n.runner.ObserveAnnouncement(context.Background(), from, k)
+		return struct{}{}, nil
 	}
 	var request FetchRequest
 	if err := cbor.Unmarshal(payload, &request); err != nil {
--- a/internal/run/catalog/peers.go
+++ b/internal/run/catalog/peers.go
@@ -3,14 +3,12 @@
 import (
 	"bytes"
 	"compress/flate"
-	"context"
 	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"crocusyoke/internal/controller/reader"
-	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
 )
 
@@ -168,143 +166,3 @@
 	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxDeltasBytes))
 	return out, Error.Wrap(err)
 }
-
-// ObservePeer is called when the node at address has told k in the answer to a message that was sent at
-// sentAt. If this node still lacks a change
-// after some time, which depends on how it gets the tables, it fetches them from that node. Only
-// one fetch is pending at a time; reports that arrive meanwhile are ignored.
-func (r *Runner) ObservePeer(ctx context.Context, address string, k Knowledge, sentAt time.Time) {
-	r.ObserveEra(k.Changed.Era, address)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.noteHeard(address, k)
-	if k.Changed.Era == r.era {
-		r.role.Confirm(k.confirmation(sentAt))
-		r.noteStoreAnswer(k.answeredAt(sentAt))
-	}
-	if r.fetching || !r.lacks(k) || r.running.Err() != nil {
-		return
-	}
-	r.fetching = true
-	delay := r.fetchDelay(k)
-	r.wait.Go(func() { r.fetchFromPeer(ctx, address, k, delay) })
-}
-
-// lacks reports whether this node lacks something of k. The caller holds r.mu.
-func (r *Runner) lacks(k Knowledge) bool {
-	return r.lacksConfiguration(k) || k.Changed.Era == r.era && k.Changed.Nodes > r.nodes.versionIn(r.era)
-}
-
-// lacksConfiguration is lacks without the table of nodes. A version of an earlier era is not
-// comparable, but the operator's version of the configuration is. The caller holds r.mu.
-func (r *Runner) lacksConfiguration(k Knowledge) bool {
-	if k.ConfigurationVersion > r.document.version() {
-		return true
-	}
-	changed := k.Changed
-	return changed.Era == r.era &&
-		(changed.Configuration > r.configuration.versionIn(r.era) || changed.Targets > r.targets.versionIn(r.era))
-}
-
-// fetchDelay returns how long what this node lacks of k may reach it otherwise before it fetches
-// it. The caller holds r.mu.
-func (r *Runner) fetchDelay(k Knowledge) time.Duration {
-	switch {
-	case !r.lacksConfiguration(k):
-		return nodesFetchDelay
-	case r.role.IsReader():
-		return peerFetchDelay
-	default:
-		return 0
-	}
-}
-
-func (r *Runner) fetchFromPeer(ctx context.Context, address string, k Knowledge, delay time.Duration) {
-	defer func() {
-		r.mu.Lock()
-		r.fetching = false
-		r.mu.Unlock()
-	}()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(r.running, cancel)()
-	if r.o.Clock.Sleep(ctx, delay) != nil {
-		return
-	}
-	request, lacks := r.fetchRequest(k)
-	if !lacks {
-		return
-	}
-	ctx, endCall := context.WithTimeout(ctx, peerFetchTimeout)
-	defer endCall()
-	r.Counters.Add("peer_fetches", 1)
-	var reply FetchReply
-	err := r.o.Peers.Call(ctx, address, peer.KindConfig, request, &reply)
-	if err == nil {
-		err = r.mergeReply(reply, address)
-	}
-	if err != nil {
-		_ = r.o.Logger.Log("event", "fetch failed", "peer", address, "err", err)
-	}
-}
-
-// fetchRequest returns the request for what this node lacks. lacks is false if it no longer lacks
-// anything of k.
-func (r *Runner) fetchRequest(k Knowledge) (request FetchRequest, lacks bool) {
-	known := r.Version()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return FetchRequest{
-		KnownVersion: known,
-		WantsDeltas:  true,
-		Followed: Versions{
-			Configuration: r.configuration.versionIn(r.era),
-			Targets:       r.targets.versionIn(r.era),
-			Nodes:         r.nodes.versionIn(r.era),
-			Era:           r.era,
-		},
-		ConfigurationVersion: r.document.version(),
-	}, r.lacks(k)
-}
-
-// mergeReply applies the answer of the peer at address.
-func (r *Runner) mergeReply(reply FetchReply, address string) error {
-	if len(reply.Deltas) == 0 {
-		r.mergeSnapshot(platform.TableConfiguration, r.configuration, reply.Configuration, address)
-		r.mergeSnapshot(platform.TableTargets, r.targets, reply.Targets, address)
-		return nil
-	}
-	body, err := decompress(reply.Deltas)
-	if err != nil {
-		return err
-	}
-	var all deltas
-	if err := cbor.Unmarshal(body, &all); err != nil {
-		return Error.Wrap(err)
-	}
-	r.mergeDelta(platform.TableConfiguration, r.configuration, all.Configuration, address)
-	r.mergeDelta(platform.TableTargets, r.targets, all.Targets, address)
-	r.mergeDelta(platform.TableNodes, r.nodes, all.Nodes, address)
-	r.mergeDocument(all.Document, all.DocumentEra, address)
-	return nil
-}
-
-// mergeDocument puts a peer's configuration in force if it is newer than the known one.
-func (r *Runner) mergeDocument(value []byte, era uint64, source string) {
-	if len(value) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.takeDocument(value, platform.Revision{Era: era}, source) {
-		r.publish()
-	}
-}
-
-func (r *Runner) mergeSnapshot(name string, t *table, c Snapshot, source string) {
-	r.updateTable(name, t, source, r.o.Clock.Now(), func() bool { return t.replace(c) })
-}
-
-func (r *Runner) mergeDelta(name string, t *table, d Delta, source string) {
-	r.updateTable(name, t, source, r.o.Clock.Now(), func() bool { return t.applyDelta(d) })
-}
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -77,6 +77,10 @@
 		return false
 	}
 	r.logTaken(decoded.Version, revision, source)
+	isFirst := r.document.decoded == nil
 	r.document = document{decoded: decoded, value: value, era: revision.Era}
+	if !isFirst {
+		r.startAnnouncing()
+	}
 	return true
 }
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -66,6 +66,9 @@
 	Clock      clock.Clock
 	Logger     log.Logger
 	Random     *rand.Rand
+	// Contacts returns the addresses of the peers that this node tells of a new configuration at once; may
+	// be nil.
+	Contacts func() []string
 	// OnNodesChanged is called after each change of the nodes' rows, with all the rows and
 	// a time at which they were current; may be nil.
 	OnNodesChanged func(rows []platform.Row, at time.Time)
@@ -111,7 +114,13 @@
 	// answeredAt is when the store last answered a call about any table, of this node or of one whose
 	// knowledge reached it.
 	answeredAt time.Time
-	fetching   bool
+	// offer is what is to be fetched next from a peer; nil if there is nothing. fetching is true while
+	// fetchOffers runs. It is woken, by wakeFetch, when a better offer has come.
+	offer     *offer
+	fetching  bool
+	wakeFetch context.CancelFunc
+	// announcing is true while announceVersions runs.
+	announcing bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
 	// when role is based on them.
 	knowsNodes bool
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -252,6 +252,14 @@
 	}
 }
 
+// Contacts returns the addresses of the nodes that this node exchanges probes with regularly and that
+// appear alive.
+func (r *Runner) Contacts() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.controller.Contacts()
+}
+
 // LinkLost reports that the link to the node at address broke or stopped responding. The
 // node is then probed at once instead of at its next regular turn.
 func (r *Runner) LinkLost(address string) {
