Owner: a group that an older configuration lacks is not an unknown service

It now refuses the request as not run, to be tried again. TestOwnerBehindDeniesAnAddedGroup fails on the code before.

--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -149,7 +149,7 @@
 // Serve implements request.Handler.
 func (m *Manager) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
 	began := m.options.Clock.Now()
-	g, refusal := m.groupOf(req.Group)
+	g, refusal := m.groupFor(req)
 	if refusal == nil {
 		var response *request.Response
 		response, refusal = g.serve(ctx, req)
@@ -254,6 +254,20 @@
 	return first
 }
 
+// groupFor returns the runtime of the request's group. That a configuration older than the one under
+// which the request was admitted lacks the group does not show that the service is unknown.
+func (m *Manager) groupFor(req *request.Request) (*group, *request.Refusal) {
+	g, refusal := m.groupOf(req.Group)
+	if refusal == nil || refusal.Code != request.CodeUnknownService {
+		return g, refusal
+	}
+	if inForce := m.options.Config.Current().Version; inForce < req.ConfigVersion {
+		refusal = request.Refuse(request.CodeStaleConfig, "owner", m.options.Self,
+			"group %q is not in version %d, the request was admitted under version %d", req.Group, inForce, req.ConfigVersion)
+	}
+	return nil, refusal
+}
+
 // groupOf returns the runtime of the group called name and creates it on first use.
 func (m *Manager) groupOf(name string) (*group, *request.Refusal) {
 	m.mu.RLock()
--- a/internal/owner/serve_test.go
+++ b/internal/owner/serve_test.go
@@ -72,3 +72,20 @@
 		mustRefuse(t, err, request.CodeTransactionLost)
 	})
 }
+
+// TestOwnerBehindDeniesAnAddedGroup checks that an owner whose configuration is older than the one under
+// which a request was admitted does not answer that the service is unknown, and that one whose is not
+// does.
+func TestOwnerBehindDeniesAnAddedGroup(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+		req := h.request(request.KindWrite, "INSERT 1", 100*time.Millisecond)
+		req.Group = "added"
+		version := h.group.Current().Version
+		req.ConfigVersion = version + 1
+		_, err := h.serve(req)
+		mustRefuse(t, err, request.CodeStaleConfig)
+		req.ConfigVersion = version
+		_, err = h.serve(req)
+		mustRefuse(t, err, request.CodeUnknownService)
+	})
+}
