Configuration: held calls of small fleets end one after the other

The configuration is held for 12 s, the nodes' calls end one after the other after a change, and the node that notices first tells the others at once.

--- a/internal/run/catalog/announce.go
+++ b/internal/run/catalog/announce.go
@@ -16,9 +16,9 @@
 )
 
 // startAnnouncing lets announceVersions tell this node's contacts of the configuration that it has just
-// taken, if nodes of this fleet rely on each other for it. The caller holds r.mu.
+// taken. The caller holds r.mu.
 func (r *Runner) startAnnouncing() {
-	if r.announcing || r.o.Contacts == nil || !r.role.PeersRely() || r.running.Err() != nil {
+	if r.announcing || r.o.Contacts == nil || r.running.Err() != nil {
 		return
 	}
 	r.announcing = true
--- a/internal/run/catalog/hold.go
+++ b/internal/run/catalog/hold.go
@@ -7,28 +7,32 @@
 )
 
 const (
-	// followWait is how long the store may hold a call without changes. For the table of configuration
-	// it is reliedFollowWait if other nodes rely on this one, which then tells them that the store has
+	// followWait is how long the store may hold a call without changes about targets or nodes.
+	followWait = 28 * time.Second
+	// ownFollowWait is the same for the configuration in a fleet all of whose nodes follow it. One of them
+	// notices early that calls are no longer answered, and the others hear of changes from it.
+	ownFollowWait = 12 * time.Second
+	// reliedFollowWait is the same for a node that other nodes rely on: it tells them that the store has
 	// answered.
-	followWait       = 28 * time.Second
 	reliedFollowWait = 4 * time.Second
-	// followSlack and reliedFollowSlack are added for the timeout of the whole call.
-	followSlack       = 3 * time.Second
-	reliedFollowSlack = 1500 * time.Millisecond
+	// followSlack is added for the timeout of the whole call, configurationSlack for one about the
+	// configuration.
+	followSlack        = 3 * time.Second
+	configurationSlack = 1500 * time.Millisecond
 	// notHeld is the wait of a call that is to be answered at once.
 	notHeld = time.Millisecond
 )
 
-// hold says how long the store may hold a call that follows a table. Only calls on behalf of other nodes
-// differ from holdFully.
+// hold says how long the store may hold a call that follows a table.
 type hold uint8
 
 const (
 	// holdNot is for the first call and for the one after a failed call, so that it is soon known whether
-	// the store answers.
+	// the store answers. Only calls on which other nodes rely are worth that.
 	holdNot hold = iota
 	// holdPartly is for the call after one that was not held until its end. Its wait depends on the
-	// reader, so that the calls of the readers, which a change ends together, then end one after the other.
+	// node's place among the readers, so that their calls, which a change ends together, then end one
+	// after the other.
 	holdPartly
 	holdFully
 )
@@ -37,17 +41,20 @@
 func (r *Runner) holdTimes(name string, t *table) (wait, slack time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	wait, slack = followWait, followSlack
+	if name == platform.TableConfiguration {
+		wait, slack = ownFollowWait, configurationSlack
+		if r.role.PeersRely() {
+			wait = reliedFollowWait
+		}
+	}
 	switch {
-	case !r.role.PeersRely():
-		return followWait, followSlack
-	case t.hold == holdNot:
-		return notHeld, reliedFollowSlack
-	case name != platform.TableConfiguration:
-		return followWait, followSlack
-	case t.hold == holdPartly:
-		return r.role.Phase(reliedFollowWait), reliedFollowSlack
+	case t.hold == holdFully:
+		return wait, slack
+	case t.hold == holdNot && r.role.PeersRely():
+		return notHeld, slack
 	default:
-		return reliedFollowWait, reliedFollowSlack
+		return r.role.Phase(wait), slack
 	}
 }
 
--- a/internal/run/catalog/spread_test.go
+++ b/internal/run/catalog/spread_test.go
@@ -17,8 +17,10 @@
 	// from the store's confirmation. smallApplyBound is the same for the smaller fleet.
 	largeApplyBound = 6 * time.Second
 	smallApplyBound = 5 * time.Second
-	// stableTime is how long after a disturbance of its links a node counts as undisturbed.
-	stableTime = 5 * time.Second
+	// stableTime is how long after a disturbance of its links a node counts as undisturbed, ownStableTime
+	// the same in fleets all of whose nodes are readers.
+	stableTime    = 5 * time.Second
+	ownStableTime = 4 * time.Second
 	// testIdle is longer than any call is held at the store.
 	testIdle = 32 * time.Second
 )
@@ -50,6 +52,25 @@
 	})
 }
 
+// TestVersionLateOnSilentConnectionsOfAllReaders is the same for fleets all of whose nodes are readers, at
+// several moments of their calls.
+func TestVersionLateOnSilentConnectionsOfAllReaders(t *testing.T) {
+	for _, count := range []int{6, 8} {
+		for _, idle := range []time.Duration{testIdle, testIdle + time.Second, testIdle + 3*time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, count)
+				f.mustSpread(t, 2, smallApplyBound)
+				time.Sleep(idle)
+				for _, n := range f.nodes {
+					n.silentUntil.Store(time.Now().UnixNano())
+				}
+				time.Sleep(time.Millisecond)
+				f.mustSpread(t, 3, ownStableTime)
+			})
+		}
+	}
+}
+
 // TestVersionLateWhenOnlyTheConfigurationIsSilent lets the store answer the readers' calls about targets
 // and nodes, but none about the configuration.
 func TestVersionLateWhenOnlyTheConfigurationIsSilent(t *testing.T) {
