--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -77,6 +77,9 @@
 			release()
 			continue
 		}
+		if reading && err == nil {
+			r.setHold(t, holdPartly)
+		}
 		needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
 		r.noteLost(name, t, err)
 		switch {
--- a/internal/run/catalog/hold.go
+++ b/internal/run/catalog/hold.go
@@ -27,8 +27,8 @@
 type hold uint8
 
 const (
-	// holdNot is for the first call and for the one after a failed call, so that it is soon known whether
-	// the store answers. Only calls on which other nodes rely are worth that.
+	// holdNot is for the first call, unless the table was just read, and for the one after a failed call, so
+	// that it is soon known whether the store answers. Only calls on which other nodes rely are worth that.
 	holdNot hold = iota
 	// holdPartly is for the call after one that was not held until its end. Its wait depends on the
 	// node's place among the readers, so that their calls, which a change ends together, then end one
