Membership: a process without processor time suspects nobody

A probe that ends more than 150 ms after its timeout has waited for this process, not for the other node. It now counts for nothing (probes_late), direct or through others. Nodes that do run still find a node that does not answer. TestNodeWithoutProcessorTimeSuspectsNobody fails on the code before.

--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -36,6 +36,9 @@
 	fleetListReadsPerSecond = 50
 	// maxLostLinks is how many lost links may be waiting to be probed.
 	maxLostLinks = 64
+	// lateness is how much longer than its timeout a probe may take. If it takes longer, this process
+	// has not run for a while.
+	lateness = 150 * time.Millisecond
 )
 
 // Options configures a Runner.
@@ -211,9 +214,13 @@
 // probe probes a node directly. If that fails, it probes the node through other nodes, and
 // reports the node to the controller as unreachable if these probes fail too.
 func (r *Runner) probe(ctx context.Context, s membership.OutboundProbe) {
+	sentAt := r.o.Clock.Now()
 	if _, err := r.sendProbe(ctx, s, membership.ProbeTimeout); provesAlive(err) || ctx.Err() != nil {
 		return
 	}
+	if r.endedLate(sentAt, membership.ProbeTimeout) {
+		return
+	}
 	r.mu.Lock()
 	indirect := r.controller.OnTimeout(s.To)
 	r.mu.Unlock()
@@ -224,10 +231,22 @@
 // node that does not know this one yet refuses the probe.
 func provesAlive(err error) bool { return err == nil || peer.ErrRefused.Has(err) }
 
+// endedLate reports whether a probe that was sent at sentAt and has just failed ended well after its
+// timeout. Then this process did not run meanwhile, and may not have seen the response: the failure says
+// nothing about the other node.
+func (r *Runner) endedLate(sentAt time.Time, timeout time.Duration) bool {
+	if r.o.Clock.Now().Sub(sentAt) <= timeout+lateness {
+		return false
+	}
+	count("probes_late")
+	return true
+}
+
 // confirmUnreachable sends the given probes, direct ones or ones through other nodes, for a node
 // that may have failed. If none of them reaches the node, it reports the node to the
 // controller as unreachable.
 func (r *Runner) confirmUnreachable(ctx context.Context, name string, probes []membership.OutboundProbe) {
+	sentAt := r.o.Clock.Now()
 	reached := make(chan bool, len(probes))
 	for _, send := range probes {
 		r.wait.Go(func() {
@@ -240,7 +259,7 @@
 			return
 		}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.endedLate(sentAt, membership.IndirectTimeout) {
 		return
 	}
 	r.mu.Lock()
--- a/internal/run/membership/runner_test.go
+++ b/internal/run/membership/runner_test.go
@@ -27,13 +27,18 @@
 
 func (a failingCaller) Call(context.Context, string, peer.Kind, any, any) error { return a.err }
 
-// stateAfterFailedCalls returns the state that a newly started node gives another node
-// after two seconds in which all its calls failed with err.
+// stateAfterFailedCalls is stateAfterCalls with calls that all fail with err.
 func stateAfterFailedCalls(t *testing.T, err error) membership.State {
+	return stateAfterCalls(t, failingCaller{err})
+}
+
+// stateAfterCalls returns the state that a newly started node gives another node after two seconds in
+// which it made its calls through peers.
+func stateAfterCalls(t *testing.T, peers peer.Caller) membership.State {
 	var state membership.State
 	synctest.Test(t, func(t *testing.T) {
 		vms := staticList{{Name: "n1", Address: "1"}, {Name: "n2", Address: "2"}, {Name: "n3", Address: "3"}}
-		r := New(Options{Self: vms[0], Platform: vms, Peers: failingCaller{err}, Clock: clock.Wall{}, Logger: log.NewNopLogger()})
+		r := New(Options{Self: vms[0], Platform: vms, Peers: peers, Clock: clock.Wall{}, Logger: log.NewNopLogger()})
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- r.Run(ctx) }()
@@ -49,6 +54,22 @@
 	return state
 }
 
+// lateCaller fails every call, delay after the call's timeout, as in a process that did not run meanwhile.
+type lateCaller struct{ delay time.Duration }
+
+func (c lateCaller) Call(ctx context.Context, _ string, _ peer.Kind, _, _ any) error {
+	<-ctx.Done()
+	time.Sleep(c.delay)
+	return ctx.Err()
+}
+
+// TestNodeWithoutProcessorTimeSuspectsNobody checks that probes that end well after their timeout make no
+// node suspect, and that those that end in time do.
+func TestNodeWithoutProcessorTimeSuspectsNobody(t *testing.T) {
+	must.Eq(t, membership.Alive, stateAfterCalls(t, lateCaller{lateness + time.Millisecond}))
+	must.Eq(t, membership.Suspect, stateAfterCalls(t, lateCaller{lateness}))
+}
+
 // TestNewcomerSuspectsNobodyWhoRefusesIt checks that a new node does not suspect nodes that
 // refuse its calls because they do not know it yet: a refusal shows that the node is
 // running. Only a missing response is a reason for suspicion.
