Stop: its limit counts from when the process last ran before the signal

A pulse of 100 ms tells when the process has not run for more than 0.5 s. A stop that begins right after that counts from the beginning of the gap, and takes a second at the least.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,8 @@
 	// are members of their groups.
 	polls pollObserver
 	// drainStarted is closed when the graceful stop begins.
+	// pulse tells whether the process did not run right before a stop; nil before serve.
+	pulse        *pulse
 	drainStarted chan struct{}
 }
 
@@ -337,6 +339,8 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
+	n.pulse = newPulse(n.clock)
+	group.Go(func() error { return n.pulse.run(runCtx) })
 	group.Go(func() error { return n.membership.Run(runCtx) })
 	group.Go(func() error { return ignoreCanceled(n.config.Run(runCtx)) })
 	group.Go(func() error { return n.quota.Run(runCtx) })
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -15,6 +15,7 @@
 	if changed := time.Duration(n.drainTimeout.Load()); changed > 0 {
 		limit = changed
 	}
+	limit = n.remainingStop(limit)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	_ = n.logger.Log("event", "stopping", "limit", limit)
@@ -28,6 +29,19 @@
 	}
 }
 
+// minStop is the shortest limit of a stop whose signal was noticed late.
+const minStop = time.Second
+
+// remainingStop returns what is left of limit, which counts from the signal that ends this process. If the
+// process did not run right before it noticed the signal, the signal may be as old as that.
+func (n *Node) remainingStop(limit time.Duration) time.Duration {
+	if n.pulse == nil {
+		return limit
+	}
+	now := n.clock.Now()
+	return max(min(limit, minStop), limit-now.Sub(n.pulse.sentAfter(now)))
+}
+
 // logStep logs a step as soon as it is done, because the process may not live to the end of its stop.
 func (n *Node) logStep(o drain.Outcome) {
 	_ = n.logger.Log("msg", "stopping", "step", o.Step, "took", o.Took, "err", o.Err)
