--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -42,55 +42,73 @@
 	platform.TableNodes:   nodesBatchDelay,
 }
 
+// follower follows one table at the store.
+type follower struct {
+	runner *Runner
+	name   string
+	table  *table
+	// needsRead is true if the whole table has to be read next.
+	needsRead bool
+	// backoff is the last delay after a failed call, before jitter; 0 if the feed has answered since.
+	backoff time.Duration
+}
+
 // followTable keeps one table up to date until ctx ends, while this node has to follow it itself.
-// It reads the whole table first and again whenever the feed no longer has the changes since the
-// known version. Only a successful feed call resets the backoff; a successful read does not. The
-// reason is a store that has lost its history of changes: its reads may succeed but keep returning
-// a table that is too old for the feed to continue from.
 func (r *Runner) followTable(ctx context.Context, name string, t *table) {
 	if r.o.FirstStart {
 		r.awaitFirstStart(ctx, name, t)
 	}
-	var backoff time.Duration
-	needsRead := true
+	f := &follower{runner: r, name: name, table: t, needsRead: true}
 	for ctx.Err() == nil {
 		if r.reliesOnPeers(name, t) {
-			needsRead, backoff = false, 0
+			f.needsRead, f.backoff = false, 0
 			_ = r.o.Clock.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		var err error
-		call, release, outdated := r.startCall(ctx, t)
-		reading := needsRead || outdated
-		if reading {
-			err = r.readTable(ctx, name, t)
-		} else {
-			err = r.followChanges(call, name, t)
-		}
-		if ctx.Err() != nil {
-			release()
-			return
-		}
-		if !reading && err != nil && call.Err() != nil {
-			// The call was ended by endCallsUnderWay, which says nothing about the store.
-			r.setHold(t, holdNot)
-			release()
-			continue
-		}
-		if reading && err == nil {
-			r.setHold(t, holdPartly)
-		}
-		needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
-		r.noteLost(name, t, err)
-		switch {
-		case err == nil && !reading:
-			backoff = 0
-		case err != nil:
-			r.Counters.Add("feed_errors", 1)
-			backoff = r.nextBackoff(backoff)
-			_ = r.o.Clock.Sleep(call, r.jitter(backoff))
-		}
-		release()
+		f.step(ctx)
+	}
+}
+
+// step makes the next call: it reads the whole table first and again whenever the feed no longer has the
+// changes since the known version, and follows the feed otherwise.
+func (f *follower) step(ctx context.Context) {
+	r, t := f.runner, f.table
+	call, release, outdated := r.startCall(ctx, t)
+	defer release()
+	reading := f.needsRead || outdated
+	var err error
+	if reading {
+		err = r.readTable(ctx, f.name, t)
+	} else {
+		err = r.followChanges(call, f.name, t)
+	}
+	switch {
+	case ctx.Err() != nil:
+	case !reading && err != nil && call.Err() != nil:
+		// The call was ended by endCallsUnderWay, which says nothing about the store.
+		r.setHold(t, holdNot)
+	default:
+		f.needsRead = err != nil && (reading || platform.ErrHistoryExpired.Has(err))
+		r.noteLost(f.name, t, err)
+		f.finish(call, reading, err)
+	}
+}
+
+// finish prepares the call after one that ended with err, and waits if that failed. Only a call of the feed
+// that was answered resets the backoff; a read does not. The reason is a store that has lost its history
+// of changes: its reads may succeed but keep returning a table that is too old for the feed to continue
+// from.
+func (f *follower) finish(call context.Context, reading bool, err error) {
+	r := f.runner
+	switch {
+	case err != nil:
+		r.Counters.Add("feed_errors", 1)
+		f.backoff = r.nextBackoff(f.backoff)
+		_ = r.o.Clock.Sleep(call, r.jitter(f.backoff))
+	case reading:
+		r.setHold(f.table, holdPartly)
+	default:
+		f.backoff = 0
 	}
 }
 
