--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -30,8 +30,8 @@
 	handshakeTimeout = 2 * time.Second
 	// attemptInterval is the shortest time between the beginnings of two attempts to open one
 	// connection, of which at most maxAttempts are under way.
-	attemptInterval = 500 * time.Millisecond
-	maxAttempts     = 2
+	attemptInterval = 250 * time.Millisecond
+	maxAttempts     = 3
 	// maxStreams is the maximum number of streams that a peer may have open at once on a
 	// connection.
 	maxStreams = 1 << 16
