--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -60,31 +60,12 @@
 	onLost func(address string)
 }
 
-// link is the connection to one address or the attempts to open it. ready is closed once conn
+// link is the connection to one address or the attempt to open it. ready is closed once conn
 // or err is set.
 type link struct {
 	ready chan struct{}
 	conn  *quic.Conn
 	err   error
-	// attempts counts the attempts under way, of which the last began at attemptedAt. Client.mu guards
-	// both until ready is closed.
-	attempts    int
-	attemptedAt time.Time
-}
-
-// isAttemptDue reports whether another attempt is to begin beside those under way.
-func (l *link) isAttemptDue(now time.Time) bool {
-	return !l.isDecided() && l.attempts < maxAttempts && now.Sub(l.attemptedAt) >= attemptInterval
-}
-
-// isDecided reports whether the connection has been established or all attempts have failed.
-func (l *link) isDecided() bool {
-	select {
-	case <-l.ready:
-		return true
-	default:
-		return false
-	}
 }
 
 // isLost reports whether the attempt to connect failed or the connection has ended.
@@ -235,19 +216,13 @@
 }
 
 // connect returns the open connection of the link with the given key, or opens one. Concurrent
-// callers share the attempts. An attempt that began before the other node did sends its next packet
-// only after a growing delay, so a later caller begins another one.
+// callers share one attempt.
 func (c *Client) connect(ctx context.Context, key linkKey) (*quic.Conn, error) {
-	now := c.clock.Now()
 	c.mu.Lock()
 	l := c.links[key]
-	isNew := l == nil || l.isLost()
-	if isNew {
+	if l == nil || l.isLost() {
 		l = &link{ready: make(chan struct{})}
 		c.links[key] = l
-	}
-	if isNew || l.isAttemptDue(now) {
-		l.attempts, l.attemptedAt = l.attempts+1, now
 		go c.dial(key, l)
 	}
 	c.mu.Unlock()
@@ -262,31 +237,13 @@
 func (c *Client) dial(key linkKey, l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	conn, err := c.handshake(ctx, key)
-	switch {
-	case !c.decide(l, conn, err):
-		if conn != nil {
-			_ = conn.CloseWithError(0, "another attempt was faster")
-		}
-	case err != nil:
+	l.conn, l.err = c.handshake(ctx, key)
+	close(l.ready)
+	if l.err != nil {
 		c.removeLink(key, l)
-	default:
-		c.watchLink(key, l)
+		return
 	}
-}
-
-// decide ends an attempt to open the connection of l with its result. It reports whether that decides l:
-// the first connection does, and an error of the last attempt.
-func (c *Client) decide(l *link, conn *quic.Conn, err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	l.attempts--
-	if l.isDecided() || err != nil && l.attempts > 0 {
-		return false
-	}
-	l.conn, l.err = conn, err
-	close(l.ready)
-	return true
+	c.watchLink(key, l)
 }
 
 // closeLink closes the link with the given key because a call over it was not answered in time: the
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -28,10 +28,6 @@
 	controlIdleTimeout = 20 * time.Second
 	// handshakeTimeout is the timeout for opening a connection.
 	handshakeTimeout = 2 * time.Second
-	// attemptInterval is the shortest time between the beginnings of two attempts to open one
-	// connection, of which at most maxAttempts are under way.
-	attemptInterval = 250 * time.Millisecond
-	maxAttempts     = 3
 	// maxStreams is the maximum number of streams that a peer may have open at once on a
 	// connection.
 	maxStreams = 1 << 16
