--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -20,6 +20,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/front"
 	"crocusyoke/internal/ownership"
+	"crocusyoke/internal/peer"
 	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/requestlog"
@@ -244,16 +245,22 @@
 			}
 			return config.AnswerFetch(request)
 		},
-		news: func(_ context.Context, from string, payload []byte) (any, error) {
-			var k runcatalog.Knowledge
-			if err := cbor.Unmarshal(payload, &k); err != nil {
-				return nil, err
-			}
-			if m, ok := n.membership.View().Member(from); ok {
-				config.ObserveAnnouncement(context.Background(), m.Address, k)
-			}
-			return struct{}{}, nil
-		},
+		news: n.newsHandler(config),
+	}
+}
+
+// newsHandler returns the handler of calls of peer.KindNews, by which a listed node tells of a
+// configuration that it has just taken.
+func (n *Node) newsHandler(config *runcatalog.Runner) peer.ServeFunc {
+	return func(_ context.Context, from string, payload []byte) (any, error) {
+		var k runcatalog.Knowledge
+		if err := cbor.Unmarshal(payload, &k); err != nil {
+			return nil, err
+		}
+		if m, ok := n.membership.View().Member(from); ok {
+			config.ObserveAnnouncement(context.Background(), m.Address, k)
+		}
+		return struct{}{}, nil
 	}
 }
 
--- a/internal/node/pulse_test.go
+++ b/internal/node/pulse_test.go
@@ -27,9 +27,9 @@
 	})
 }
 
-// TestStopWithoutAGapTakesItsLimit checks that the limit of a stop is shortened by the time in which the
+// TestStopNoticedLateEndsInTime checks that the limit of a stop is shortened by the time in which the
 // process did not run before it, but never below a second.
-func TestStopWithoutAGapTakesItsLimit(t *testing.T) {
+func TestStopNoticedLateEndsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &Node{clock: clock.Wall{}, pulse: newPulse(clock.Wall{})}
 		must.Eq(t, 6*time.Second, n.remainingStop(6*time.Second))
