Readers: a stand-in's earlier failure does not keep it from confirming

Found on reading the diff: a node that had stood in while the store failed, and stopped, kept its last failure about targets or nodes; when it stood in again, its answers about the configuration confirmed nothing for 3 s, until it followed the other tables too, so that more nodes turned to the store.

--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -176,7 +176,7 @@
 	}
 	relies := t.isKnown() && !follows
 	if relies != t.isRelied {
-		t.isRelied, t.hold = relies, holdNot
+		t.isRelied, t.hold, t.isAway = relies, holdNot, false
 		_ = r.o.Logger.Log("event", "follow", "table", name, "itself", !relies, "reader", r.role.IsReader(),
 			"confirmed_ago", r.role.ConfirmedAge(now))
 	}
--- a/internal/run/catalog/reader_test.go
+++ b/internal/run/catalog/reader_test.go
@@ -106,6 +106,39 @@
 	})
 }
 
+// firstStandIn returns the name of the node that is the first to turn to the store if the readers are lost.
+func firstStandIn(nodes []reader.Node) string {
+	for _, n := range nodes {
+		role := reader.NewRole(n.Name, time.Time{})
+		role.SetNodes(nodes)
+		if !role.IsReader() && role.FollowsConfiguration(time.Time{}.Add(reader.MinPatience+time.Millisecond)) {
+			return n.Name
+		}
+	}
+	return ""
+}
+
+// TestFailureOfAnEarlierStandInCountsForGood checks that a stand-in confirms the tables as soon as the store
+// answers it about the configuration, although its calls about the other tables failed when it last stood
+// in.
+func TestFailureOfAnEarlierStandInCountsForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := largeFleet(295)
+		f := newFakeFeed()
+		setInitialRows(f)
+		r := startRunnerAs(t, firstStandIn(nodes), f, nil)
+		synctest.Wait()
+		r.SetNodes(nodes)
+		f.update(func() { f.down = true })
+		time.Sleep(time.Minute)
+		r.ObservePeer(t.Context(), "reader", Knowledge{ConfirmedBy: reader.IDOf(reader.Choose(nodes)[0])}, time.Now())
+		time.Sleep(2 * roleCheckInterval)
+		f.update(func() { f.down = false })
+		time.Sleep(reader.MinPatience)
+		must.Less(t, time.Second.Milliseconds(), r.confirmedAgeMillis().(int64))
+	})
+}
+
 // panickingDecoder panics over the value "panic".
 type panickingDecoder struct{ fakeDecoder }
 
--- a/internal/run/catalog/table.go
+++ b/internal/run/catalog/table.go
@@ -60,8 +60,8 @@
 	// lostAt is when the calls of this node about the table began to fail; zero if the last one
 	// was answered. A call under way may be held without a failure.
 	lostAt time.Time
-	// isAway is true if the store did not answer the last call of this node about the table, or turned
-	// it away.
+	// isAway is true if this node follows the table and the store did not answer its last call about it, or
+	// turned it away.
 	isAway bool
 	// isRelied is true while the node has the table from its peers and makes no calls about it.
 	isRelied bool
