Test: a stand-in is given time to notice that it is not needed

Traced: the node was still in the backoff of its last failed call (up to 9 s, random) when the reader's single confirmation came, so it had not stopped standing in.

--- a/internal/run/catalog/reader_test.go
+++ b/internal/run/catalog/reader_test.go
@@ -131,10 +131,13 @@
 		r.SetNodes(nodes)
 		f.update(func() { f.down = true })
 		time.Sleep(time.Minute)
-		r.ObservePeer(t.Context(), "reader", Knowledge{ConfirmedBy: reader.IDOf(reader.Choose(nodes)[0])}, time.Now())
-		time.Sleep(2 * roleCheckInterval)
+		// A stand-in notices that it is not needed once its last backoff is over.
+		for range 2 * standInBackoffMax / roleCheckInterval {
+			r.ObservePeer(t.Context(), "reader", Knowledge{ConfirmedBy: reader.IDOf(reader.Choose(nodes)[0])}, time.Now())
+			time.Sleep(roleCheckInterval)
+		}
 		f.update(func() { f.down = false })
-		time.Sleep(reader.MinPatience)
+		time.Sleep(reader.MinPatience + roleCheckInterval)
 		must.Less(t, time.Second.Milliseconds(), r.confirmedAgeMillis().(int64))
 	})
 }
