Owner: answers of targets that are errors are counted and logged by code

error_answers and set_ups_refused count by the target's code, up to 32 codes; event='error answer' tells target, code, kind, customer and session, up to 5 lines a second for each code, and whether the statement or the set-up before it was refused. Shapes with blanks show as MALFORMED and NOSTMT of statements; set-ups as such. No logic is changed.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -21,11 +21,14 @@
 	silentConnections   *expvar.Int
 	statementsCancelled *expvar.Int
 	transactionsLost    *expvar.Int
+	errorAnswers        *errorAnswers
 }
 
 func newCounters() *counters {
-	c := &counters{vars: new(expvar.Map), refusals: new(expvar.Map)}
+	c := &counters{vars: new(expvar.Map), refusals: new(expvar.Map), errorAnswers: newErrorAnswers()}
 	c.vars.Set("refusals", c.refusals)
+	c.vars.Set("error_answers", c.errorAnswers.refused)
+	c.vars.Set("set_ups_refused", c.errorAnswers.setUp)
 	c.servedByPrimary = c.add("served_by_primary")
 	c.servedByReplica = c.add("served_by_replica")
 	c.reads = c.add("reads")
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -166,6 +166,7 @@
 		return nil, request.Refuse(request.CodeTimeout, "exchange", r.member.name, "time ran out before anything was sent")
 	}
 	o := g.exchange(ctx, conn, r.req, r.attemptTimeout(ctx, g.now()), r.replica)
+	g.recordErrorAnswer(r.member.name, r.req, &o)
 	tx := g.finishExchange(ctx, r, conn, &o)
 	g.recycle(r.slot)
 	return g.evaluate(ctx, r, tx, &o)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -61,6 +61,7 @@
 		return nil, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
 	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
+	g.recordErrorAnswer(tx.member.name, req, &o)
 	kept := g.endStatement(tx, slot, &o)
 	g.recycle(slot)
 	response, refusal := g.evaluateInTransaction(ctx, req, tx, &o)
@@ -200,6 +201,7 @@
 		return
 	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
+	g.recordErrorAnswer(m.name, req, &o)
 	if o.err == nil && o.reply.TxStatus != 'I' {
 		o.err = Error.New("rollback left the transaction open")
 	}
--- /dev/null
+++ b/internal/target/setup.go
@@ -0,0 +1,15 @@
+package target
+
+import "fmt"
+
+// SetUpRefused is the error of an exchange in which the target refused a statement that gives the connection
+// the session state of the caller, such as one that changes a session setting.
+type SetUpRefused struct {
+	// Code is the target's error code.
+	Code string
+}
+
+// Error implements error.
+func (e *SetUpRefused) Error() string {
+	return fmt.Sprintf("the target refused the session's state: %s", e.Code)
+}
