Line: a statement is sent once the target has acknowledged its session state

Cause: a connection wrote the set-up and the statement in one piece and read the answers afterwards; its record of values and names changed before any answer. Fix: the set-up is a round trip of its own, and only where something has to be set up; each step enters the connection's record when the target acknowledges it. A refused set-up is a target.SetUpRefused: nothing was sent, the connection goes on, the owner tries another one (in a transaction: rolls back), the caller gets a refusal that says not run. An answer that does not say whether the step had an effect closes the connection.

--- a/internal/owner/answers.go
+++ b/internal/owner/answers.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"errors"
 	"expvar"
 	"sync"
 	"time"
@@ -9,7 +8,6 @@
 	"golang.org/x/time/rate"
 
 	"crocusyoke/internal/request"
-	"crocusyoke/internal/target"
 )
 
 const (
@@ -69,8 +67,8 @@
 // an error.
 func (g *group) recordErrorAnswer(peer string, req *request.Request, o *exchangeResult) {
 	code, step := o.reply.Code, "statement"
-	var refused *target.SetUpRefused
-	if errors.As(o.err, &refused) {
+	refused := o.setUpRefused()
+	if refused != nil {
 		code, step = refused.Code, "set up"
 	}
 	if code == "" {
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -36,6 +36,17 @@
 	return nil
 }
 
+// setUpRefused returns the error of an exchange whose request was not sent, because the target refused the
+// session state for it, or nil. The connection can be used again.
+func (o *exchangeResult) setUpRefused() *target.SetUpRefused {
+	var refused *target.SetUpRefused
+	errors.As(o.err, &refused)
+	return refused
+}
+
+// connectionFailed reports whether the exchange left the connection unusable.
+func (o *exchangeResult) connectionFailed() bool { return o.err != nil && o.setUpRefused() == nil }
+
 // exchange runs req on conn. When ctx ends, it asks the target to cancel the statement. If no
 // answer arrives within Times.CancelWait after that, it abandons the statement, that is, stops
 // waiting for the answer. A positive timeout abandons the statement after that time. A statement
@@ -124,7 +135,7 @@
 
 // returnConn returns conn to m's pool, or closes it if its state is uncertain.
 func (g *group) returnConn(m *member, conn *pool.Conn, o *exchangeResult) {
-	if o.err == nil && !o.cancelled && o.reply.TxStatus == 'I' {
+	if !o.connectionFailed() && !o.cancelled && o.reply.TxStatus == 'I' {
 		m.pool.Put(conn)
 		return
 	}
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -207,7 +207,7 @@
 	if !pinned {
 		g.returnConn(r.member, conn, o)
 	}
-	failed := o.err != nil && o.refusal() == nil && ctx.Err() != context.Canceled
+	failed := o.connectionFailed() && o.refusal() == nil && ctx.Err() != context.Canceled
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -254,6 +254,9 @@
 	if refusal := o.refusal(); refusal != nil {
 		return refusal
 	}
+	if refused := o.setUpRefused(); refused != nil && !refused.Retryable {
+		return request.Refuse(request.CodeProtocol, "set up", peer, "nothing was sent").WithCause(o.err)
+	}
 	if !o.sent {
 		if ctx.Err() != nil {
 			return request.Refuse(request.CodeTimeout, "exchange", peer, "time ran out before anything was sent").WithCause(o.err)
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -103,7 +103,7 @@
 // endStatement frees the slot after a statement. If the transaction has ended, it also
 // returns the connection. It reports whether the transaction is still open.
 func (g *group) endStatement(tx *transaction, slot *slotWaiter, o *exchangeResult) bool {
-	over := o.err != nil || o.reply.TxStatus == 'I'
+	over := o.connectionFailed() || o.reply.TxStatus == 'I'
 	if over {
 		if tx.tainted {
 			o.cancelled = true
@@ -113,7 +113,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	tx.member.recordExchange(o.err != nil, o.reply.Position)
+	tx.member.recordExchange(o.connectionFailed(), o.reply.Position)
 	tx.lastUsed = now
 	tx.busy = false
 	tx.tainted = tx.tainted || o.cancelled
@@ -136,7 +136,7 @@
 	if o.err != nil {
 		g.manager.counts.transactionsLost.Add(1)
 		if !o.sent {
-			return nil, request.Refuse(request.CodeTransactionLost, "exchange", peer, "the connection failed before the statement was sent").WithCause(o.err)
+			return nil, request.Refuse(request.CodeTransactionLost, "exchange", peer, "the statement was not sent; rolled back").WithCause(o.err)
 		}
 		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", peer, "no answer").WithCause(o.err)
 	}
--- a/internal/target/setup.go
+++ b/internal/target/setup.go
@@ -2,11 +2,13 @@
 
 import "fmt"
 
-// SetUpRefused is the error of an exchange in which the target refused a statement that gives the connection
-// the session state of the caller, such as one that changes a session setting.
+// SetUpRefused is the error of an exchange that was not sent, because the target refused a statement that gives
+// the connection the session state of the caller, such as one that changes a session setting.
 type SetUpRefused struct {
 	// Code is the target's error code.
 	Code string
+	// Retryable is true if the same session state may be accepted later or by another target.
+	Retryable bool
 }
 
 // Error implements error.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -120,11 +120,12 @@
 }
 
 // Conn is one data connection to a target. Only Cancel may be called concurrently with other
-// methods. After any error from Exchange the connection is unusable and must be closed.
+// methods. After any error from Exchange other than a *SetUpRefused the connection is unusable and
+// must be closed.
 type Conn interface {
 	// Exchange sends one request in the wire format of the target's protocol and reads the
-	// complete answer. sent is false if it failed before anything was written to the
-	// connection.
+	// complete answer. sent is false if it failed before anything of the request was written to the
+	// connection. With a *SetUpRefused sent is false, and only the reply's TxStatus and Position are set.
 	Exchange(ctx context.Context, messages []byte) (reply Reply, sent bool, err error)
 	// Cancel asks the target to cancel the running statement.
 	Cancel(ctx context.Context) error
