Front: COMMIT and ROLLBACK run with the session's settings

Cause: the calls of COMMIT and ROLLBACK left the connection's settings as they were, which was right only while the transaction's last statement had applied all of them.

--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -122,17 +122,13 @@
 	}
 }
 
-// newCall returns the Call that st sends to a target. A COMMIT or ROLLBACK runs on the
-// transaction's own connection, whose settings it leaves alone.
+// newCall returns the Call that st sends to a target.
 func (s *sessionState) newCall(st *Statement) *Call {
 	c := &Call{ID: st.ID, Text: st.Text, Settings: s.settings}
-	switch st.Verb {
-	case VerbExecute:
+	if st.Verb == VerbExecute {
 		shape := s.prepared[st.Name]
 		c.Shape = &shape
 		c.Text = st.Arguments
-	case VerbCommit, VerbRollback:
-		c.KeepSettings = true
 	}
 	return c
 }
