--- a/internal/target/setup.go
+++ b/internal/target/setup.go
@@ -2,8 +2,9 @@
 
 import "fmt"
 
-// SetUpRefused is the error of an exchange that was not sent, because the target refused a statement that gives
-// the connection the session state of the caller, such as one that changes a session setting.
+// SetUpRefused is the error of an exchange that did not run, because the target refused a statement that gives
+// the connection the session state of the caller, such as one that changes a session setting, or has lost that
+// state.
 type SetUpRefused struct {
 	// Code is the target's error code.
 	Code string
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -125,7 +125,8 @@
 type Conn interface {
 	// Exchange sends one request in the wire format of the target's protocol and reads the
 	// complete answer. sent is false if it failed before anything of the request was written to the
-	// connection. With a *SetUpRefused sent is false, and only the reply's TxStatus and Position are set.
+	// connection. With a *SetUpRefused nothing ran, sent is false, and only the reply's TxStatus and Position are
+	// set.
 	Exchange(ctx context.Context, messages []byte) (reply Reply, sent bool, err error)
 	// Cancel asks the target to cancel the running statement.
 	Cancel(ctx context.Context) error
