Lease: the row of another group's lease passed for this one's after a restore

What could be seen: two nodes that order promotions of one group at the same time. In the store's second era the lease of group "g" has the row "lease/2/g", which is the row that the lease of a group called "2/g" had in the first era. A restore brings that row back, so the node that held the lease of "2/g" found itself named as the holder of "g" and renewed it at once, while the holder from before the restore still had a valid lease: neither RestoreWait nor the era's fence applied.

Cause: names were joined by "/" without regard to a "/" in them; nor was the length looked at (200 bytes), so that a long name had a lease that could never be written.

The fix: platform.JoinKey escapes "/" and "%" in each part and replaces a last part that makes the key too long by its hash. Keys of names without these characters stay as they are; a group whose name has them gets new rows, and between two releases its lease is not shared.

Now: go test -race ./internal/platform ./internal/run/lease ./internal/run/promotion passes.

--- a/internal/run/lease/era.go
+++ b/internal/run/lease/era.go
@@ -20,9 +20,9 @@
 // rowKey returns the key of a lease's row in an era of the store.
 func rowKey(name string, era uint64) string {
 	if era <= firstEra {
-		return keyPrefix + name
+		return platform.JoinKey(keyRoot, name)
 	}
-	return keyPrefix + strconv.FormatUint(era, 10) + "/" + name
+	return platform.JoinKey(keyRoot, strconv.FormatUint(era, 10), name)
 }
 
 // nextFence returns the fence of a new holder in era, which is higher than former and than every
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -52,8 +52,8 @@
 	retryInterval = 500 * time.Millisecond
 )
 
-// keyPrefix is the prefix of the row keys of leases.
-const keyPrefix = "lease/"
+// keyRoot is the first part of the row keys of leases.
+const keyRoot = "lease"
 
 // record is the value of a lease's row.
 type record struct {
--- a/internal/run/lease/restore_test.go
+++ b/internal/run/lease/restore_test.go
@@ -201,3 +201,25 @@
 	must.Greater(t, 100, holders)
 	t.Logf("%d restores, %d changes of the holder", restores, holders)
 }
+
+// TestRowOfAnotherLeaseAfterRestore guards against two holders of one lease: after a restore, the row of
+// another lease must not pass for the one of this lease in the new era.
+func TestRowOfAnotherLeaseAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		first, second := newKeeper(store, "n1", "a", &suspension{}), newKeeper(store, "n2", "b", &suspension{})
+		defer start(first)()
+		defer start(second)()
+		first.SetWanted("2/g", true)
+		second.SetWanted("g", true)
+		time.Sleep(time.Second)
+		first.SetWanted("g", true)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, heldFence(second))
+		store.Restore(store.Copy())
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			must.True(t, heldFence(first) == 0 || heldFence(second) == 0)
+		}
+	})
+}
--- a/internal/run/promotion/record.go
+++ b/internal/run/promotion/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocusyoke/internal/controller/promotion"
+	"crocusyoke/internal/platform"
 )
 
 // Retry delays and total time limit for recording a promotion during an outage of the
@@ -30,7 +31,7 @@
 }
 
 // RowKey returns the key of a group's row.
-func RowKey(deployment, group string) string { return deployment + "/group/" + group }
+func RowKey(deployment, group string) string { return platform.JoinKey(deployment, "group", group) }
 
 // record writes the promotion to the group's row and its audit trail. It retries during
 // outages of the store for at most recordTimeout; no other operation depends on its
