Targets: an address with a blank set further parameters of the connection

What could be seen: with the address "127.0.0.1 target_session_attrs=read-write:5432" a connection was opened only if the target accepted writes; other keys of pgconn's connection string could be set in the same way. The configuration allows IP:port only, but for an IPv6 zone, which may have any text.

Cause: the host was put into a connection string, which blanks delimit, before it was set as a field.

The fix: the connection string is a constant; host, port, user, database and parameters are fields.

Tests that hold before and after: quoted literals, and names with NUL, which pgproto3 refuses to encode. Now: go test -race ./internal/target/pgtarget passes.

--- a/internal/target/pgtarget/dialer.go
+++ b/internal/target/pgtarget/dialer.go
@@ -97,6 +97,10 @@
 	return pgconn.ConnectConfig(ctx, config)
 }
 
+// baseSettings is the connection string from which every connection's configuration begins. It holds no
+// text from outside.
+const baseSettings = "host=localhost sslmode=disable"
+
 // config sets every field that matters, so that pgconn takes none of them from the process's
 // environment.
 func (d *Dialer) config(address, database string) (*pgconn.Config, error) {
@@ -108,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	config, err := pgconn.ParseConfig("host=" + host + " sslmode=disable")
+	config, err := pgconn.ParseConfig(baseSettings)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/target/pgtarget/pgtarget_test.go
+++ b/internal/target/pgtarget/pgtarget_test.go
@@ -201,3 +201,13 @@
 	must.NoError(t, err)
 	must.EqOp(t, "57014", reply.Code)
 }
+
+// TestNamesWithNULAreNotSent guards against a name that ends in the middle of a startup message, where the rest
+// would be further parameters.
+func TestNamesWithNULAreNotSent(t *testing.T) {
+	_, address := startTarget(t, false)
+	_, err := pgtarget.New(user, password, "node-1").Dial(t.Context(), target.Login{Address: address, Database: "ledger\x00user\x00admin"})
+	must.ErrorContains(t, err, "NUL")
+	_, err = pgtarget.New(user, password, "node\x00user\x00admin").Control(t.Context(), target.Login{Address: address})
+	must.ErrorContains(t, err, "NUL")
+}
