Status: a name with a tab or a line break filled several cells or rows of a table

What operators could see: crocusyoke status shows the names of customers, groups, failure domains and targets as the platform's operators chose them, and config history and audit the name given by --as; a tab in one moved all later cells of its row, a line break began a row that no node had reported.

The fix: a name that has blanks or can't be printed stands in quotes; so does an error's text or a change's if it has line breaks. JSON output has names as they are.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -17,6 +17,7 @@
 	"crocusyoke/internal/change"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/run/promotion"
+	"crocusyoke/internal/status"
 )
 
 // Flag defaults.
@@ -316,7 +317,7 @@
 	fmt.Fprintln(w, "VERSION\tFROM\tWHEN\tWHO\tCHANGES")
 	for _, e := range r.Entries {
 		fmt.Fprintf(w, "%d\t%d\t%s\t%s\t%s\n", e.ToVersion, e.FromVersion,
-			e.When.Format(time.RFC3339), e.Who, summarizeChanges(e.Changes))
+			e.When.Format(time.RFC3339), status.Name(e.Who), status.Text(summarizeChanges(e.Changes)))
 	}
 }
 
@@ -371,9 +372,9 @@
 
 func (r auditResult) writeTable(w io.Writer) {
 	for _, e := range r.Entries {
-		fmt.Fprintf(w, "%s  %s  version %d -> %d\n", e.When.Format(time.RFC3339), e.Who, e.FromVersion, e.ToVersion)
+		fmt.Fprintf(w, "%s  %s  version %d -> %d\n", e.When.Format(time.RFC3339), status.Name(e.Who), e.FromVersion, e.ToVersion)
 		for _, c := range e.Changes {
-			fmt.Fprintf(w, "    %s\n", c)
+			fmt.Fprintf(w, "    %s\n", status.Text(c.String()))
 		}
 	}
 }
--- a/internal/status/table.go
+++ b/internal/status/table.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // SilentNode is a node on the platform's list of VMs that did not answer when it was asked for its
@@ -14,6 +17,23 @@
 	Error  string `json:"error"`
 }
 
+// Name returns a name as a cell of a table shows it: quoted if it has blanks or characters that can't be
+// printed, so that it stays one cell of one line.
+func Name(name string) string {
+	if strings.IndexFunc(name, func(r rune) bool { return unicode.IsSpace(r) || !unicode.IsPrint(r) }) < 0 {
+		return name
+	}
+	return strconv.Quote(name)
+}
+
+// Text returns text as the last cell of a row shows it: quoted if it would not stay on one line.
+func Text(text string) string {
+	if strings.IndexFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) < 0 {
+		return text
+	}
+	return strconv.Quote(text)
+}
+
 // WriteTables writes the reports and the silent nodes as tab-separated tables, which are
 // separated by empty lines.
 func WriteTables(w io.Writer, reports []Report, silent []SilentNode) {
@@ -26,11 +46,11 @@
 func writeNodes(w io.Writer, reports []Report, silent []SilentNode) {
 	fmt.Fprintln(w, "NODE\tDOMAIN\tSTATE\tCONFIG\tFRESH\tUPTIME\tPEERS\tRELEASE")
 	for _, r := range reports {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", r.Node, r.Domain, nodeState(r),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", Name(r.Node), Name(r.Domain), nodeState(r),
 			r.ConfigVersion, yesOrNo(r.ConfigFresh), r.Uptime.Round(time.Second), len(r.Peers), r.Release)
 	}
 	for _, s := range silent {
-		fmt.Fprintf(w, "%s\t%s\tsilent\t-\t-\t-\t-\t%s\n", s.Node, s.Domain, s.Error)
+		fmt.Fprintf(w, "%s\t%s\tsilent\t-\t-\t-\t-\t%s\n", Name(s.Node), Name(s.Domain), Text(s.Error))
 	}
 }
 
@@ -55,7 +75,7 @@
 	for _, r := range reports {
 		for _, g := range r.Groups {
 			for _, t := range g.Targets {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\t%d\t%d\t%d\t%s\n", g.Name, r.Node, t.Name, t.Role,
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\t%d\t%d\t%d\t%s\n", Name(g.Name), Name(r.Node), Name(t.Name), t.Role,
 					t.Term, t.Position, t.Lag, t.Age.Round(time.Millisecond), t.Connections, t.Busy, t.Queued, targetNotes(t))
 			}
 		}
@@ -77,7 +97,8 @@
 	fmt.Fprintln(w, "\nCUSTOMER\tNODE\tTOKENS\tDEMAND/S\tOWN SHARE\tCOORDINATOR")
 	for _, r := range reports {
 		for _, s := range r.Shares {
-			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%s\t%s\n", s.Customer, r.Node, s.Tokens, s.Demand, yesOrNo(s.OwnShare), s.Coordinator)
+			fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%s\t%s\n", Name(s.Customer), Name(r.Node), s.Tokens, s.Demand,
+				yesOrNo(s.OwnShare), Name(s.Coordinator))
 		}
 	}
 }
@@ -86,7 +107,7 @@
 	fmt.Fprintln(w, "\nREFUSAL\tNODE\tCOUNT")
 	for _, r := range reports {
 		for _, f := range r.Refusals {
-			fmt.Fprintf(w, "%s\t%s\t%d\n", f.Code, r.Node, f.Count)
+			fmt.Fprintf(w, "%s\t%s\t%d\n", Name(f.Code), Name(r.Node), f.Count)
 		}
 	}
 }
--- a/internal/status/table_test.go
+++ b/internal/status/table_test.go
@@ -54,3 +54,23 @@
 	must.StrContains(t, out, "ledger-1\tvm-1\tt1")
 	must.StrContains(t, out, "ledger-1\tvm-2\tt1")
 }
+
+// TestNameStaysOneCell guards against a name from the configuration that fills several cells or lines.
+func TestNameStaysOneCell(t *testing.T) {
+	name := "a\tb\nc d"
+	report := status.Report{
+		Node: name, Domain: name,
+		Groups:   []status.Group{{Name: name, Targets: []status.Target{{Name: name, Role: target.RoleReplica}}}},
+		Shares:   []status.Share{{Customer: name, Coordinator: name}},
+		Refusals: []status.Refusal{{Code: name}},
+	}
+	plain := renderTables([]status.Report{{
+		Groups: []status.Group{{Targets: []status.Target{{}}}}, Shares: []status.Share{{}}, Refusals: []status.Refusal{{}},
+	}}, status.SilentNode{})
+	out := renderTables([]status.Report{report}, status.SilentNode{Node: name, Domain: name, Error: "no\nanswer"})
+	for _, separator := range []string{"\t", "\n"} {
+		must.Eq(t, strings.Count(plain, separator), strings.Count(out, separator))
+	}
+	must.StrContains(t, out, `"a\tb\nc d"`)
+	must.StrContains(t, out, `"no\nanswer"`)
+}
