Limit: the counters of refusals grew with every customer that was ever configured

What could be seen: limit_refused keeps a counter for each customer that was refused once, also after the customer has left the configuration, for as long as the process runs.

The fix: 10,000 customers are counted one by one, others together under the empty name, which no customer that is served has.

Evidence: TestCountersOfCustomersAreBounded with the former line: 10,005 counters where 10,001 were expected. Names with quotes and line breaks are keys of valid JSON before and after. Now: go test -race ./internal/filter/limit passes.

--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"sync/atomic"
 	"time"
 
 	"crocusyoke/internal/request"
@@ -17,6 +18,14 @@
 
 const step = "limit"
 
+const (
+	// maxCountedCustomers is the number of customers whose refusals are counted one by one, so that the
+	// counters stay bounded however often customers are added and removed.
+	maxCountedCustomers = 10_000
+	// otherCustomers is the counter of all others. No customer that is served has this name.
+	otherCustomers = ""
+)
+
 // Quota manages this node's share of each customer's rate and burst.
 type Quota interface {
 	// Admit charges the customer for one request. If the quota is used up, it may wait briefly
@@ -32,8 +41,9 @@
 type Filter struct {
 	next  request.Handler
 	quota Quota
-	// Refused counts refusals by customer.
+	// Refused counts refusals by customer, and those of customers above maxCountedCustomers together.
 	Refused expvar.Map
+	counted atomic.Int64
 }
 
 // New returns a Filter in front of next.
@@ -48,7 +58,7 @@
 	}
 	ok, wait := f.quota.Admit(ctx, req.Customer)
 	if !ok {
-		f.Refused.Add(req.Customer, 1)
+		f.countRefusal(req.Customer)
 		return nil, request.Refuse(request.CodeOverRate, step, "",
 			"customer %s is over its rate, retry after %s", req.Customer, wait).WithRetryAfter(wait)
 	}
@@ -57,6 +67,13 @@
 	return response, err
 }
 
+func (f *Filter) countRefusal(customer string) {
+	if f.Refused.Get(customer) == nil && f.counted.Add(1) > maxCountedCustomers {
+		customer = otherCustomers
+	}
+	f.Refused.Add(customer, 1)
+}
+
 // End implements request.Handler.
 func (f *Filter) End(session string) { f.next.End(session) }
 
--- a/internal/filter/limit/limit_test.go
+++ b/internal/filter/limit/limit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -90,3 +92,22 @@
 	must.Error(t, err)
 	must.Eq(t, 0, b.left)
 }
+
+// TestCountersOfCustomersAreBounded guards against a node whose counters grow with every customer that was
+// ever in the configuration. Names of any form are keys of their own.
+func TestCountersOfCustomersAreBounded(t *testing.T) {
+	f := New(&fakeHandler{}, &fakeQuota{})
+	refuse := func(customer string) {
+		_, err := f.Serve(context.Background(), &request.Request{Customer: customer, Kind: request.KindRead})
+		must.Error(t, err)
+	}
+	for i := range maxCountedCustomers + 5 {
+		refuse(fmt.Sprintf("\"c\n%d", i))
+	}
+	refuse("\"c\n0")
+	var counts map[string]int
+	must.NoError(t, json.Unmarshal([]byte(f.Refused.String()), &counts))
+	must.MapLen(t, maxCountedCustomers+1, counts)
+	must.Eq(t, 5, counts[otherCustomers])
+	must.Eq(t, 2, counts["\"c\n0"])
+}
