--- a/internal/requestlog/log_test.go
+++ b/internal/requestlog/log_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -73,3 +75,22 @@
 	must.Eq(t, 2, strings.Count(out.String(), "\n"))
 	must.Eq(t, 0, len(l.queue))
 }
+
+// TestOddNamesStayOneField guards against a name that ends its field or its line of the log.
+func TestOddNamesStayOneField(t *testing.T) {
+	for name, logged := range map[string]string{
+		"a b":                     `"a b"`,
+		"a=b":                     `"a=b"`,
+		`"a" outcome=ok`:          `"\"a\" outcome=ok"`,
+		"a\r\nevent=request id=1": `"a\r\nevent=request id=1"`,
+		"a\x00":                   `"a\u0000"`,
+		"\xff":                    `"\ufffd"`,
+		"":                        ``,
+	} {
+		var out strings.Builder
+		l := New(log.NewLogfmtLogger(&out))
+		l.Write(Entry{ID: name, Session: name, Outcome: "late", Fields: []any{"customer", name, "cause", errors.New(name)}})
+		l.Flush()
+		must.Eq(t, fmt.Sprintf("event=request id=%[1]s session=%[1]s outcome=late customer=%[1]s cause=%[1]s\n", logged), out.String())
+	}
+}
