Catalog: a customer with a blank in its name passed for another one at the targets

Callers of a customer "acme corp" were let in and got "ERROR BUSY timeout: no connection in time" after 1.001 s for each statement, since every target refuses the login as one for another target; such refused logins also make the pool open one connection at a time for all customers.

Cause: STARTUP has the group's and the customer's name and the target's id between blanks. Only the id was checked against what delimits it; the names in the configuration, and the service of a target's entry, were not.

The auth filter refuses the marked ones at login and, for services, from an open session's next transaction on: no_target, not run, with the name and when to come back. An open transaction goes on. It is no code that says that the key or route is unknown.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -27,6 +27,21 @@
 	TransactionIdleTimeout time.Duration
 }
 
+// Unservable returns the names of the customers and of the services that can't be served.
+func (c *Configuration) Unservable() (customers, services []string) {
+	for i := range c.Customers {
+		if c.Customers[i].Unservable {
+			customers = append(customers, c.Customers[i].Name)
+		}
+	}
+	for i := range c.Services {
+		if c.Services[i].Unservable {
+			services = append(services, c.Services[i].Name)
+		}
+	}
+	return customers, services
+}
+
 // Group is a database group in the configuration.
 type Group struct {
 	Name string
--- a/internal/filter/auth/auth.go
+++ b/internal/filter/auth/auth.go
@@ -4,7 +4,8 @@
 // Invariant: a request of a session with a key passes only while the key is in the current
 // configuration. A request of a session without a key passes only on a service that is open to
 // all, or if it is a read under fleet.ReadsAge on an open service. A rollback needs no key. The
-// key itself is never stored, only its ID and hash.
+// key itself is never stored, only its ID and hash. Nothing begins on behalf of a customer or on a
+// service that no connection to a target can be opened for.
 package auth
 
 import (
@@ -15,6 +16,7 @@
 	"expvar"
 	"slices"
 	"sync"
+	"time"
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
@@ -22,6 +24,10 @@
 
 const step = "auth"
 
+// unservableRetryAfter is how long a caller should wait whose customer or service can't be served before
+// the configuration is changed.
+const unservableRetryAfter = 10 * time.Second
+
 // Identity says which customer and key a session was authenticated with.
 type Identity struct {
 	// Customer is empty for a caller without a key.
@@ -95,8 +101,8 @@
 }
 
 // LoginByKey authenticates a caller that presents a key without a customer's name. On a service
-// that is open to all, every caller is Anonymous. It fails with CodeBadKey, CodeUnknownService
-// or CodeStaleConfig.
+// that is open to all, every caller is Anonymous. It fails with CodeBadKey, CodeUnknownService,
+// CodeStaleConfig or CodeNoTarget.
 func (f *Filter) LoginByKey(key, service string) (Identity, error) {
 	id, err := f.loginByKey(key, service)
 	if err != nil {
@@ -115,6 +121,9 @@
 		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %q is not known", service)
 	}
 	if s.OpenToAll {
+		if refusal := checkServable(s, nil); refusal != nil {
+			return Identity{}, refusal
+		}
 		return Anonymous, nil
 	}
 	if !f.isFresh() {
@@ -125,9 +134,28 @@
 	if key == "" || customer == nil {
 		return Identity{}, request.Refuse(request.CodeBadKey, step, "", "the key belongs to no customer")
 	}
+	if refusal := checkServable(s, customer); refusal != nil {
+		return Identity{}, refusal
+	}
 	return Identity{Customer: customer.Name, KeyID: found.ID, hash: found.Hash}, nil
 }
 
+// checkServable refuses with CodeNoTarget if no connection to a target can be opened for the service or
+// the customer, which is nil for callers without a key.
+func checkServable(s *fleet.Service, customer *fleet.Customer) *request.Refusal {
+	if s.Unservable {
+		return refuseUnservable("service %q: the name of its group, %q, can't be sent to targets", s.Name, s.Group)
+	}
+	if customer != nil && customer.Unservable {
+		return refuseUnservable("customer %q: its name can't be sent to targets", customer.Name)
+	}
+	return nil
+}
+
+func refuseUnservable(format string, args ...any) *request.Refusal {
+	return request.Refuse(request.CodeNoTarget, step, "", format, args...).WithRetryAfter(unservableRetryAfter)
+}
+
 func (f *Filter) login(customer, key, service string) (Identity, error) {
 	cfg := f.source.Current()
 	if cfg == nil {
@@ -204,17 +232,23 @@
 		if refusal := f.checkKey(cfg, id); refusal != nil {
 			return refusal
 		}
-		if s.AllCustomers || slices.Contains(s.Customers, id.Customer) {
-			return nil
-		}
 	}
-	if s.OpenToAll {
-		return nil
+	if !mayUse(s, id, req) {
+		return refuseForbidden(req.Service)
 	}
-	if s.Open && isAllowedOnOpenService(req) {
+	if req.Kind == request.KindInTransaction || req.Kind == request.KindCommit {
+		// The transaction stays in the group in which it began.
 		return nil
 	}
-	return refuseForbidden(req.Service)
+	return checkServable(s, nil)
+}
+
+// mayUse reports whether a caller whose key is in force, or who has none, may run req on service s.
+func mayUse(s *fleet.Service, id Identity, req *request.Request) bool {
+	if id != Anonymous && (s.AllCustomers || slices.Contains(s.Customers, id.Customer)) {
+		return true
+	}
+	return s.OpenToAll || s.Open && isAllowedOnOpenService(req)
 }
 
 func (f *Filter) checkKey(cfg *fleet.Config, id Identity) *request.Refusal {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,6 +79,9 @@
 	// is at least 1.
 	Weight int   `toml:"weight" json:"weight"`
 	Keys   []Key `toml:"key" json:"keys"`
+	// Unservable is true for a customer that no target can be told of, because its name can't be sent.
+	// Only the platform's configuration has such names.
+	Unservable bool `toml:"-" json:"unservable,omitempty"`
 }
 
 // Key identifies an API key of a customer. Only its hash is stored, never the key itself.
@@ -105,6 +108,9 @@
 	AllCustomers bool `toml:"-" json:"all_customers,omitempty"`
 	// OpenToAll lets every caller use the service, with or without a key, for anything.
 	OpenToAll bool `toml:"-" json:"open_to_all,omitempty"`
+	// Unservable is true for a service whose group's name can't be sent to targets. Only the platform's
+	// configuration has such names.
+	Unservable bool `toml:"-" json:"unservable,omitempty"`
 }
 
 // Group is one replicated database: a primary and its replicas.
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -77,6 +77,7 @@
 		return false
 	}
 	r.logTaken(decoded.Version, revision, source)
+	r.logUnservable(decoded)
 	isFirst := r.document.decoded == nil
 	r.document = document{decoded: decoded, value: value, era: revision.Era}
 	if !isFirst {
@@ -84,3 +85,15 @@
 	}
 	return true
 }
+
+// logUnservable logs the customers and the services of a configuration that can't be served: how many there
+// are, and the first one.
+func (r *Runner) logUnservable(c *catalog.Configuration) {
+	customers, services := c.Unservable()
+	if len(customers) > 0 {
+		_ = r.o.Logger.Log("event", "customers unservable", "version", c.Version, "count", len(customers), "customer", customers[0])
+	}
+	if len(services) > 0 {
+		_ = r.o.Logger.Log("event", "services unservable", "version", c.Version, "count", len(services), "service", services[0])
+	}
+}
