CLI: a deployment's name with "/" could name the row of a group's promotions

Nodes check the name in their settings, the commands did not.

The fix: a deployment that is not a valid name is a usage error, before anything is called.

Evidence: TestDeploymentThatIsNoName before: exit code 4 (written, pending) where 2 was expected. Now: go test -race ./internal/cli passes.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -298,3 +298,14 @@
 	f.store.SetOutage(true)
 	f.mustFail(ExitUnavailable, "outage", "audit", "--group", "ledger-1")
 }
+
+// TestDeploymentThatIsNoName guards against a configuration that is written over the record of a group's
+// promotions: the row of deployment "trust/group" would be that of a group called "config" of "trust".
+func TestDeploymentThatIsNoName(t *testing.T) {
+	f := newTestFleet(t)
+	for _, name := range []string{"trust/group", "trust ", "a\nb", "~"} {
+		f.mustFail(ExitUsage, "is not a valid name", "--deployment", name, "config", "apply", "--from", "0", "../../examples/trust/fleet.toml")
+	}
+	_, err := f.store.Get(t.Context(), promotion.RowKey("trust", "config"))
+	must.True(t, platform.ErrNotFound.Has(err))
+}
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/pflag"
 
 	"crocusyoke/internal/change"
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/tomlfile"
@@ -102,7 +103,7 @@
 }
 
 // fleetOptions returns the options of a command that needs the platform. It fails with a
-// usageError if the platform or the deployment is not given.
+// usageError if the platform or the deployment is not given, or if the deployment's name is not valid.
 func (a *app) fleetOptions() (Options, error) {
 	o, err := a.options()
 	if err != nil {
@@ -111,6 +112,9 @@
 	if o.Platform == "" || o.Deployment == "" {
 		return o, usageError{errors.New("--platform and --deployment are needed (or CROCUSYOKE_PLATFORM and CROCUSYOKE_DEPLOYMENT, or platform and deployment in the operator file)")}
 	}
+	if !fleet.ValidName(o.Deployment) {
+		return o, usageError{fmt.Errorf("deployment %q is not a valid name", o.Deployment)}
+	}
 	return o, nil
 }
 
