Tests: names that delimit nothing, and keys of two customers

TestValidName says which names the product's own configuration allows: none with what delimits fields, keys, rows or objects of the audit trail. The fake database of the idempotency tests joined customer and key by "/" itself, so it took ("a/b", "c") and ("a", "b/c") for one record; it quotes them now, which is stricter, and TestKeysOfTwoCustomers holds (values are parameters of the statement).

--- a/internal/filter/idempotency/database_test.go
+++ b/internal/filter/idempotency/database_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"strings"
 
@@ -139,6 +140,9 @@
 	return s.executeOnRecords(sql, values, done)
 }
 
+// recordKey returns the primary key of a record.
+func recordKey(customer, key []byte) string { return fmt.Sprintf("%q %q", customer, key) }
+
 func (s *fakeConn) executeOnRecords(sql string, values [][]byte, done func(string) ([]pgproto3.BackendMessage, string)) ([]pgproto3.BackendMessage, string) {
 	data := s.db
 	if s.tx != nil {
@@ -146,7 +150,7 @@
 	}
 	switch sql {
 	case sqlInsert:
-		key := string(values[0]) + "/" + string(values[1])
+		key := recordKey(values[0], values[1])
 		if _, ok := data.records[key]; ok {
 			s.failed = true
 			return nil, sqlStateUniqueViolation
@@ -154,11 +158,11 @@
 		data.records[key] = record{string(values[2]), string(values[3])}
 		return done("INSERT 0 1")
 	case sqlUpdate:
-		key := string(values[1]) + "/" + string(values[2])
+		key := recordKey(values[1], values[2])
 		data.records[key] = record{data.records[key].fingerprint, string(values[0])}
 		return done("UPDATE 1")
 	case sqlSelect:
-		found := data.records[string(values[0])+"/"+string(values[1])]
+		found := data.records[recordKey(values[0], values[1])]
 		answers, _ := done("SELECT 1")
 		row := &pgproto3.DataRow{Values: [][]byte{[]byte(found.fingerprint), []byte(found.outcome)}}
 		return append([]pgproto3.BackendMessage{row}, answers...), ""
--- a/internal/filter/idempotency/idempotency_test.go
+++ b/internal/filter/idempotency/idempotency_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -35,6 +36,21 @@
 	must.Eq(t, map[string]int{"a": 1}, db.effects)
 }
 
+// TestKeysOfTwoCustomers checks that customers and keys of any form are two values of a record.
+func TestKeysOfTwoCustomers(t *testing.T) {
+	db := newFakeDatabase()
+	for i, pair := range [][2]string{
+		{"a/b", "c"}, {"a", "b/c"}, {"a'b", "c"}, {"a", "'b c"}, {"", "abc"}, {"abc", ""}, {"a\x00b", "c"}, {"a", "\x00bc"}, {"A", "b/c"},
+	} {
+		write := newWrite(fmt.Sprintf("effect %d", i), pair[1])
+		write.Customer = pair[0]
+		result, _, err := Execute(context.Background(), &fakeConn{db: db}, write)
+		must.NoError(t, err)
+		must.False(t, result.Repeated)
+		must.MapLen(t, i+1, db.records)
+	}
+}
+
 func TestFailedStatementLeavesNoRecord(t *testing.T) {
 	db := newFakeDatabase()
 	conn := &fakeConn{db: db}
--- a/internal/fleet/parse_test.go
+++ b/internal/fleet/parse_test.go
@@ -180,3 +180,15 @@
 	_, err = ParseDraft(body, "shown", func(c *Config) { c.RestoreSecrets(nil) })
 	must.ErrorContains(t, err, "customer[0].key[0].hash: must be a SHA-256 in hex", must.Sprint("a key without a hash is rejected"))
 }
+
+// TestValidName checks that a name holds nothing that delimits fields, keys, rows or objects of the audit trail.
+func TestValidName(t *testing.T) {
+	for _, name := range []string{
+		"", " ", "a b", "a/b", "a\nb", "a\n", "a\x00", "a=b", "a,b", "a#b", "a%2Fb", "a~", "a'b", "\"a\"", "../a", ".", "-a", "caf\u00e9", "a\xff",
+		strings.Repeat("a", 64),
+	} {
+		must.False(t, ValidName(name), must.Sprintf("%q", name))
+	}
+	must.True(t, ValidName("A.b-c_9"))
+	must.True(t, ValidName(strings.Repeat("a", 63)))
+}
