Peers: a panic over a request from another node ends only that request

Callers whose requests went to another node could lose, with that one request, every session of the owner: a panic while it served the request had no recover above it and ended the process.

The request is served inside contain.Step. After a panic its caller gets outcome unknown, since something may have been sent, and the session ends, since the state of its transaction is uncertain. What else runs for a stream is contained as a whole, and the session still ends at the owner.

TestPanicOverARequestEndsTheOwner before: "panic: unexpected value [recovered, repanicked] ... quicpeer.(*session).serve", the test binary ends. Now it holds, also with -race.

--- /dev/null
+++ b/internal/peer/quicpeer/panic_test.go
@@ -0,0 +1,50 @@
+package quicpeer
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
+)
+
+// panickingOwner panics over requests whose messages are "boom", and over the end of the session of that name.
+type panickingOwner struct{ stubOwner }
+
+func (o *panickingOwner) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
+	if string(req.Messages) == "boom" {
+		panic("unexpected value")
+	}
+	return o.stubOwner.Serve(ctx, req)
+}
+
+func (o *panickingOwner) End(session string) {
+	o.stubOwner.End(session)
+	if session == "boom" {
+		panic("unexpected value")
+	}
+}
+
+// TestPanicOverARequestEndsTheOwner guards against an owner whose process ends because it panics over a
+// request from another node. The caller is told that the outcome is unknown, its session ends, and other
+// sessions go on.
+func TestPanicOverARequestEndsTheOwner(t *testing.T) {
+	a := newAuthority(t)
+	o := &panickingOwner{}
+	address, _ := startServer(t, a, o)
+	c := newTestClient(t, a, "a", RoleNode)
+	other := c.Open(address)
+	_, err := other.Serve(t.Context(), newRequest("other", 1, "x"))
+	must.NoError(t, err)
+	h := c.Open(address)
+	_, err = h.Serve(t.Context(), newRequest("s", 1, "boom"))
+	must.Eq(t, request.CodeOutcomeUnknown, request.AsRefusal(err).Code)
+	must.ErrorContains(t, err, "panicked")
+	_, err = other.Serve(t.Context(), newRequest("other", 2, "y"))
+	must.NoError(t, err)
+	h.End("s")
+	_, err = c.Open(address).Serve(t.Context(), newRequest("s", 2, "x"))
+	must.NoError(t, err)
+	must.Eq(t, 1, o.endedSessions())
+}
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/request"
 )
 
@@ -32,13 +33,19 @@
 	defer cancel()
 	defer context.AfterFunc(stream.Context(), cancel)()
 	sess := &session{server: s, stream: stream, stop: cancel, ended: make(chan struct{})}
+	defer s.endSession(sess)
 	for sess.serveNext(ctx, reader) {
 	}
-	if sess.context != nil {
-		s.sessions.End(sess.context.Session)
-		s.unregister(sess)
-		close(sess.ended)
+}
+
+// endSession ends sess at the owner if it has begun.
+func (s *Server) endSession(sess *session) {
+	if sess.context == nil {
+		return
 	}
+	s.sessions.End(sess.context.Session)
+	s.unregister(sess)
+	close(sess.ended)
 }
 
 // serveNext reads and serves one request. It returns false if the session must end.
@@ -53,7 +60,7 @@
 	}
 	s.server.answering.Add(1)
 	defer s.server.answering.Add(-1)
-	answer := s.serve(ctx, frame.toRequest(s.context, s.server.clock.Now()))
+	answer, panicked := s.serve(ctx, frame.toRequest(s.context, s.server.clock.Now()))
 	if s.stream.Context().Err() != nil {
 		return false
 	}
@@ -61,7 +68,7 @@
 		counters.Add(counterBrokenStreams, 1)
 		return false
 	}
-	return true
+	return !panicked
 }
 
 // updateContext replaces the session's context unless c is nil. It returns false if the first
@@ -85,19 +92,38 @@
 	return true
 }
 
-func (s *session) serve(ctx context.Context, req *request.Request) answerFrame {
+// serve returns the answer to req. panicked is true if serving it panicked: the outcome of req is then
+// unknown, and so is the state of the session's transaction, so the session must end.
+func (s *session) serve(ctx context.Context, req *request.Request) (answer answerFrame, panicked bool) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s.setRunning(req.ID.Sequence, cancel)
+	defer s.setRunning(0, nil)
+	panicked = contain.Step(s.server.Logger, "serve request", func() { answer = s.serveHere(ctx, req) })
+	if panicked {
+		refusal := request.Refuse(request.CodeOutcomeUnknown, refusalStep, "", "the request panicked")
+		answer = s.refuse(req, refusal)
+	}
+	return answer, panicked
+}
+
+// serveHere returns the answer of the server's handler to req.
+func (s *session) serveHere(ctx context.Context, req *request.Request) answerFrame {
 	response, err := s.server.sessions.Serve(ctx, req)
-	s.setRunning(0, nil)
 	if err != nil {
-		refusal := newRefusalFrame(request.AsRefusal(err), s.server.self)
-		return answerFrame{Session: req.ID.Session, Sequence: req.ID.Sequence, Refusal: refusal}
+		return s.refuse(req, request.AsRefusal(err))
 	}
 	return newAnswerFrame(response)
 }
 
+func (s *session) refuse(req *request.Request, refusal *request.Refusal) answerFrame {
+	return answerFrame{
+		Session:  req.ID.Session,
+		Sequence: req.ID.Sequence,
+		Refusal:  newRefusalFrame(refusal, s.server.self),
+	}
+}
+
 // setRunning records the running request and the function that cancels it; 0 and nil mean none.
 // If the request was canceled before it began, it is canceled at once.
 func (s *session) setRunning(sequence uint64, cancel context.CancelFunc) {
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
 	"github.com/quic-go/quic-go"
 
 	"crocusyoke/internal/clock"
@@ -71,6 +72,8 @@
 	// ResetKey lets a restarted node end the connections of its former process at once. It is
 	// nil if the next process can't know the key.
 	ResetKey *quic.StatelessResetKey
+	// Logger is told of panics. It must be set before Serve; the default logs nothing.
+	Logger   log.Logger
 	tls      *tls.Config
 	clock    clock.Clock
 	sessions request.Handler
@@ -93,6 +96,7 @@
 // is the node's name.
 func NewServer(self string, config *tls.Config, c clock.Clock, sessions request.Handler) *Server {
 	return &Server{
+		Logger:         log.NewNopLogger(),
 		self:           self,
 		tls:            config,
 		clock:          c,
@@ -146,7 +150,9 @@
 			s.awaitAnswers(ctx)
 			return
 		}
-		s.wait.Go(func() { s.serveStream(ctx, caller, stream) })
+		s.wait.Go(func() {
+			contain.Step(s.Logger, "serve stream", func() { s.serveStream(ctx, caller, stream) })
+		})
 	}
 }
 
