Peers: a panic over the end of a session ends neither the process nor the session's name

Callers of every session at an owner could be cut when another node's session ended there: a panic in that had no recover above it. The session's name would also have stayed taken, so that a new stream of the session waited for ever for the old one.

The end is contained by itself; the session is then unregistered and marked as ended in any case.

TestPanicOverTheEndOfASessionEndsTheOwner before: "panic: unexpected value [recovered, repanicked] ... (*panickingOwner).End ... serveSession". Now a session ends and comes back three times.

--- a/internal/peer/quicpeer/panic_test.go
+++ b/internal/peer/quicpeer/panic_test.go
@@ -48,3 +48,17 @@
 	must.NoError(t, err)
 	must.Eq(t, 1, o.endedSessions())
 }
+
+// TestPanicOverTheEndOfASessionEndsTheOwner guards against an owner whose process ends because it panics
+// over the end of another node's session, and against a session that can't be resumed after that.
+func TestPanicOverTheEndOfASessionEndsTheOwner(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &panickingOwner{})
+	c := newTestClient(t, a, "a", RoleNode)
+	for range uint64(3) {
+		h := c.Open(address)
+		_, err := h.Serve(t.Context(), newRequest("boom", 1, "x"))
+		must.NoError(t, err)
+		h.End("boom")
+	}
+}
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -38,12 +38,13 @@
 	}
 }
 
-// endSession ends sess at the owner if it has begun.
+// endSession ends sess at the owner if it has begun. Whatever happens there, the session is no longer
+// active afterwards, so that a new stream of it can be served.
 func (s *Server) endSession(sess *session) {
 	if sess.context == nil {
 		return
 	}
-	s.sessions.End(sess.context.Session)
+	contain.Step(s.Logger, "end session", func() { s.sessions.End(sess.context.Session) })
 	s.unregister(sess)
 	close(sess.ended)
 }
