Peers: a panic over whether a peer may connect ends only its connection

A process ended if the check of a peer's name and certificate panicked: it runs in the goroutine of the connection, without a recover. Each connection is contained now, and closed.

TestPanicOverAPeerEndsTheServer before: "panic: unexpected name [recovered, repanicked] ... quicpeer.(*Server).serveConn". Now the next peer is served.

--- a/internal/peer/quicpeer/panic_test.go
+++ b/internal/peer/quicpeer/panic_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/peer"
 	"crocusyoke/internal/request"
 )
 
@@ -62,3 +63,20 @@
 		h.End("boom")
 	}
 }
+
+// TestPanicOverAPeerEndsTheServer guards against a node whose process ends because it panics over the
+// question whether a peer may connect.
+func TestPanicOverAPeerEndsTheServer(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &stubOwner{}, func(s *Server) {
+		s.Allow = func(_ context.Context, p Peer) bool {
+			if p.Name == "boom" {
+				panic("unexpected name")
+			}
+			return true
+		}
+	})
+	var reply any
+	must.Error(t, newTestClient(t, a, "boom", RoleNode).Call(t.Context(), address, peer.KindProbe, "x", &reply))
+	must.NoError(t, newTestClient(t, a, "a", RoleNode).Call(t.Context(), address, peer.KindProbe, "x", &reply))
+}
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -133,7 +133,9 @@
 			return Error.Wrap(err)
 		}
 		counters.Add(counterConnectionsAccepted, 1)
-		s.wait.Go(func() { s.serveConn(ctx, conn) })
+		s.wait.Go(func() {
+			contain.Step(s.Logger, "serve peer", func() { s.serveConn(ctx, conn) })
+		})
 	}
 }
 
