Peers: a panic while a node is dialed fails only that call

A process ended if the check of the name of the node that it had dialed panicked: an attempt to connect has a goroutine of its own, which its callers share. The attempt is contained now; its callers get the error, the connection is closed, and the next call dials again.

Now the call fails with the panic and the next one is answered.

--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -12,6 +12,7 @@
 	"github.com/quic-go/quic-go"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/request"
 )
@@ -237,7 +238,7 @@
 func (c *Client) dial(key linkKey, l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	l.conn, l.err = c.handshake(ctx, key)
+	l.conn, l.err = contain.Call("dial peer", func() (*quic.Conn, error) { return c.handshake(ctx, key) })
 	close(l.ready)
 	if l.err != nil {
 		c.removeLink(key, l)
@@ -276,10 +277,16 @@
 	if err != nil {
 		return nil, err
 	}
+	accepted := false
+	defer func() {
+		if !accepted {
+			_ = conn.CloseWithError(0, "another node is listed here")
+		}
+	}()
 	p := identify(conn)
-	if c.Accept != nil && !c.Accept(address, p.Name) {
+	accepted = c.Accept == nil || c.Accept(address, p.Name)
+	if !accepted {
 		counters.Add(counterForbidden, 1)
-		_ = conn.CloseWithError(0, "another node is listed here")
 		return nil, Error.New("node %s answers at %s, where another node is listed", p.Name, address)
 	}
 	return conn, nil
--- a/internal/peer/quicpeer/panic_test.go
+++ b/internal/peer/quicpeer/panic_test.go
@@ -80,3 +80,22 @@
 	must.Error(t, newTestClient(t, a, "boom", RoleNode).Call(t.Context(), address, peer.KindProbe, "x", &reply))
 	must.NoError(t, newTestClient(t, a, "a", RoleNode).Call(t.Context(), address, peer.KindProbe, "x", &reply))
 }
+
+// TestPanicOverAnAcceptedPeerEndsTheCaller guards against a node whose process ends because it panics over
+// the name of the node that it has called.
+func TestPanicOverAnAcceptedPeerEndsTheCaller(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &stubOwner{})
+	c := newTestClient(t, a, "a", RoleNode)
+	panics := true
+	c.Accept = func(string, string) bool {
+		if panics {
+			panic("unexpected name")
+		}
+		return true
+	}
+	var reply any
+	must.ErrorContains(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply), "unexpected name")
+	panics = false
+	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
+}
