Peers: a panic over a lost connection does not end the process

The function that is told of a lost connection runs in the goroutine of context.AfterFunc, without a recover. It is contained now, and the client has a logger for panics.

Now the next call connects again.

--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
 	"github.com/quic-go/quic-go"
 
 	"crocusyoke/internal/clock"
@@ -51,6 +52,9 @@
 	// no. It must be set before the first call.
 	SeparateCalls func() bool
 
+	// Logger is told of panics. It must be set before the first call; the default logs nothing.
+	Logger log.Logger
+
 	tls       *tls.Config
 	clock     clock.Clock
 	delay     DelayFunc
@@ -95,6 +99,7 @@
 		delay = func(string) time.Duration { return 0 }
 	}
 	return &Client{
+		Logger:    log.NewNopLogger(),
 		tls:       config,
 		clock:     c,
 		delay:     delay,
@@ -348,7 +353,7 @@
 		counters.Add(counterConnectionsLost, 1)
 		c.removeLink(key, l)
 		if key.use == useSessions {
-			c.notifyLost(key.address)
+			contain.Step(c.Logger, "lost peer", func() { c.notifyLost(key.address) })
 		}
 	})
 }
--- a/internal/peer/quicpeer/panic_test.go
+++ b/internal/peer/quicpeer/panic_test.go
@@ -99,3 +99,22 @@
 	panics = false
 	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
 }
+
+// TestPanicOverALostPeerEndsTheCaller guards against a node whose process ends because it panics when it
+// has lost a connection to another one.
+func TestPanicOverALostPeerEndsTheCaller(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &stubOwner{})
+	c := newTestClient(t, a, "a", RoleNode)
+	lost := make(chan struct{})
+	c.OnConnectionLost(func(string) {
+		close(lost)
+		panic("unexpected address")
+	})
+	var reply any
+	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
+	must.NoError(t, c.openConn(linkKey{address, useSessions}).CloseWithError(0, "lost"))
+	<-lost
+	c.OnConnectionLost(nil)
+	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
+}
