Peers: a panic over the cancellation of a request does not end the process

A request that is canceled while its owner serves it is canceled there from a goroutine of context.AfterFunc, without a recover. It is contained now; the request then waits for its answer until its deadline.

TestPanicOverACancellationEndsTheCaller before: "panic: unexpected time ... (*remoteHandler).sendCancel". Now the answer arrives and the session goes on.

--- a/internal/peer/quicpeer/panic_test.go
+++ b/internal/peer/quicpeer/panic_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/clock"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/request"
 )
@@ -118,3 +121,41 @@
 	c.OnConnectionLost(nil)
 	must.NoError(t, c.Call(t.Context(), address, peer.KindProbe, "x", &reply))
 }
+
+// panickingClock panics once it is armed.
+type panickingClock struct {
+	clock.Wall
+	armed atomic.Bool
+}
+
+func (c *panickingClock) Now() time.Time {
+	if c.armed.Load() {
+		panic("unexpected time")
+	}
+	return c.Wall.Now()
+}
+
+// TestPanicOverACancellationEndsTheCaller guards against a node whose process ends because it panics when it
+// cancels a request at the owner.
+func TestPanicOverACancellationEndsTheCaller(t *testing.T) {
+	a := newAuthority(t)
+	o := &stubOwner{block: make(chan struct{}), arrived: make(chan struct{}, 2)}
+	address, _ := startServer(t, a, o)
+	c := newTestClient(t, a, "a", RoleNode)
+	faulty := &panickingClock{}
+	c.clock = faulty
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-o.arrived
+		faulty.armed.Store(true)
+		cancel()
+		close(o.block)
+	}()
+	h := c.Open(address)
+	resp, err := h.Serve(ctx, newRequest("s", 1, "x"))
+	must.NoError(t, err)
+	must.Eq(t, "x", string(resp.Messages))
+	faulty.armed.Store(false)
+	_, err = h.Serve(t.Context(), newRequest("s", 2, "y"))
+	must.NoError(t, err)
+}
--- a/internal/peer/quicpeer/remote.go
+++ b/internal/peer/quicpeer/remote.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/request"
 )
 
@@ -80,7 +81,7 @@
 	stream := r.stream
 	stop := context.AfterFunc(ctx, func() {
 		defer close(cancelDone)
-		r.sendCancel(stream, req.ID)
+		contain.Step(r.client.Logger, "cancel request", func() { r.sendCancel(stream, req.ID) })
 	})
 	defer func() {
 		if !stop() {
