Pool: a panic while a connection is opened fails only that attempt

All callers of a node lost their sessions if it panicked over a target's answer to a new connection, as to a malformed startup: connections are opened in goroutines of the pool's own, without a recover.

The attempt is contained and counts as failed, with the backoff of any other failure; what is being opened is counted right again, also for its customer, so that the pool neither shrinks nor waits for ever when it is closed. contain.Run is Step for functions that return an error.

TestPanicOverAStartupEndsTheOwner before: "panic: unexpected startup ... (*Pool).openConn ... created by pool.(*Pool).openFor". Now the fourth attempt, after three panics, serves the request.

--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -30,15 +30,25 @@
 // Step runs one step of a loop that must go on, and reports whether it panicked. It logs the panic with
 // its stack.
 func Step(logger log.Logger, step string, f func()) (panicked bool) {
-	_, err := Call(step, func() (struct{}, error) {
+	err := Run(logger, step, func() error {
 		f()
-		return struct{}{}, nil
+		return nil
+	})
+	return err != nil
+}
+
+// Run returns the error of f. If f panics, it returns an error with the stack, and logs it.
+func Run(logger log.Logger, step string, f func() error) error {
+	panicked := true
+	_, err := Call(step, func() (struct{}, error) {
+		err := f()
+		panicked = false
+		return struct{}{}, err
 	})
-	if err == nil {
-		return false
+	if panicked {
+		_ = logger.Log("event", "panic", "step", step, "err", err)
 	}
-	_ = logger.Log("event", "panic", "step", step, "err", err)
-	return true
+	return err
 }
 
 // Call returns the results of f, or an error with the stack if f panics. step names what f does.
--- /dev/null
+++ b/internal/owner/pool/conn.go
@@ -0,0 +1,22 @@
+package pool
+
+import (
+	"time"
+
+	"crocusyoke/internal/contain"
+	"crocusyoke/internal/target"
+)
+
+// Conn is a connection of a Pool. The caller returns it with Put or Discard.
+type Conn struct {
+	target.Conn
+	pool     *Pool
+	customer string
+	lastUsed time.Time
+	opened   time.Time
+}
+
+// contain returns the error of f, or an error if f panics, so that the pool's counts stay right.
+func (p *Pool) contain(step string, f func() error) error {
+	return contain.Run(p.options.Logger, step, f)
+}
--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -63,7 +63,11 @@
 	if evicted != nil {
 		_ = evicted.Close()
 	}
-	conn, err := p.dial(customer, notBefore)
+	var conn *Conn
+	err := p.contain("dial target", func() (err error) {
+		conn, err = p.dial(customer, notBefore)
+		return err
+	})
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	p.opening--
--- /dev/null
+++ b/internal/owner/pool/panic_test.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/clock"
+	"crocusyoke/internal/target"
+)
+
+// panickingConn panics in the methods that are told to.
+type panickingConn struct {
+	target.Conn
+	inExchange, inClose, inCancel bool
+}
+
+func (c *panickingConn) Exchange(ctx context.Context, messages []byte) (target.Reply, bool, error) {
+	if c.inExchange {
+		panic("unexpected answer")
+	}
+	return c.Conn.Exchange(ctx, messages)
+}
+
+func (c *panickingConn) Cancel(ctx context.Context) error {
+	if c.inCancel {
+		panic("unexpected state")
+	}
+	return c.Conn.Cancel(ctx)
+}
+
+func (c *panickingConn) Close() error {
+	err := c.Conn.Close()
+	if c.inClose {
+		panic("unexpected state")
+	}
+	return err
+}
+
+// withPanickingPool runs check with a Pool whose first dials panic, as many as panics says, and whose
+// connections can be told to.
+func withPanickingPool(t *testing.T, limit, panics int, check func(*testing.T, *Pool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeServer{}
+		dial := func(ctx context.Context, customer string) (target.Conn, error) {
+			if panics > 0 {
+				panics--
+				panic("unexpected startup")
+			}
+			conn, err := s.dial(ctx, customer)
+			return &panickingConn{Conn: conn}, err
+		}
+		p := New(Options{Dial: dial, Probe: []byte("probe"), Clock: clock.Wall{}, Limit: limit})
+		check(t, p)
+		p.Close()
+		<-p.Drained()
+		synctest.Wait()
+		must.Eq(t, 0, s.count())
+	})
+}
+
+func getFor(t *testing.T, p *Pool, customer string) (*Conn, *panickingConn) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	conn, err := p.Get(ctx, customer)
+	must.NoError(t, err)
+	return conn, conn.Conn.(*panickingConn)
+}
+
+// TestPanicOverAStartupEndsTheOwner guards against an owner whose process ends because it panics over a
+// target's answer to a new connection, and against a pool that counts that connection for good.
+func TestPanicOverAStartupEndsTheOwner(t *testing.T) {
+	withPanickingPool(t, 1, 3, func(t *testing.T, p *Pool) {
+		conn, _ := getFor(t, p, "a")
+		must.Eq(t, Stats{Limit: 1, Open: 1, Failed: 3}, p.Stats())
+		must.MapEmpty(t, p.openingFor)
+		p.Put(conn)
+	})
+}
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/clock"
@@ -50,6 +51,8 @@
 	// Probe is the exchange that proves a connection alive, in wire format.
 	Probe []byte
 	Clock clock.Clock
+	// Logger is told of panics; it may be nil.
+	Logger log.Logger
 	// Limit is the maximum number of open connections.
 	Limit int
 	// MinIdle is the number of idle connections to keep open. It must be 0 where a
@@ -57,15 +60,6 @@
 	MinIdle int
 }
 
-// Conn is a connection of a Pool. The caller returns it with Put or Discard.
-type Conn struct {
-	target.Conn
-	pool     *Pool
-	customer string
-	lastUsed time.Time
-	opened   time.Time
-}
-
 // waiter is a request that waits for a connection on behalf of customer.
 type waiter struct {
 	customer string
@@ -109,6 +103,9 @@
 
 // New returns a Pool and starts opening its idle connections.
 func New(options Options) *Pool {
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pool{options: options, ctx: ctx, stop: stop, openingFor: make(map[string]int)}
 	p.mu.Lock()
