Pool: a panic while a connection is closed neither ends the process nor leaves it counted

At the limit one customer's connection is closed in the background to make room for another's; a panic in that ended the process. In Discard it would have left the connection counted as open for good. Close of a pool's connection is contained now.

TestPanicOverAClosedConnectionEndsTheOwner before: "panic: unexpected state ... (*panickingConn).Close ... (*Pool).openConn". Now the next customer gets the one connection of the limit, twice.

--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -16,6 +16,11 @@
 	opened   time.Time
 }
 
+// Close implements target.Conn. A panic becomes an error.
+func (c *Conn) Close() error {
+	return c.pool.contain("close connection", c.Conn.Close)
+}
+
 // contain returns the error of f, or an error if f panics, so that the pool's counts stay right.
 func (p *Pool) contain(step string, f func() error) error {
 	return contain.Run(p.options.Logger, step, f)
--- a/internal/owner/pool/panic_test.go
+++ b/internal/owner/pool/panic_test.go
@@ -82,3 +82,19 @@
 		p.Put(conn)
 	})
 }
+
+// TestPanicOverAClosedConnectionEndsTheOwner guards against an owner whose process ends because it panics
+// when it closes one customer's connection for another's, and against a pool that counts it for good.
+func TestPanicOverAClosedConnectionEndsTheOwner(t *testing.T) {
+	withPanickingPool(t, 1, 0, func(t *testing.T, p *Pool) {
+		evicted, inner := getFor(t, p, "a")
+		inner.inClose = true
+		p.Put(evicted)
+		discarded, inner := getFor(t, p, "b")
+		inner.inClose = true
+		p.Discard(discarded, false)
+		conn, _ := getFor(t, p, "a")
+		must.Eq(t, Stats{Limit: 1, Open: 1}, p.Stats())
+		p.Put(conn)
+	})
+}
