Pool: a connection whose probe panics is closed

The request that had the connection probed failed with the panic, and the connection stayed counted as open for good: with as many panics as the limit, the target got no connection any more. The probe is contained now; a panic counts as a connection that doesn't answer.

TestPanicOverAProbeKeepsItsConnection before: "panic: unexpected answer [recovered, repanicked] ... (*Pool).probe". Now the connection is closed and the same request gets a new one.

--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"crocusyoke/internal/target"
 )
 
 // fill starts opening connections in the background. It opens as many as MinIdle and the waiting
@@ -133,7 +135,11 @@
 func (p *Pool) probe(ctx context.Context, conn *Conn) bool {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
-	reply, _, err := conn.Exchange(ctx, p.options.Probe)
+	var reply target.Reply
+	err := p.contain("probe connection", func() (err error) {
+		reply, _, err = conn.Exchange(ctx, p.options.Probe)
+		return err
+	})
 	if err == nil && reply.TxStatus == 'I' {
 		return true
 	}
--- a/internal/owner/pool/panic_test.go
+++ b/internal/owner/pool/panic_test.go
@@ -98,3 +98,18 @@
 		p.Put(conn)
 	})
 }
+
+// TestPanicOverAProbeKeepsItsConnection guards against a connection that counts as open for good because its
+// probe panicked, and against one that is used after that.
+func TestPanicOverAProbeKeepsItsConnection(t *testing.T) {
+	withPanickingPool(t, 1, 0, func(t *testing.T, p *Pool) {
+		first, inner := getFor(t, p, "a")
+		inner.inExchange = true
+		p.Put(first)
+		time.Sleep(2 * IdleProbeThreshold)
+		second, _ := getFor(t, p, "a")
+		must.True(t, second != first)
+		must.Eq(t, Stats{Limit: 1, Open: 1, Silent: 1}, p.Stats())
+		p.Put(second)
+	})
+}
