Pool: a panic over the cancellation of a statement does not end the process

A statement is canceled at its target from a goroutine of context.AfterFunc, without a recover. Cancel of a pool's connection is contained now; the statement is then abandoned after its usual time and its connection closed.

--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"time"
 
 	"crocusyoke/internal/contain"
@@ -16,6 +17,11 @@
 	opened   time.Time
 }
 
+// Cancel implements target.Conn. A panic becomes an error.
+func (c *Conn) Cancel(ctx context.Context) error {
+	return c.pool.contain("cancel statement", func() error { return c.Conn.Cancel(ctx) })
+}
+
 // Close implements target.Conn. A panic becomes an error.
 func (c *Conn) Close() error {
 	return c.pool.contain("close connection", c.Conn.Close)
--- a/internal/owner/pool/panic_test.go
+++ b/internal/owner/pool/panic_test.go
@@ -113,3 +113,14 @@
 		p.Put(second)
 	})
 }
+
+// TestPanicOverACancellationEndsTheOwner guards against an owner whose process ends because it panics over
+// the cancellation of a statement, which has a goroutine of its own.
+func TestPanicOverACancellationEndsTheOwner(t *testing.T) {
+	withPanickingPool(t, 1, 0, func(t *testing.T, p *Pool) {
+		conn, inner := getFor(t, p, "a")
+		inner.inCancel = true
+		must.Error(t, conn.Cancel(t.Context()))
+		p.Discard(conn, false)
+	})
+}
