Owner: a panic over a rollback ends only its transaction

When a caller left in the middle of a transaction, a panic while its owner rolled that back ended the owner's process, and with it all sessions there: a rollback has a goroutine of its own, without a recover. The hosted dialer panics by itself if it can't encode the command.

The rollback is contained. After a panic, wherever it left the transaction, the connection is closed, which rolls back, a slot that the rollback waited for or held is freed, and the transaction is forgotten. That is the former end of a rollback that got no slot in time; it is one function now. A transaction stays busy until its slot is freed, and notes that its connection was returned.

TestPanicOverARollbackEndsTheOwner before: "panic: unexpected command ... (*group).rollback ... created by (*group).abortLocked". Now nothing is held, and a COMMIT after it is refused as not run.

--- /dev/null
+++ b/internal/owner/panic_test.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
+	"crocusyoke/internal/target"
+)
+
+// panickingDialer is a Dialer that panics when it is asked for its commands, if armed.
+type panickingDialer struct {
+	target.Dialer
+	armed atomic.Bool
+}
+
+func (d *panickingDialer) Commands() target.Commands {
+	if d.armed.Load() {
+		panic("unexpected command")
+	}
+	return d.Dialer.Commands()
+}
+
+// checkNothingHeld fails the test if a target has an open transaction, or a slot or connection in use.
+func (h *harness) checkNothingHeld() {
+	h.Helper()
+	for _, s := range h.manager.Snapshot()[0].Targets {
+		must.Eq(h, 0, s.Transactions)
+		must.Eq(h, 0, s.InFlight)
+		must.Eq(h, 0, s.Waiting)
+		must.Eq(h, s.Connections.Idle, s.Connections.Open)
+	}
+}
+
+// TestPanicOverARollbackEndsTheOwner guards against an owner whose process ends because it panics while it
+// rolls back a transaction whose caller has left, and against a transaction, slot or connection that is
+// kept after that.
+func TestPanicOverARollbackEndsTheOwner(t *testing.T) {
+	dialer := &panickingDialer{}
+	use := func(o *Options) {
+		dialer.Dialer = o.Dialer
+		o.Dialer = dialer
+	}
+	withHarness(t, 5*time.Millisecond, use, func(h *harness) {
+		begin := h.request(request.KindBegin, "BEGIN", time.Second)
+		_, err := h.serve(begin)
+		must.NoError(h, err)
+		dialer.armed.Store(true)
+		h.manager.End(begin.ID.Session)
+		time.Sleep(rollbackTimeout)
+		dialer.armed.Store(false)
+		h.checkNothingHeld()
+		_, err = h.serve(nextRequest(begin, request.KindCommit, "COMMIT"))
+		mustRefuse(h.T, err, request.CodeTransactionLost)
+		must.Eq(h, 0, h.group.targets[0].count("COMMIT"))
+	})
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
@@ -33,6 +34,9 @@
 	// closed after the transaction, since a cancel request that takes effect late might cancel
 	// another session's statement.
 	tainted bool
+	// connReturned is set once conn was returned to its pool or closed. Only the statement that made the
+	// transaction busy uses it.
+	connReturned bool
 }
 
 // rollbackTimeout bounds the rollback of an abandoned transaction. After that its connection
@@ -107,6 +111,7 @@
 		if tx.tainted {
 			o.cancelled = true
 		}
+		tx.connReturned = true
 		g.returnConn(tx.member, tx.conn, o)
 	}
 	now := g.now()
@@ -114,14 +119,16 @@
 	defer g.mu.Unlock()
 	tx.member.recordExchange(o.err != nil, o.reply.Position)
 	tx.lastUsed = now
-	tx.busy = false
 	tx.tainted = tx.tainted || o.cancelled
 	change := schedule.TransactionUnchanged
 	if over {
 		change = schedule.TransactionClosed
-		g.forget(tx)
 	}
 	deliver(tx.member.schedule.Done(now, &slot.item, change))
+	tx.busy = false
+	if over {
+		g.forget(tx)
+	}
 	if !over && tx.aborting {
 		g.abortLocked(tx)
 	}
@@ -182,21 +189,23 @@
 }
 
 // rollback rolls tx back on its target and returns its connection, or closes the connection
-// if that takes longer than rollbackTimeout.
+// if that takes longer than rollbackTimeout or panics.
 func (g *group) rollback(tx *transaction) {
 	g.manager.counts.transactionsLost.Add(1)
-	m := tx.member
-	now := g.now()
+	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback}
+	slot := g.newSlotWaiter(req, schedule.EndTransaction, g.now().Add(rollbackTimeout))
+	if contain.Step(g.options.Logger, "rollback", func() { g.runRollback(req, tx, slot) }) {
+		g.abandonTransaction(tx, slot)
+	}
+}
+
+func (g *group) runRollback(req *request.Request, tx *transaction, slot *slotWaiter) {
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
-	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback, Messages: g.options.Dialer.Commands().Rollback}
-	slot := g.newSlotWaiter(req, schedule.EndTransaction, now.Add(rollbackTimeout))
-	g.mu.Lock()
-	deliver(m.schedule.Submit(now, &slot.item))
-	g.mu.Unlock()
-	if g.awaitSlot(ctx, m, slot) != nil {
-		m.pool.Discard(tx.conn, false)
-		g.removeTransaction(tx)
+	req.Messages = g.options.Dialer.Commands().Rollback
+	g.submitStatement(tx, slot)
+	if g.awaitSlot(ctx, tx.member, slot) != nil {
+		g.abandonTransaction(tx, slot)
 		return
 	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
@@ -205,16 +214,36 @@
 	}
 	g.endStatement(tx, slot, &o)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.signalIdle()
-	g.mu.Unlock()
 }
 
-// removeTransaction removes a transaction whose connection was closed without a rollback.
-func (g *group) removeTransaction(tx *transaction) {
+// submitStatement requests slot for a statement of tx.
+func (g *group) submitStatement(tx *transaction, slot *slotWaiter) {
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.forget(tx)
-	deliver(tx.member.schedule.CloseTransaction(g.now()))
+	deliver(tx.member.schedule.Submit(now, &slot.item))
+}
+
+// abandonTransaction ends tx without an answer to its current statement, wherever that was left: it
+// closes tx's connection, which rolls tx back, and gives up slot, which the statement waits for or holds.
+func (g *group) abandonTransaction(tx *transaction, slot *slotWaiter) {
+	if !tx.connReturned {
+		tx.connReturned = true
+		tx.member.pool.Discard(tx.conn, false)
+	}
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	scheduler := tx.member.schedule
+	if !scheduler.Cancel(&slot.item) {
+		deliver(scheduler.Done(now, &slot.item, schedule.TransactionUnchanged))
+	}
+	if g.transactions[tx.session] == tx {
+		g.forget(tx)
+		deliver(scheduler.CloseTransaction(now))
+	}
 	g.signalIdle()
 }
 
