Owner: a panic over a statement does not keep its transaction, slot and connection

A panic while a statement of an open transaction ran was contained above, with the session, but left the transaction busy for good: it was not rolled back when its session ended, and held its locks, one connection and one of the target's slots until the process ended.

The statement is contained where it holds these. After a panic the transaction ends as after one over a rollback, and the caller is told that the outcome is unknown.

TestPanicOverAStatementKeepsItsTransaction before: "panic: unexpected context [recovered, repanicked] ... serveInTransaction", with a slot and a connection held. Now nothing is held.

--- a/internal/owner/panic_test.go
+++ b/internal/owner/panic_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,19 @@
 	return d.Dialer.Commands()
 }
 
+// panickingContext is a context that panics when it is asked whether it has ended, if armed.
+type panickingContext struct {
+	context.Context
+	armed bool
+}
+
+func (c *panickingContext) Err() error {
+	if c.armed {
+		panic("unexpected context")
+	}
+	return c.Context.Err()
+}
+
 // checkNothingHeld fails the test if a target has an open transaction, or a slot or connection in use.
 func (h *harness) checkNothingHeld() {
 	h.Helper()
@@ -58,3 +72,23 @@
 		must.Eq(h, 0, h.group.targets[0].count("COMMIT"))
 	})
 }
+
+// TestPanicOverAStatementKeepsItsTransaction guards against a transaction, slot and connection that are kept
+// for good because a statement of the transaction panicked.
+func TestPanicOverAStatementKeepsItsTransaction(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+		begin := h.request(request.KindBegin, "BEGIN", time.Second)
+		_, err := h.serve(begin)
+		must.NoError(h, err)
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err = h.manager.Serve(&panickingContext{ctx, true}, nextRequest(begin, request.KindInTransaction, "INSERT 1"))
+		mustRefuse(h.T, err, request.CodeOutcomeUnknown)
+		h.manager.End(begin.ID.Session)
+		time.Sleep(rollbackTimeout)
+		h.checkNothingHeld()
+		_, err = h.serve(nextRequest(begin, request.KindCommit, "COMMIT"))
+		mustRefuse(h.T, err, request.CodeTransactionLost)
+		must.Eq(h, 0, h.group.targets[0].count("COMMIT"))
+	})
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -43,9 +43,8 @@
 // is closed, which rolls the transaction back, too.
 const rollbackTimeout = 250 * time.Millisecond
 
-// serveInTransaction runs one statement of an open transaction.
+// serveInTransaction runs one statement of an open transaction. A panic ends the transaction.
 func (g *group) serveInTransaction(ctx context.Context, req *request.Request, tx *transaction) (*request.Response, *request.Refusal) {
-	m := tx.member
 	class := schedule.InTransaction
 	if req.Kind == request.KindCommit || req.Kind == request.KindRollback {
 		class = schedule.EndTransaction
@@ -55,17 +54,16 @@
 	if refusal := g.beginStatement(tx, slot); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := g.awaitSlot(ctx, m, slot); refusal != nil {
-		g.endUnsentStatement(tx)
-		return nil, refusal
+	var o exchangeResult
+	var kept bool
+	var refusal *request.Refusal
+	if contain.Step(g.options.Logger, "serve statement", func() { o, kept, refusal = g.runStatement(ctx, req, tx, slot) }) {
+		g.abandonTransaction(tx, slot)
+		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", tx.member.name, "the statement panicked")
 	}
-	if ctx.Err() != nil {
-		g.freeSlot(m, slot, schedule.TransactionUnchanged)
-		g.endUnsentStatement(tx)
-		return nil, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
+	if refusal != nil {
+		return nil, refusal
 	}
-	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
-	kept := g.endStatement(tx, slot, &o)
 	g.recycle(slot)
 	response, refusal := g.evaluateInTransaction(ctx, req, tx, &o)
 	if refusal != nil && kept {
@@ -74,6 +72,23 @@
 	return response, refusal
 }
 
+// runStatement waits for slot and runs a statement of tx, which it leaves idle or ended. kept reports
+// whether tx is still open. A refusal means that nothing was sent.
+func (g *group) runStatement(ctx context.Context, req *request.Request, tx *transaction, slot *slotWaiter) (o exchangeResult, kept bool, refusal *request.Refusal) {
+	m := tx.member
+	if refusal := g.awaitSlot(ctx, m, slot); refusal != nil {
+		g.endUnsentStatement(tx)
+		return o, true, refusal
+	}
+	if ctx.Err() != nil {
+		g.freeSlot(m, slot, schedule.TransactionUnchanged)
+		g.endUnsentStatement(tx)
+		return o, true, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
+	}
+	o = g.exchange(ctx, tx.conn, req, 0, tx.replica)
+	return o, g.endStatement(tx, slot, &o), nil
+}
+
 // beginStatement marks tx as busy and requests a slot. It refuses if tx has ended or if a
 // statement of the session is still running.
 func (g *group) beginStatement(tx *transaction, slot *slotWaiter) *request.Refusal {
@@ -86,8 +101,8 @@
 	if tx.busy {
 		return request.Refuse(request.CodeProtocol, "transaction", g.options.Self, "a statement of this session still runs")
 	}
-	tx.busy = true
 	deliver(tx.member.schedule.Submit(now, &slot.item))
+	tx.busy = true
 	return nil
 }
 
