Owner: a panic over a write with an idempotency key keeps neither slot nor connection

Plain exchanges are contained; those that look up and record an idempotency key were not. A panic over a target's answer there ended the session, and the slot and the connection of the write were held for good. It counts as an exchange without an answer now: outcome unknown, the connection closed, the slot freed.

TestPanicOverAnIdempotentWriteKeepsItsSlot before: "panic: unexpected answer [recovered, repanicked] ... (*group).send ... (*group).exchange".

--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/schedule"
@@ -35,6 +36,21 @@
 // target. An error that is a *request.Refusal is returned to the caller unchanged.
 type ExchangeFunc func(ctx context.Context, conn target.Conn, req *request.Request) (reply target.Reply, repeated, sent bool, err error)
 
+// contained returns f, except that a panic becomes an error, and the request counts as sent.
+func (f ExchangeFunc) contained() ExchangeFunc {
+	if f == nil {
+		return nil
+	}
+	return func(ctx context.Context, conn target.Conn, req *request.Request) (reply target.Reply, repeated, sent bool, err error) {
+		sent = true
+		reply, err = contain.Call("exchange", func() (answer target.Reply, err error) {
+			answer, repeated, sent, err = f(ctx, conn, req)
+			return answer, err
+		})
+		return reply, repeated, sent, err
+	}
+}
+
 // Times holds the timeouts of transactions, waiting requests and unused groups. A zero field
 // takes its default.
 type Times struct {
@@ -136,6 +152,8 @@
 		options.Suspended = func() time.Duration { return 0 }
 	}
 	options.Times = options.Times.withDefaults()
+	options.Idempotent = options.Idempotent.contained()
+	options.IdempotentBegin = options.IdempotentBegin.contained()
 	return &Manager{
 		options:   options,
 		counts:    newCounters(),
--- a/internal/owner/panic_test.go
+++ b/internal/owner/panic_test.go
@@ -92,3 +92,22 @@
 		must.Eq(h, 0, h.group.targets[0].count("COMMIT"))
 	})
 }
+
+// TestPanicOverAnIdempotentWriteKeepsItsSlot guards against a slot and a connection that are kept for good
+// because a write with an idempotency key panicked over the target's answer, and against a caller that
+// isn't told that it may have run.
+func TestPanicOverAnIdempotentWriteKeepsItsSlot(t *testing.T) {
+	panics := func(o *Options) {
+		o.Idempotent = func(context.Context, target.Conn, *request.Request) (target.Reply, bool, bool, error) {
+			panic("unexpected answer")
+		}
+	}
+	withHarness(t, 5*time.Millisecond, panics, func(h *harness) {
+		req := h.request(request.KindWrite, "INSERT 1", time.Second)
+		req.IdempotencyKey = "key"
+		_, err := h.serve(req)
+		mustRefuse(h.T, err, request.CodeOutcomeUnknown)
+		time.Sleep(100 * time.Millisecond)
+		h.checkNothingHeld()
+	})
+}
