--- /dev/null
+++ b/internal/owner/main_test.go
@@ -0,0 +1,9 @@
+package owner
+
+import (
+	"testing"
+
+	"crocusyoke/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Size{Checks: 100}) }
