--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
@@ -33,15 +34,17 @@
 	// closed after the transaction, since a cancel request that takes effect late might cancel
 	// another session's statement.
 	tainted bool
+	// connReturned is set once conn was returned to its pool or closed. Only the statement that made the
+	// transaction busy uses it.
+	connReturned bool
 }
 
 // rollbackTimeout bounds the rollback of an abandoned transaction. After that its connection
 // is closed, which rolls the transaction back, too.
 const rollbackTimeout = 250 * time.Millisecond
 
-// serveInTransaction runs one statement of an open transaction.
+// serveInTransaction runs one statement of an open transaction. A panic ends the transaction.
 func (g *group) serveInTransaction(ctx context.Context, req *request.Request, tx *transaction) (*request.Response, *request.Refusal) {
-	m := tx.member
 	class := schedule.InTransaction
 	if req.Kind == request.KindCommit || req.Kind == request.KindRollback {
 		class = schedule.EndTransaction
@@ -51,18 +54,16 @@
 	if refusal := g.beginStatement(tx, slot); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := g.awaitSlot(ctx, m, slot); refusal != nil {
-		g.endUnsentStatement(tx)
-		return nil, refusal
+	var o exchangeResult
+	var kept bool
+	var refusal *request.Refusal
+	if contain.Step(g.options.Logger, "serve statement", func() { o, kept, refusal = g.runStatement(ctx, req, tx, slot) }) {
+		g.abandonTransaction(tx, slot)
+		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", tx.member.name, "the statement panicked")
 	}
-	if ctx.Err() != nil {
-		g.freeSlot(m, slot, schedule.TransactionUnchanged)
-		g.endUnsentStatement(tx)
-		return nil, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
+	if refusal != nil {
+		return nil, refusal
 	}
-	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
-	g.recordErrorAnswer(tx.member.name, req, &o)
-	kept := g.endStatement(tx, slot, &o)
 	g.recycle(slot)
 	response, refusal := g.evaluateInTransaction(ctx, req, tx, &o)
 	if refusal != nil && kept {
@@ -71,6 +72,24 @@
 	return response, refusal
 }
 
+// runStatement waits for slot and runs a statement of tx, which it leaves idle or ended. kept reports
+// whether tx is still open. A refusal means that nothing was sent.
+func (g *group) runStatement(ctx context.Context, req *request.Request, tx *transaction, slot *slotWaiter) (o exchangeResult, kept bool, refusal *request.Refusal) {
+	m := tx.member
+	if refusal := g.awaitSlot(ctx, m, slot); refusal != nil {
+		g.endUnsentStatement(tx)
+		return o, true, refusal
+	}
+	if ctx.Err() != nil {
+		g.freeSlot(m, slot, schedule.TransactionUnchanged)
+		g.endUnsentStatement(tx)
+		return o, true, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
+	}
+	o = g.exchange(ctx, tx.conn, req, 0, tx.replica)
+	g.recordErrorAnswer(m.name, req, &o)
+	return o, g.endStatement(tx, slot, &o), nil
+}
+
 // beginStatement marks tx as busy and requests a slot. It refuses if tx has ended or if a
 // statement of the session is still running.
 func (g *group) beginStatement(tx *transaction, slot *slotWaiter) *request.Refusal {
@@ -83,8 +102,8 @@
 	if tx.busy {
 		return request.Refuse(request.CodeProtocol, "transaction", g.options.Self, "a statement of this session still runs")
 	}
-	tx.busy = true
 	deliver(tx.member.schedule.Submit(now, &slot.item))
+	tx.busy = true
 	return nil
 }
 
@@ -108,6 +127,7 @@
 		if tx.tainted {
 			o.cancelled = true
 		}
+		tx.connReturned = true
 		g.returnConn(tx.member, tx.conn, o)
 	}
 	now := g.now()
@@ -115,14 +135,16 @@
 	defer g.mu.Unlock()
 	tx.member.recordExchange(o.connectionFailed(), o.reply.Position)
 	tx.lastUsed = now
-	tx.busy = false
 	tx.tainted = tx.tainted || o.cancelled
 	change := schedule.TransactionUnchanged
 	if over {
 		change = schedule.TransactionClosed
-		g.forget(tx)
 	}
 	deliver(tx.member.schedule.Done(now, &slot.item, change))
+	tx.busy = false
+	if over {
+		g.forget(tx)
+	}
 	if !over && tx.aborting {
 		g.abortLocked(tx)
 	}
@@ -183,40 +205,62 @@
 }
 
 // rollback rolls tx back on its target and returns its connection, or closes the connection
-// if that takes longer than rollbackTimeout.
+// if that takes longer than rollbackTimeout or panics.
 func (g *group) rollback(tx *transaction) {
 	g.manager.counts.transactionsLost.Add(1)
-	m := tx.member
-	now := g.now()
+	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback}
+	slot := g.newSlotWaiter(req, schedule.EndTransaction, g.now().Add(rollbackTimeout))
+	if contain.Step(g.options.Logger, "rollback", func() { g.runRollback(req, tx, slot) }) {
+		g.abandonTransaction(tx, slot)
+	}
+}
+
+func (g *group) runRollback(req *request.Request, tx *transaction, slot *slotWaiter) {
 	ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 	defer cancel()
-	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback, Messages: g.options.Dialer.Commands().Rollback}
-	slot := g.newSlotWaiter(req, schedule.EndTransaction, now.Add(rollbackTimeout))
-	g.mu.Lock()
-	deliver(m.schedule.Submit(now, &slot.item))
-	g.mu.Unlock()
-	if g.awaitSlot(ctx, m, slot) != nil {
-		m.pool.Discard(tx.conn, false)
-		g.removeTransaction(tx)
+	req.Messages = g.options.Dialer.Commands().Rollback
+	g.submitStatement(tx, slot)
+	if g.awaitSlot(ctx, tx.member, slot) != nil {
+		g.abandonTransaction(tx, slot)
 		return
 	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
-	g.recordErrorAnswer(m.name, req, &o)
+	g.recordErrorAnswer(tx.member.name, req, &o)
 	if o.err == nil && o.reply.TxStatus != 'I' {
 		o.err = Error.New("rollback left the transaction open")
 	}
 	g.endStatement(tx, slot, &o)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.signalIdle()
-	g.mu.Unlock()
 }
 
-// removeTransaction removes a transaction whose connection was closed without a rollback.
-func (g *group) removeTransaction(tx *transaction) {
+// submitStatement requests slot for a statement of tx.
+func (g *group) submitStatement(tx *transaction, slot *slotWaiter) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	deliver(tx.member.schedule.Submit(now, &slot.item))
+}
+
+// abandonTransaction ends tx without an answer to its current statement, wherever that was left: it
+// closes tx's connection, which rolls tx back, and gives up slot, which the statement waits for or holds.
+func (g *group) abandonTransaction(tx *transaction, slot *slotWaiter) {
+	if !tx.connReturned {
+		tx.connReturned = true
+		tx.member.pool.Discard(tx.conn, false)
+	}
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.forget(tx)
-	deliver(tx.member.schedule.CloseTransaction(g.now()))
+	scheduler := tx.member.schedule
+	if !scheduler.Cancel(&slot.item) {
+		deliver(scheduler.Done(now, &slot.item, schedule.TransactionUnchanged))
+	}
+	if g.transactions[tx.session] == tx {
+		g.forget(tx)
+		deliver(scheduler.CloseTransaction(now))
+	}
 	g.signalIdle()
 }
 
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
 	"github.com/quic-go/quic-go"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/request"
 )
@@ -50,6 +52,9 @@
 	// no. It must be set before the first call.
 	SeparateCalls func() bool
 
+	// Logger is told of panics. It must be set before the first call; the default logs nothing.
+	Logger log.Logger
+
 	tls       *tls.Config
 	clock     clock.Clock
 	delay     DelayFunc
@@ -94,6 +99,7 @@
 		delay = func(string) time.Duration { return 0 }
 	}
 	return &Client{
+		Logger:    log.NewNopLogger(),
 		tls:       config,
 		clock:     c,
 		delay:     delay,
@@ -237,7 +243,7 @@
 func (c *Client) dial(key linkKey, l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	l.conn, l.err = c.handshake(ctx, key)
+	l.conn, l.err = contain.Call("dial peer", func() (*quic.Conn, error) { return c.handshake(ctx, key) })
 	close(l.ready)
 	if l.err != nil {
 		c.removeLink(key, l)
@@ -276,10 +282,16 @@
 	if err != nil {
 		return nil, err
 	}
+	accepted := false
+	defer func() {
+		if !accepted {
+			_ = conn.CloseWithError(0, "another node is listed here")
+		}
+	}()
 	p := identify(conn)
-	if c.Accept != nil && !c.Accept(address, p.Name) {
+	accepted = c.Accept == nil || c.Accept(address, p.Name)
+	if !accepted {
 		counters.Add(counterForbidden, 1)
-		_ = conn.CloseWithError(0, "another node is listed here")
 		return nil, Error.New("node %s answers at %s, where another node is listed", p.Name, address)
 	}
 	return conn, nil
@@ -341,7 +353,7 @@
 		counters.Add(counterConnectionsLost, 1)
 		c.removeLink(key, l)
 		if key.use == useSessions {
-			c.notifyLost(key.address)
+			contain.Step(c.Logger, "lost peer", func() { c.notifyLost(key.address) })
 		}
 	})
 }
