Hosted stand-in: targets read lines as the wire's page has them, and record what a statement ran with

Its targets cut lines with strings.Fields and at LF, kept a prepared statement as one text, knew no DEALLOC, carried out what came in a failed transaction (a COMMIT there kept the writes), and recorded nothing of what an EXEC ran.

Now: a line ends with CR LF only and has 1 MiB at most; fields are separated by one blank and the last one extends to the end; STARTUP with an empty field or too many is refused and the connection closed; DEALLOC, NOSTMT, a new PREPARE of a known name replaces; wrong fields and anything but the end in a failed transaction get MALFORMED, a COMMIT there ABORTED; a plain transaction whose target has lost the lead gets READONLY. Statement also has the prepared statement (kind, shape), the arguments, the connection, the transaction, the target and the result. Group.Observe takes statements in place of Ran, Group.Forget drops a Run, so that long runs stay bounded. Load.SetupRefusals and Load.Seed: of so many set-up statements with the id - one is refused with BUSY. Fields that the page leaves open: an EXEC of a READ with data is malformed, an empty last field of WRITE, SET and EXEC is allowed, a ROLLBACK or COMMIT without a transaction still succeeds.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,9 +27,14 @@
 	Lag          time.Duration
 	// Load is how the targets spend time. It must be set before the first call.
 	Load Load
+	// Observe, if it is not nil, is called with each statement of a caller that a target carried out or
+	// refused itself, in place of keeping it for Ran. It must be set before the first call, and must not
+	// call the group.
+	Observe func(Statement)
 
 	promotions     *Promotions
 	mu             sync.Mutex
+	random         *rand.Rand
 	targets        []*Target
 	promotionCalls []Promotion
 	runs           map[string]*Run
--- /dev/null
+++ b/internal/standin/hosted/session_test.go
@@ -0,0 +1,163 @@
+package hosted
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestTargetReadsFieldsAsTheProtocolHasThem checks which statements a target carries out, and that the last
+// field of a line may have blanks and any other bytes but CR LF.
+func TestTargetReadsFieldsAsTheProtocolHasThem(t *testing.T) {
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	c, _ := dial(t, g.Target("t1").Address, "ledger")
+	for i, step := range []struct{ text, want string }{
+		{"WRITE x  two  blanks ", "COMPLETE"},
+		{"READ x", "ROW  two  blanks"},
+		{"WRITE x READ 7\x00\xff\ty", "COMPLETE"},
+		{"READ x", "ROW READ 7\x00\xff\ty"},
+		{"WRITE x ", "COMPLETE"},
+		{"WRITE x 1", "COMPLETE"},
+		{"READ x", "ROW 1"},
+		{"WRITE x", "ERROR MALFORMED"},
+		{"WRITE  x", "ERROR MALFORMED"},
+		{"READ", "ERROR MALFORMED"},
+		{"READ ", "ERROR MALFORMED"},
+		{"READ x y", "COMPLETE"},
+		{"AFTER 1.1 READ x", "ROW"},
+		{"AFTER 1.1 WRITE x 1", "ERROR MALFORMED"},
+		{"AFTER 1.1", "ERROR MALFORMED"},
+		{"read x", "ERROR MALFORMED"},
+		{"RESET x", "ERROR MALFORMED"},
+		{"SET a", "ERROR MALFORMED"},
+		{"SET a ", "COMPLETE"},
+		{"SET  b", "ERROR MALFORMED"},
+		{"PREPARE s READ", "ERROR MALFORMED"},
+		{"PREPARE s EXEC q", "ERROR MALFORMED"},
+		{"EXEC s x", "ERROR NOSTMT"},
+		{"PREPARE s READ q READ p", "COMPLETE"},
+		{"EXEC s x", "ROW"},
+		{"EXEC s x y", "ERROR MALFORMED"},
+		{"EXEC s", "ERROR MALFORMED"},
+		{"PREPARE s WRITE q", "COMPLETE"},
+		{"EXEC s x", "ERROR MALFORMED"},
+		{"EXEC s x a b", "COMPLETE"},
+		{"READ x", "ROW a b"},
+		{"DEALLOC s", "COMPLETE"},
+		{"DEALLOC s", "ERROR NOSTMT"},
+		{"EXEC s x a", "ERROR NOSTMT"},
+		{"DEALLOC", "ERROR MALFORMED"},
+		{"PREPARE s WRITE q", "COMPLETE"},
+		{"RESET", "COMPLETE"},
+		{"EXEC s x a", "ERROR NOSTMT"},
+		{"BEGIN WRITE", "ERROR MALFORMED"},
+		{"BEGIN", "COMPLETE"},
+		{"WRITE y 1", "COMPLETE"},
+		{"READ", "ERROR MALFORMED"},
+		{"READ y", "ERROR MALFORMED"},
+		{"SET a b", "ERROR MALFORMED"},
+		{"COMMIT", "ERROR ABORTED"},
+		{"READ y", "COMPLETE"},
+		{"BEGIN", "COMPLETE"},
+		{"BEGIN", "ERROR MALFORMED"},
+		{"ROLLBACK", "COMPLETE"},
+		{"READ x", "ROW a b"},
+	} {
+		line := c.query(fmt.Sprint(i), step.text)
+		must.StrHasPrefix(t, step.want, line, must.Sprintf("step %d, %q", i, step.text))
+	}
+}
+
+// TestLineEndsWithCRLF checks that a CR or LF alone does not end a line, and that a target ends a connection
+// whose line is too long or unknown.
+func TestLineEndsWithCRLF(t *testing.T) {
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	address := g.Target("t1").Address
+	c, _ := dial(t, address, "ledger")
+	must.StrHasPrefix(t, "COMPLETE", c.query("q1", "WRITE x a\nQUERY q2 WRITE y b\rc\n"))
+	ran := g.Target("t1").Ran()
+	must.Len(t, 1, ran)
+	must.Eq(t, "WRITE x a\nQUERY q2 WRITE y b\rc\n", ran[0].Text)
+	must.MapNotContainsKey(t, g.Target("t1").Writes(), "y")
+	fits := "WRITE x " + strings.Repeat("d", maxLineBytes-len("QUERY q3 WRITE x \r\n"))
+	must.StrHasPrefix(t, "COMPLETE", c.query("q3", fits))
+	c.send("q4", fits+"d")
+	must.StrHasPrefix(t, "ERROR MALFORMED", c.line())
+	for _, line := range []string{"QUERY", "QUERY q", "QUERY  READ x", "READ x", "QUERY q "} {
+		c, _ := dial(t, address, "ledger")
+		_, _ = fmt.Fprintf(c.conn, "%s\r\n", line)
+		must.StrHasPrefix(t, "ERROR MALFORMED", c.line(), must.Sprint(line))
+		must.Eq(t, "EOF", c.line(), must.Sprint(line))
+	}
+}
+
+// TestStartupWithAnEmptyFieldIsRefused guards against fields that shift: the target's ID was taken for the
+// customer's name.
+func TestStartupWithAnEmptyFieldIsRefused(t *testing.T) {
+	for _, line := range []string{"STARTUP ledger  t1", "STARTUP  maker t1", "STARTUP ledger maker ", "STARTUP ledger acme corp t1", "STARTUP ledger", "START ledger maker"} {
+		_, ok := parseStartup(line)
+		must.False(t, ok, must.Sprint(line))
+	}
+	login, ok := parseStartup("STARTUP ledger maker t1")
+	must.True(t, ok)
+	must.Eq(t, startup{service: "ledger", customer: "maker", id: "t1"}, login)
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	_, answer := dial(t, g.Target("t1").Address, "ledger ")
+	must.StrHasPrefix(t, "ERROR MALFORMED", answer)
+}
+
+// TestRecordSaysWhatAStatementRanWith checks the record of a target: the prepared statement, its arguments,
+// the settings, the connection, the transaction and the result.
+func TestRecordSaysWhatAStatementRanWith(t *testing.T) {
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	first, _ := dial(t, g.Target("t1").Address, "ledger")
+	second, _ := dial(t, g.Target("t1").Address, "ledger")
+	for _, text := range []string{"PREPARE p WRITE a b", "SET tz  x y"} {
+		first.query(ownID, text)
+	}
+	first.query("b", "BEGIN")
+	first.query("e", "EXEC p item some data")
+	second.query("r", "READ item")
+	first.query("n", "EXEC q item")
+	ran := g.Target("t1").Ran()
+	must.Len(t, 4, ran)
+	begin, exec, read, unknown := ran[0], ran[1], ran[2], ran[3]
+	must.Eq(t, &Prepared{Kind: KindWrite, Shape: "a b"}, exec.Prepared)
+	must.Eq(t, "item some data", exec.Arguments)
+	must.Eq(t, map[string]string{"tz": " x y"}, exec.Settings)
+	must.NotEq(t, 0, begin.Transaction)
+	must.Eq(t, begin.Transaction, exec.Transaction)
+	must.Eq(t, 0, read.Transaction)
+	must.Eq(t, begin.Connection, exec.Connection)
+	must.NotEq(t, begin.Connection, read.Connection)
+	must.Nil(t, unknown.Prepared)
+	must.Eq(t, "NOSTMT", unknown.Result)
+	must.Eq(t, "", exec.Result)
+}
+
+// TestSetupIsRefusedBySeed checks that a share of the proxy's own set-up statements is refused, the same ones
+// with the same seed, and none that a caller sent.
+func TestSetupIsRefusedBySeed(t *testing.T) {
+	play := func(id string, seed uint64) (answers string) {
+		g := NewGroup("ledger", "t1")
+		defer g.Close()
+		g.Load.SetupRefusals, g.Load.Seed = 3, seed
+		c, _ := dial(t, g.Target("t1").Address, "ledger")
+		for range 60 {
+			answers += c.query(id, "SET a b") + "|"
+		}
+		must.StrHasPrefix(t, "COMPLETE", c.query(ownID, "ROLLBACK"))
+		return answers
+	}
+	must.Eq(t, play(ownID, 1), play(ownID, 1))
+	must.NotEq(t, play(ownID, 1), play(ownID, 2))
+	must.StrContains(t, play(ownID, 1), "ERROR BUSY")
+	must.StrContains(t, play(ownID, 1), "COMPLETE")
+	must.StrNotContains(t, play("q", 1), "ERROR")
+}
--- a/internal/standin/hosted/work.go
+++ b/internal/standin/hosted/work.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"math/rand/v2"
 	"strings"
 	"time"
 )
@@ -14,6 +15,32 @@
 	Handshake time.Duration
 	// Work returns how long a read, write or commit takes; nil if it takes no time.
 	Work func() time.Duration
+	// ValueLimit is how many bytes of a value that was written are kept, all of them if it is 0.
+	ValueLimit int
+	// Of SetupRefusals statements that change a session's settings or prepared names, and that no caller
+	// sent, one on average is answered with BUSY; none if it is 0. Which ones is drawn from Seed.
+	SetupRefusals int
+	Seed          uint64
+}
+
+// keptValue returns what is kept of a value. It does not hold on to the line that the value came in.
+func (l *Load) keptValue(value string) string {
+	if l.ValueLimit > 0 && len(value) > l.ValueLimit {
+		value = value[:l.ValueLimit]
+	}
+	return strings.Clone(value)
+}
+
+// refusesSetup draws whether the next statement that Load.SetupRefusals concerns is refused. The caller
+// holds g.mu.
+func (g *Group) refusesSetup() bool {
+	if g.Load.SetupRefusals == 0 {
+		return false
+	}
+	if g.random == nil {
+		g.random = rand.New(rand.NewPCG(g.Load.Seed, 0))
+	}
+	return g.random.IntN(g.Load.SetupRefusals) == 0
 }
 
 // Run is one execution of a caller's statement at a target.
@@ -36,13 +63,20 @@
 	return Run{}, false
 }
 
+// Forget drops the record of the executions of the statement with the given ID.
+func (g *Group) Forget(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.runs, id)
+}
+
 // noteBegin records that a target has read a caller's statement.
 func (s *session) noteBegin(id string) *Run {
 	g := s.target.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	run := &Run{Target: s.target.ID, Began: time.Now()}
-	if id != "-" {
+	if id != ownID {
 		g.runs[id] = run
 	}
 	return run
@@ -82,20 +116,6 @@
 	return true
 }
 
-// occupiesSlot reports whether a statement occupies a slot: reads, writes, commits and the status do.
-func occupiesSlot(text string) bool {
-	command, rest, _ := strings.Cut(text, " ")
-	if command == "AFTER" {
-		_, rest, _ = strings.Cut(rest, " ")
-		command, _, _ = strings.Cut(rest, " ")
-	}
-	switch command {
-	case "READ", "WRITE", "EXEC", "COMMIT", "STATUS":
-		return true
-	}
-	return false
-}
-
 // acquireSlot waits for a slot. It reports false if too many wait already.
 func (t *Target) acquireSlot() bool {
 	load := &t.group.Load
