Soak: callers' set-up of every kind, and three rules for what targets run

Callers: 60 of 100 sessions have shapes, values, names, items and data with blanks anywhere, tabs, NUL, bytes that are no UTF-8, words of the wire, and some KiB; of 1,500 writes one has a line of almost or exactly 1 MiB. All sessions draw from the same few names and shapes, prepare names anew, drop them, and change values inside and outside of transactions and right before COMMIT. Three customers share the nodes. Targets refuse one of 40 set-up statements (--setup-refusals). Rules: "a statement runs as its caller set it up" (group, customer, values, prepared statement, its own transaction and connection, none for single statements; NOSTMT for a name that is prepared), "a target runs only what a caller sent" (id, text, arguments; also of statements that the target refuses), "a refusal that promises that nothing ran is true". Allowed: a statement that ran and whose answer was lost, a read or BEGIN sent again elsewhere, a promise for what ran and is not in the last primary's log (rolled back, not committed). No fault excuses a violation. Records are dropped 30 s after the answer. A report lists a violation once; it still counts all.

TestViolationsAreCounted now has distinct violations, since equal ones are listed once, and checks that too.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -42,6 +42,7 @@
 	flags.IntVar(&o.Sessions, "sessions", o.Sessions, "callers' sessions at the same time")
 	flags.DurationVar(&o.Work, "work", o.Work, "mean time of a read, write or commit at a target; 0 for none and no limits")
 	flags.IntVar(&o.Slots, "slots", o.Slots, "statements that a target runs at the same time")
+	flags.IntVar(&o.SetupRefusals, "setup-refusals", o.SetupRefusals, "of so many statements that change a session's values or prepared names, targets refuse one to nodes; 0 for none")
 	flags.DurationVar(&o.Lag, "lag", o.Lag, "how far replicas are behind")
 	flags.DurationVar(&o.PromoteAfter, "promote-after", o.PromoteAfter, "how long a promotion takes")
 	flags.DurationVar(&o.CallerDelay, "caller-delay", o.CallerDelay, "one-way delay between callers and nodes; 0 for no proxy")
@@ -58,7 +59,7 @@
 		report.Seed, report.Length, len(report.Events), report.Written, report.Promotions)
 	for _, name := range slices.Sorted(maps.Keys(report.Rules)) {
 		rule := report.Rules[name]
-		fmt.Fprintf(out, "%-42s checked %6d  broken %d\n", name, rule.Checked, rule.Broken)
+		fmt.Fprintf(out, "%-50s checked %6d  broken %d\n", name, rule.Checked, rule.Broken)
 		for _, violation := range rule.Violations {
 			fmt.Fprintf(out, "    %s\n", violation)
 		}
--- a/internal/standin/soak/caller.go
+++ b/internal/standin/soak/caller.go
@@ -21,8 +21,10 @@
 	conn     net.Conn
 	in       *bufio.Reader
 	openedAt time.Time
-	// prepared is set once the names of preparedNames are prepared.
-	prepared bool
+	customer customer
+	setup    setup
+	// isPlain is set if the session has plain words only.
+	isPlain bool
 }
 
 // answer is the answer to one statement. err is set if the connection ended before it was complete.
@@ -43,14 +45,14 @@
 func (a *answer) isUnanswered() bool { return errors.Is(a.err, os.ErrDeadlineExceeded) }
 
 // connect opens a session. refused is the error code of a refused login.
-func connect(address, service, key string) (c *caller, refused string, err error) {
+func connect(address, service string, as customer) (c *caller, refused string, err error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, "", err
 	}
-	c = &caller{conn: conn, in: bufio.NewReader(conn), openedAt: time.Now()}
+	c = &caller{conn: conn, in: bufio.NewReader(conn), openedAt: time.Now(), customer: as, setup: newSetup()}
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", service, key); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", service, as.key); err != nil {
 		c.close()
 		return nil, "", err
 	}
@@ -75,9 +77,11 @@
 	c.close()
 }
 
+func newStatementID() string { return fmt.Sprintf("%016x", statementCount.Add(1)) }
+
 // send sends one statement and waits for its answer.
-func (c *caller) send(text string) *answer {
-	a := &answer{id: fmt.Sprintf("%016x", statementCount.Add(1)), sentAt: time.Now()}
+func (c *caller) send(id, text string) *answer {
+	a := &answer{id: id, sentAt: time.Now()}
 	_ = c.conn.SetDeadline(a.sentAt.Add(answerTimeout))
 	_, a.err = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", a.id, text)
 	for a.err == nil && a.state == "" {
--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -31,18 +31,31 @@
 	database   *database
 }
 
+// customer is a customer, with one of its keys.
+type customer struct{ name, key string }
+
+// changingCustomer has a key that is withdrawn at times; the keys of customers never are.
+var (
+	changingCustomer = customer{name: "maker", key: "changing-key"}
+	customers        = []customer{{name: "maker", key: "steady-key"}, {name: "maker-b", key: "second-key"}, {name: "READ", key: "third-key"}}
+)
+
 // configuration says what differs from the usual configuration.
 type configuration struct {
-	withoutKey  bool // changingKey is withdrawn
+	withoutKey  bool // the key of changingCustomer is withdrawn
 	withoutJobs bool // the routes of kindJobs are dropped
 	extraRoutes int
 }
 
 // configure writes the next version of the configuration.
 func (r *run) configure(c configuration) {
-	keys := []string{steadyKey}
-	if !c.withoutKey {
-		keys = append(keys, changingKey)
+	var tenants []any
+	for _, customer := range customers {
+		keys := []string{customer.key}
+		if customer.name == changingCustomer.name && !c.withoutKey {
+			keys = append(keys, changingCustomer.key)
+		}
+		tenants = append(tenants, map[string]any{"name": customer.name, "api_keys": keys, "rate_per_s": 10000, "burst": 10000})
 	}
 	var routes, services []any
 	add := func(name, kind string, d *database) {
@@ -64,7 +77,7 @@
 	}
 	value, _ := json.Marshal(map[string]any{
 		"version": r.version.Add(1), "routes": routes, "services": services,
-		"tenants": []any{map[string]any{"name": "maker", "api_keys": keys, "rate_per_s": 10000, "burst": 10000}},
+		"tenants": tenants,
 	})
 	r.store.Put("op", "config", value)
 }
--- a/internal/standin/soak/cut.go
+++ b/internal/standin/soak/cut.go
@@ -20,10 +20,9 @@
 	lastGraceShare = 6
 )
 
-// statement sends a statement to n and judges whether it was cut. Position is its place in its
-// transaction, from 1 on; single statements have 1.
-func (r *run) statement(c *caller, n *node, to route, text string, position int) *answer {
-	a := c.send(text)
+// statement sends a statement to n and judges whether it was cut.
+func (r *run) statement(c *caller, n *node, to route, q request) *answer {
+	a := r.send(c, to, q)
 	r.judge.count("statements")
 	if a.isUnanswered() {
 		r.judge.count("statements without an answer in 4 s")
@@ -33,7 +32,7 @@
 		return a
 	}
 	r.judge.count("statements around planned work")
-	if position > 1 {
+	if q.position > 1 {
 		r.judge.count("of these in a transaction")
 		if a.sentAt.Sub(at) > earlyTime && signal == sigterm {
 			r.judge.count("of these sent later than 3 s after SIGTERM")
@@ -45,11 +44,25 @@
 	}
 	r.wait.Go(func() {
 		time.Sleep(judgeDelay)
-		r.judgeCut(&cut{answer: a, node: n, route: to, from: c.conn.LocalAddr().String(), openedAt: c.openedAt, text: text, position: position, signal: signal, signalAt: at})
+		r.judgeCut(&cut{answer: a, node: n, route: to, from: c.conn.LocalAddr().String(), openedAt: c.openedAt, text: q.text, position: q.position, signal: signal, signalAt: at})
 	})
 	return a
 }
 
+// send sends a statement and records it, its answer and what the answer acknowledges.
+func (r *run) send(c *caller, to route, q request) *answer {
+	st := &sent{
+		request: q, id: newStatementID(), group: to.database.group.Name, customer: c.customer.name, settings: c.setup.settings,
+	}
+	r.statements.note(st)
+	a := c.send(st.id, q.text)
+	r.statements.noteAnswer(st, a)
+	if a.err == nil && a.code == "" && q.apply != nil {
+		q.apply(&c.setup)
+	}
+	return a
+}
+
 // cut is a statement whose connection ended without a complete answer, around a signal to its node.
 type cut struct {
 	*answer
@@ -133,7 +146,7 @@
 		return at.Sub(c.signalAt).Round(time.Millisecond).String()
 	}
 	text := fmt.Sprintf("%s %s to %s at %s, statement %d of its operation: %s at %s; session opened %s, sent %s, ended %s (%v)",
-		c.id, c.text, c.route.name, c.node.name, c.position, c.signal, c.signalAt.UTC().Format("15:04:05.000"),
+		c.id, shorten(c.text), c.route.name, c.node.name, c.position, c.signal, c.signalAt.UTC().Format("15:04:05.000"),
 		since(c.openedAt), since(c.sentAt), since(c.endAt), c.err)
 	text += fmt.Sprintf("; at the node %s, closed there %s", since(c.delivered), since(c.closed))
 	if ran {
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -20,6 +20,8 @@
 	// targetQueue is how many statements wait at a target before it refuses more.
 	targetQueue = 40
 	handshake   = 12 * time.Millisecond
+	// valueLimit is how many bytes of a value targets keep. No caller reads what was written.
+	valueLimit = 64
 	// workSpread is the spread of the work times, as the standard deviation of their logarithm. Of
 	// longWorkEvery statements one takes minLongWork to maxLongWork.
 	workSpread    = 0.7
@@ -51,8 +53,9 @@
 	replaced int
 }
 
-// newDatabase starts the group with the given index and registers its targets.
-func newDatabase(index int, o Options, store *hosted.Store) (*database, error) {
+// newDatabase starts the group with the given index and registers its targets. observe is called with what
+// they ran.
+func newDatabase(index int, o Options, store *hosted.Store, observe func(group string, ran hosted.Statement)) (*database, error) {
 	name := groupNames[index]
 	ids := make([]string, targetsPerGroup)
 	for i := range ids {
@@ -60,9 +63,12 @@
 	}
 	d := &database{group: hosted.NewGroup(name, ids...), store: store, zones: make(map[string]string)}
 	d.group.PromoteAfter, d.group.Lag = o.PromoteAfter, o.Lag
+	d.group.Observe = func(ran hosted.Statement) { observe(name, ran) }
 	if o.Work > 0 {
 		d.group.Load = hosted.Load{Slots: o.Slots, Queue: targetQueue, Handshake: handshake, Work: func() time.Duration { return drawWork(o.Work) }}
 	}
+	d.group.Load.ValueLimit = valueLimit
+	d.group.Load.SetupRefusals, d.group.Load.Seed = o.SetupRefusals, o.Seed+uint64(index)
 	for i, id := range ids {
 		if o.LinkDelay > 0 {
 			t := d.group.Target(id)
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -2,7 +2,9 @@
 // on the real clock, as on the users' platform, between the stand-ins of package hosted. Nodes of three
 // zones reach targets and the store, and callers reach nodes, through links with a delay. The balancer
 // follows the platform's rule. Callers keep their connections until the processes are gone; many sessions
-// serve one operation.
+// serve one operation. Customers share the nodes; their sessions set values and prepare statements whose
+// names are the same and whose contents differ, many with blanks, words of the protocol or bytes that are no
+// text. Targets refuse a share of what nodes set up there.
 //
 // What is judged comes from what callers, targets and the supervisor saw:
 //   - no request is cut around a planned stop or SIGHUP: a connection must not end without a complete
@@ -11,5 +13,12 @@
 //   - each stop ends within the grace period, whether or not the process's log is read;
 //   - no process ends by itself;
 //   - each acknowledged write is in the log of the primary in the end, and no write is there twice;
-//   - a withdrawn key is refused once the configuration has to be in force.
+//   - a withdrawn key is refused once the configuration has to be in force;
+//   - a statement runs as its caller set it up: for its customer, with the values that were acknowledged, as
+//     what the session prepared, in its own transaction or in none;
+//   - a target runs only what a caller sent, with its text unchanged;
+//   - a refusal that promises that nothing ran is true: the log has nothing of the statement.
+//
+// What was recorded of a statement is dropped some time after its answer (sent.go). What grows with a run are
+// the logs of targets and the names of acknowledged writes.
 package soak
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,6 +15,9 @@
 	ruleKept      = "each acknowledged write is kept"
 	ruleOnce      = "no write takes effect twice"
 	ruleWithdrawn = "a withdrawn key is refused"
+	ruleSetup     = "a statement runs as its caller set it up"
+	ruleSent      = "a target runs only what a caller sent"
+	ruleNotRun    = "a refusal that promises that nothing ran is true"
 )
 
 const (
@@ -21,7 +25,7 @@
 	stableTime = 4 * time.Second
 	// slack is how long after its last byte was sent a statement must have been read.
 	slack = 200 * time.Millisecond
-	// maxViolations bounds the violations of a rule that a report lists.
+	// maxViolations bounds the violations of a rule that a report lists, each of them once.
 	maxViolations = 20
 )
 
@@ -47,7 +51,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
@@ -63,8 +67,11 @@
 		return
 	}
 	rule.Broken++
-	if len(rule.Violations) < maxViolations {
-		rule.Violations = append(rule.Violations, fmt.Sprintf(format, args...))
+	if len(rule.Violations) == maxViolations {
+		return
+	}
+	if violation := fmt.Sprintf(format, args...); !slices.Contains(rule.Violations, violation) {
+		rule.Violations = append(rule.Violations, violation)
 	}
 }
 
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -40,6 +40,9 @@
 	// same time. If Work is 0, targets take no time, and run any number.
 	Work  time.Duration
 	Slots int
+	// SetupRefusals is how many statements that change a session's settings or prepared names targets get
+	// from nodes until they refuse one with BUSY, on average; none if it is 0.
+	SetupRefusals int
 	// Lag is how far replicas are behind, PromoteAfter how long a promotion takes.
 	Lag, PromoteAfter time.Duration
 	// CallerDelay is the one-way delay between callers and nodes, LinkDelay that between nodes and targets
@@ -59,7 +62,7 @@
 	return Options{
 		Seed: 1, Length: time.Minute, Schedule: ScheduleAll,
 		Nodes: 6, Groups: 3, Sessions: 90,
-		Work: 11 * time.Millisecond, Slots: 5, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
+		Work: 11 * time.Millisecond, Slots: 5, SetupRefusals: 40, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
 		CallerDelay: time.Millisecond, LinkDelay: 500 * time.Microsecond,
 		Dir: "run/soak",
 	}
@@ -96,9 +99,8 @@
 	readyTimeout = 20 * time.Second
 	// settleTime is the time without events at the end, in which everything has to work again.
 	settleTime = 8 * time.Second
-	// steadyKey is never withdrawn, changingKey is.
-	steadyKey   = "steady-key"
-	changingKey = "changing-key"
+	// settleInterval is the interval at which statements are judged that were answered long enough ago.
+	settleInterval = time.Second
 )
 
 var zones = []string{"a", "b", "c"}
@@ -119,6 +121,7 @@
 	lateness   lateness
 	ended      chan struct{}
 	wait       sync.WaitGroup
+	statements *statements
 	items      atomic.Uint64
 	version    atomic.Uint64
 	// configuring is held while a key is withdrawn.
@@ -145,6 +148,7 @@
 	}
 	defer network.release()
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]route), super: supervise.New()}
+	r.statements = newStatements(r.judge, r.forgetRun)
 	r.store = hosted.NewStore()
 	defer r.closeStandins()
 	defer r.super.Close()
@@ -180,7 +184,7 @@
 func (r *run) startDatabases() error {
 	var groups []*hosted.Group
 	for i := range r.options.Groups {
-		d, err := newDatabase(i, r.options, r.store)
+		d, err := newDatabase(i, r.options, r.store, r.statements.observe)
 		if err != nil {
 			return err
 		}
@@ -246,6 +250,7 @@
 		}
 	})
 	rest.Go(r.watch)
+	rest.Go(r.settle)
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
 	if r.options.Schedule != ScheduleRecord {
 		for _, n := range r.nodes {
@@ -315,6 +320,21 @@
 	return hosted.Run{}, false
 }
 
+// forgetRun drops the targets' record of the statement with the given ID.
+func (r *run) forgetRun(id string) {
+	for _, d := range r.databases {
+		d.group.Forget(id)
+	}
+}
+
+// settle judges statements some time after their answers, so that the records of them stay few.
+func (r *run) settle() {
+	for !r.hasEnded() {
+		r.statements.settle(time.Now().Add(-keptTime))
+		time.Sleep(settleInterval)
+	}
+}
+
 // judgeWrites judges that each acknowledged write is in its group's log once.
 func (r *run) judgeWrites(d *database) {
 	leader := d.group.Leader()
@@ -323,16 +343,18 @@
 		return
 	}
 	writes := leader.Writes()
+	r.statements.judgeDoubtful(d.group.Name, writes)
 	for _, item := range slices.Sorted(maps.Keys(r.written)) {
 		if r.written[item].database == d {
-			r.judge.check(ruleKept, writes[item] > 0, "%s is missing at %s", item, leader.ID)
-			r.judge.check(ruleOnce, writes[item] <= 1, "%s is there %d times", item, writes[item])
+			r.judge.check(ruleKept, writes[item] > 0, "%q is missing at %s", item, leader.ID)
+			r.judge.check(ruleOnce, writes[item] <= 1, "%q is there %d times", item, writes[item])
 		}
 	}
 }
 
 // finish judges what is left in the end and writes the report.
 func (r *run) finish(events []Event) (*Report, error) {
+	r.statements.settle(time.Now())
 	promotions := 0
 	for _, d := range r.databases {
 		r.judgeWrites(d)
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -61,10 +61,14 @@
 	j := newJudge()
 	j.check(ruleKept, true, "")
 	must.SliceEmpty(t, j.broken())
-	for range 2 * maxViolations {
-		j.check(ruleKept, false, "item is missing")
+	for i := range 2 * maxViolations {
+		j.check(ruleKept, false, "item %d is missing", i)
 	}
-	must.Eq(t, []string{ruleKept}, j.broken())
+	j.check(ruleOnce, false, "item 1 is there twice")
+	j.check(ruleOnce, false, "item 1 is there twice")
+	must.Eq(t, []string{ruleKept, ruleOnce}, slices.Sorted(slices.Values(j.broken())))
+	must.Eq(t, 2, j.rules[ruleOnce].Broken)
+	must.Len(t, 1, j.rules[ruleOnce].Violations)
 	must.Eq(t, 1+2*maxViolations, j.rules[ruleKept].Checked)
 	must.Len(t, maxViolations, j.rules[ruleKept].Violations)
 }
