Node: panics over peers and targets' connections are logged

They were counted, without a line that has the stack. The client and the server of the other nodes and the pools of connections get the node's logger.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -9,6 +11,7 @@
 	controller "crocusyoke/internal/controller/configuration"
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/peer"
+	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/run/configuration"
 )
@@ -20,6 +23,20 @@
 	maxCancelNodes = 32
 )
 
+// newPeerClient returns the client of the other nodes, which sends from packets.
+func (n *Node) newPeerClient(config *tls.Config, packets net.PacketConn) *quicpeer.Client {
+	client := quicpeer.NewClient(config, packets, n.clock, n.delayTo)
+	client.Logger = n.logger
+	return client
+}
+
+// newPeerServer returns the server of the other nodes' requests and calls.
+func (n *Node) newPeerServer(config *tls.Config) *quicpeer.Server {
+	server := quicpeer.NewServer(n.settings.Node.Name, config, n.clock, n.owner)
+	server.Logger = n.logger
+	return server
+}
+
 // registerHandlers registers the handler of each kind of control message that peers and
 // operators send.
 func (n *Node) registerHandlers() {
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	n.fingerprint = quicpeer.Fingerprint(tls)
-	n.peers = quicpeer.NewClient(tls, sockets.calls, n.clock, n.delayTo)
+	n.peers = n.newPeerClient(tls, sockets.calls)
 	n.peers.Accept = n.canAnswerAt
 	n.peers.SeparateCalls = func() bool { return len(n.membership.View().Members) > reader.MaxAllReaders }
 	n.leases = lease.New(lease.Options{
@@ -150,7 +150,7 @@
 	})
 	n.requests = requestlog.New(n.logger)
 	n.assembleHostedFront(h)
-	n.server = quicpeer.NewServer(n.settings.Node.Name, tls, n.clock, n.owner)
+	n.server = n.newPeerServer(tls)
 	n.server.Allow = n.isPeerAllowed
 	n.server.ResetKey = quicpeer.DeriveResetKey(n.settings.Node.Name, n.settings.Peers.Address)
 	n.registerHandlers()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	n.peers = quicpeer.NewClient(tlsPeers, sockets.calls, n.clock, n.delayTo)
+	n.peers = n.newPeerClient(tlsPeers, sockets.calls)
 	store := httpclient.New(s.Platform.URL, nil)
 	n.dialer = pgtarget.New(s.Targets.User, s.Targets.Password, s.Node.Name)
 	n.assembleState(store)
@@ -196,7 +196,7 @@
 	if err := n.assembleFront(); err != nil {
 		return err
 	}
-	n.server = quicpeer.NewServer(s.Node.Name, tlsPeers, n.clock, n.owner)
+	n.server = n.newPeerServer(tlsPeers)
 	n.registerHandlers()
 	return nil
 }
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -76,6 +76,7 @@
 		},
 		Probe:   commands.Probe,
 		Clock:   g.options.Clock,
+		Logger:  g.options.Logger,
 		Limit:   limit,
 		MinIdle: minIdle,
 	})
