Owner: a panic over a poll ends only that poll

Only the exchange with the target was contained. A panic over what its status means (evidence, claims, the promotion's observer) or over a new control connection's startup ended the process, and the next owner of the group polled the same target.

The group's lock is released by a deferred call there.

Now the group serves again once the polls go well.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -335,6 +335,7 @@
 func (g *group) observe(m *member, sentAt time.Time, status target.Status) {
 	now := g.now()
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.syncEvidence()
 	status.Target = m.name
 	g.evidence.Observe(sentAt, now, status)
@@ -345,7 +346,6 @@
 	g.settleClaims(now)
 	g.updatePrimary(now)
 	g.notifyChanged()
-	g.mu.Unlock()
 }
 
 // updatePrimary records and logs a change of primary. A higher term ends the context of the
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -15,15 +15,25 @@
 
 // pollLoop polls m's status until ctx ends, one poll at a time.
 func (m *member) pollLoop(ctx context.Context, login target.Login) {
+	g := m.group
 	var control target.Control
-	defer func() {
-		if control != nil {
-			_ = control.Close()
-		}
-	}()
+	defer func() { closeControl(control) }()
 	for m.awaitPoll(ctx) {
-		control = m.poll(ctx, login, control)
-		m.group.sweep()
+		panicked := contain.Step(g.options.Logger, "poll", func() {
+			last := control
+			control = nil
+			control = m.poll(ctx, login, last)
+			g.sweep()
+		})
+		if panicked {
+			_ = g.options.Clock.Sleep(ctx, contain.PauseAfterPanic)
+		}
+	}
+}
+
+func closeControl(control target.Control) {
+	if control != nil {
+		_ = control.Close()
 	}
 }
 
@@ -82,9 +92,14 @@
 }
 
 // poll polls m once on control, or on a new control connection if control is nil. It returns
-// the control connection for the next poll, nil after a failure.
-func (m *member) poll(ctx context.Context, login target.Login, control target.Control) target.Control {
+// the control connection for the next poll, nil after a failure. It closes control unless it returns it.
+func (m *member) poll(ctx context.Context, login target.Login, control target.Control) (next target.Control) {
 	g := m.group
+	defer func() {
+		if next == nil {
+			closeControl(control)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, g.controlTimeout())
 	defer cancel()
 	var err error
@@ -105,9 +120,6 @@
 	g.manager.counts.polls.Add(1)
 	if err != nil {
 		m.recordPollFailure(sentAt)
-		if control != nil {
-			_ = control.Close()
-		}
 		return nil
 	}
 	if g.options.Observe != nil {
