Owner: a panic over a request's placement does not leave its group locked

A panic while a request of a local caller was placed, confirmed or given a slot was contained with its session but left the group's lock held: every later request of the group on that node hung, beyond its deadline, until the process was ended. The lock is released by deferred calls there.

TestPanicOverAPlacementLocksTheGroup before: "panic: test timed out after 20s". Now the next request is served. What serve.go locks without a deferred call (serve, acceptReplica) is as before.

--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -207,10 +207,7 @@
 		return withPeer(refusal, m)
 	case <-ctx.Done():
 	}
-	g.mu.Lock()
-	waiting := m.schedule.Cancel(&w.item)
-	g.mu.Unlock()
-	if !waiting {
+	if !g.withdraw(m, w) {
 		if refusal := <-w.decided; refusal != nil {
 			return withPeer(refusal, m)
 		}
@@ -223,8 +220,15 @@
 func (g *group) freeSlot(m *member, w *slotWaiter, change schedule.TransactionChange) {
 	now := g.now()
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	deliver(m.schedule.Done(now, &w.item, change))
-	g.mu.Unlock()
+}
+
+// withdraw withdraws w from m's schedule. It returns false if w was not waiting.
+func (g *group) withdraw(m *member, w *slotWaiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.schedule.Cancel(&w.item)
 }
 
 func withPeer(refusal *request.Refusal, m *member) *request.Refusal {
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -13,29 +13,40 @@
 // as the profile allows, and for a primary up to primaryWait.
 func (g *group) place(ctx context.Context, r *execution) *request.Refusal {
 	for {
-		now := g.now()
-		g.mu.Lock()
-		choice := g.choose(now, r)
-		if choice.Target >= 0 {
-			r.member = g.members[choice.Target]
-			r.replica = choice.Replica
-			r.placedAt = now
-			g.submit(ctx, now, r)
-			g.mu.Unlock()
-			return nil
+		changed, wait, refusal := g.tryPlace(ctx, r)
+		if changed == nil {
+			return refusal
 		}
-		wait, retryAfter := choice.Wait, time.Duration(0)
-		if wait <= 0 {
-			wait, retryAfter = g.primaryWait(ctx, now, r)
-		}
-		if refusal := g.checkWait(ctx, wait); refusal != nil {
-			g.mu.Unlock()
-			return refusal.WithRetryAfter(retryAfter)
-		}
-		g.awaitChange(ctx, wait)
+		g.awaitChange(ctx, changed, wait)
 	}
 }
 
+// tryPlace chooses a target for r and submits r to its schedule, or refuses r. If r has to wait, up to
+// wait, it returns a channel that is closed when the group's state changes, and counts r as waiting.
+func (g *group) tryPlace(ctx context.Context, r *execution) (changed <-chan struct{}, wait time.Duration, refusal *request.Refusal) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	choice := g.choose(now, r)
+	if choice.Target >= 0 {
+		r.member = g.members[choice.Target]
+		r.replica = choice.Replica
+		r.placedAt = now
+		g.submit(ctx, now, r)
+		return nil, 0, nil
+	}
+	wait, retryAfter := choice.Wait, time.Duration(0)
+	if wait <= 0 {
+		wait, retryAfter = g.primaryWait(ctx, now, r)
+	}
+	if refusal := g.checkWait(ctx, wait); refusal != nil {
+		return nil, 0, refusal.WithRetryAfter(retryAfter)
+	}
+	g.waitingForTarget++
+	g.wakePollers()
+	return g.changed, wait, nil
+}
+
 // primaryWait returns how long the request may wait for a primary. If wait is not positive,
 // the request is to be refused, and retryAfter is the retry delay, 0 if not known. g.mu is
 // held.
@@ -114,13 +125,9 @@
 	}
 }
 
-// awaitChange waits until the group's state changes, ctx ends or wait has passed. It is called
-// with g.mu held and returns with g.mu unlocked.
-func (g *group) awaitChange(ctx context.Context, wait time.Duration) {
-	changed := g.changed
-	g.waitingForTarget++
-	g.wakePollers()
-	g.mu.Unlock()
+// awaitChange waits until changed is closed, ctx ends or wait has passed, and no longer counts the request
+// as waiting.
+func (g *group) awaitChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -196,17 +196,9 @@
 func (g *group) confirm(ctx context.Context, claim evidence.Claim) evidence.Verdict {
 	c := &claimWaiter{claim: claim, decided: make(chan struct{}, 1)}
 	for {
-		now := g.now()
-		g.mu.Lock()
-		g.syncEvidence()
-		verdict := g.evidence.Confirm(now, claim)
-		if verdict != evidence.Wait {
-			g.mu.Unlock()
+		if verdict := g.tryConfirm(c); verdict != evidence.Wait {
 			return verdict
 		}
-		g.claims = append(g.claims, c)
-		g.wakePollers()
-		g.mu.Unlock()
 		select {
 		case <-c.decided:
 		case <-ctx.Done():
@@ -216,6 +208,20 @@
 	}
 }
 
+// tryConfirm returns the verdict on c's claim. If that is evidence.Wait, c now waits for a decision.
+func (g *group) tryConfirm(c *claimWaiter) evidence.Verdict {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncEvidence()
+	verdict := g.evidence.Confirm(now, c.claim)
+	if verdict == evidence.Wait {
+		g.claims = append(g.claims, c)
+		g.wakePollers()
+	}
+	return verdict
+}
+
 func (g *group) dropClaim(c *claimWaiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
