Owner: a panic over the answer to a single statement keeps neither slot nor connection

(In a transaction it is contained already.) The connection is closed, whose state is unknown, and the slot is free; the panic goes on to what contains the request. Locks are released by defer. TestPanicOverAnAnswerKeepsItsSlot: one in flight left, with the guard broken.

--- a/internal/owner/panic_test.go
+++ b/internal/owner/panic_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/contain"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
 )
@@ -111,3 +112,32 @@
 		h.checkNothingHeld()
 	})
 }
+
+// panickingLogger panics over the lines of one event.
+type panickingLogger struct{ event string }
+
+func (l panickingLogger) Log(fields ...any) error {
+	if len(fields) > 1 && fields[1] == l.event {
+		panic("unexpected field")
+	}
+	return nil
+}
+
+// TestPanicOverAnAnswerKeepsItsSlot guards against a slot and a connection that are kept for good because the
+// owner panicked over the target's answer to a single statement.
+func TestPanicOverAnAnswerKeepsItsSlot(t *testing.T) {
+	group := &refusingGroup{refusal: target.SetUpRefused{Code: "BUSY"}}
+	panics := func(o *Options) {
+		group.pollableGroup = o.Dialer.(pollableGroup)
+		o.Dialer, o.Logger = group, panickingLogger{"error answer"}
+	}
+	withHarness(t, 5*time.Millisecond, panics, func(h *harness) {
+		group.left.Store(1)
+		_, err := contain.Call("request", func() (*request.Response, error) {
+			return h.serve(h.request(request.KindWrite, "INSERT 1", time.Second))
+		})
+		must.True(h, contain.Error.Has(err), must.Sprint(err))
+		time.Sleep(100 * time.Millisecond)
+		h.checkNothingHeld()
+	})
+}
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -26,10 +26,7 @@
 func (g *group) serve(ctx context.Context, req *request.Request) (*request.Response, *request.Refusal) {
 	ctx, cancel := g.withDeadline(ctx, req)
 	defer cancel()
-	g.mu.Lock()
-	refusal := g.beginRequest(req)
-	tx := g.transactions[req.ID.Session]
-	g.mu.Unlock()
+	tx, refusal := g.beginServing(req)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -47,6 +44,16 @@
 	}
 }
 
+// beginServing counts req as under way, and returns its session's open transaction, if there is one.
+func (g *group) beginServing(req *request.Request) (*transaction, *request.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if refusal := g.beginRequest(req); refusal != nil {
+		return nil, refusal
+	}
+	return g.transactions[req.ID.Session], nil
+}
+
 // isInTransaction reports whether a request of kind belongs to the session's open transaction.
 func isInTransaction(kind request.Kind) bool {
 	return kind == request.KindInTransaction || kind == request.KindCommit || kind == request.KindRollback
@@ -165,13 +172,27 @@
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, request.Refuse(request.CodeTimeout, "exchange", r.member.name, "time ran out before anything was sent")
 	}
-	o := g.exchange(ctx, conn, r.req, r.attemptTimeout(ctx, g.now()), r.replica)
-	g.recordErrorAnswer(r.member.name, r.req, &o)
+	o := g.runAttempt(ctx, r, conn)
 	tx := g.finishExchange(ctx, r, conn, &o)
 	g.recycle(r.slot)
 	return g.evaluate(ctx, r, tx, &o)
 }
 
+// runAttempt runs r's request on conn. If it panics, the connection is closed and the slot is free.
+func (g *group) runAttempt(ctx context.Context, r *execution, conn *pool.Conn) exchangeResult {
+	finished := false
+	defer func() {
+		if !finished {
+			r.member.pool.Discard(conn, false)
+			g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
+		}
+	}()
+	o := g.exchange(ctx, conn, r.req, r.attemptTimeout(ctx, g.now()), r.replica)
+	g.recordErrorAnswer(r.member.name, r.req, &o)
+	finished = true
+	return o
+}
+
 // maxReadAttempt bounds how long a read waits on a connection that may be silent before the
 // read is run again on another connection.
 const maxReadAttempt = 2 * time.Second
@@ -311,9 +332,7 @@
 // acceptReplica returns the response for a replica's answer, or a retryable refusal if the
 // answer is older than the request accepts.
 func (g *group) acceptReplica(r *execution, o *exchangeResult) (*request.Response, *request.Refusal) {
-	g.mu.Lock()
-	age, known := g.evidence.Age(o.answeredAt, o.reply.Position)
-	g.mu.Unlock()
+	age, known := g.ageOf(o)
 	if choose.Accepts(&r.criteria, o.reply.Position, age, known) {
 		return newResponse(r.req, r.member, true, o), nil
 	}
@@ -321,6 +340,13 @@
 	return nil, markRetryable(request.Refuse(request.CodeOutcomeUnknown, "acknowledge", r.member.name, "the replica's answer is too old"))
 }
 
+// ageOf returns the age of the data that an answer reflects.
+func (g *group) ageOf(o *exchangeResult) (age time.Duration, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Age(o.answeredAt, o.reply.Position)
+}
+
 // claimOf returns the claim that must be confirmed before an answer of the primary is passed
 // on. It reports false if the answer needs no confirmation. A write or commit needs it if it
 // succeeded, and so does another statement that ended its transaction. A failed write or commit,
