--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -50,6 +50,7 @@
 	flags.BoolVar(&o.ResetOvertakes, "reset-overtakes", false, "a reset discards what is under way between a node and a caller")
 	flags.StringVar(&o.Binary, "binary", "", "the program to play against (default bin/crocusyoke)")
 	flags.StringVar(&o.Dir, "dir", o.Dir, "directory for settings, logs and report.json")
+	flags.StringVar(&o.Out, "out", "", "a further file for the report, as JSON")
 	return cmd
 }
 
--- a/internal/standin/soak/caller.go
+++ b/internal/standin/soak/caller.go
@@ -45,14 +45,14 @@
 func (a *answer) isUnanswered() bool { return errors.Is(a.err, os.ErrDeadlineExceeded) }
 
 // connect opens a session. refused is the error code of a refused login.
-func connect(address, service string, as customer) (c *caller, refused string, err error) {
+func connect(address string, to route, as customer) (c *caller, refused string, err error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, "", err
 	}
 	c = &caller{conn: conn, in: bufio.NewReader(conn), openedAt: time.Now(), customer: as, setup: newSetup()}
 	_ = conn.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", service, as.key); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", to.name, as.key); err != nil {
 		c.close()
 		return nil, "", err
 	}
@@ -79,11 +79,19 @@
 
 func newStatementID() string { return fmt.Sprintf("%016x", statementCount.Add(1)) }
 
+// statement returns the record of a statement that the caller is about to send.
+func (c *caller) statement(id string, to route, q request) *sent {
+	return &sent{request: q, id: id, group: to.database.group.Name, customer: c.customer.name, settings: c.setup.settings, sentAt: time.Now()}
+}
+
 // send sends one statement and waits for its answer.
-func (c *caller) send(id, text string) *answer {
+func (c *caller) send(id, text string) *answer { return c.exchange(id, "QUERY "+id+" "+text+"\r\n") }
+
+// exchange sends a line with the statement that has the given ID, and waits for its answer.
+func (c *caller) exchange(id, line string) *answer {
 	a := &answer{id: id, sentAt: time.Now()}
 	_ = c.conn.SetDeadline(a.sentAt.Add(answerTimeout))
-	_, a.err = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", a.id, text)
+	_, a.err = c.conn.Write([]byte(line))
 	for a.err == nil && a.state == "" {
 		var line string
 		if line, a.err = c.in.ReadString('\n'); a.err == nil {
--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -40,6 +40,9 @@
 	customers        = []customer{{name: "maker", key: "steady-key"}, {name: "maker-b", key: "second-key"}, {name: "READ", key: "third-key"}}
 )
 
+// pressingCustomer sends more than its rate allows.
+var pressingCustomer = customer{name: "presser", key: "pressing-key"}
+
 // configuration says what differs from the usual configuration.
 type configuration struct {
 	withoutKey  bool // the key of changingCustomer is withdrawn
@@ -49,7 +52,9 @@
 
 // configure writes the next version of the configuration.
 func (r *run) configure(c configuration) {
-	var tenants []any
+	tenants := []any{map[string]any{
+		"name": pressingCustomer.name, "api_keys": []string{pressingCustomer.key}, "rate_per_s": pressingRate, "burst": pressingBurst,
+	}}
 	for _, customer := range customers {
 		keys := []string{customer.key}
 		if customer.name == changingCustomer.name && !c.withoutKey {
--- a/internal/standin/soak/cut.go
+++ b/internal/standin/soak/cut.go
@@ -51,9 +51,7 @@
 
 // send sends a statement and records it, its answer and what the answer acknowledges.
 func (r *run) send(c *caller, to route, q request) *answer {
-	st := &sent{
-		request: q, id: newStatementID(), group: to.database.group.Name, customer: c.customer.name, settings: c.setup.settings,
-	}
+	st := c.statement(newStatementID(), to, q)
 	r.statements.note(st)
 	a := c.send(st.id, q.text)
 	r.statements.noteAnswer(st, a)
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -4,7 +4,8 @@
 // follows the platform's rule. Callers keep their connections until the processes are gone; many sessions
 // serve one operation. Customers share the nodes; their sessions set values and prepare statements whose
 // names are the same and whose contents differ, many with blanks, words of the protocol or bytes that are no
-// text. Targets refuse a share of what nodes set up there.
+// text. Targets refuse a share of what nodes set up there. Other
+// callers send lines that the protocol does not have.
 //
 // What is judged comes from what callers, targets and the supervisor saw:
 //   - no request is cut around a planned stop or SIGHUP: a connection must not end without a complete
@@ -17,7 +18,9 @@
 //   - a statement runs as its caller set it up: for its customer, with the values that were acknowledged, as
 //     what the session prepared, in its own transaction or in none;
 //   - a target runs only what a caller sent, with its text unchanged;
-//   - a refusal that promises that nothing ran is true: the log has nothing of the statement.
+//   - a refusal that promises that nothing ran is true: the log has nothing of the statement;
+//   - a customer that presses runs no more than its rate and burst allow;
+//   - each node serves every group soon after the last event.
 //
 // What was recorded of a statement is dropped some time after its answer (sent.go). What grows with a run are
 // the logs of targets and the names of acknowledged writes.
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -227,7 +227,7 @@
 	time.Sleep(inForceWithin)
 	for _, n := range r.nodes {
 		askedAt := time.Now()
-		c, refused, err := connect(n.front, r.routes[0].name, changingCustomer)
+		c, refused, err := connect(n.front, r.routes[0], changingCustomer)
 		if c != nil {
 			c.close()
 		}
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -54,6 +50,8 @@
 	Binary string
 	// Dir receives settings, logs and the report; it is created.
 	Dir string
+	// Out is a further file for the report; none if it is empty.
+	Out string
 }
 
 // DefaultOptions returns the options of a run as on the larger hosted deployment: its zones, groups,
@@ -83,18 +81,6 @@
 	return nil
 }
 
-// Report is the result of a run.
-type Report struct {
-	Seed       uint64           `json:"seed"`
-	Length     string           `json:"length"`
-	Schedule   string           `json:"schedule"`
-	Events     []Event          `json:"events"`
-	Rules      map[string]*Rule `json:"rules"`
-	Counts     map[string]int   `json:"counts"`
-	Written    int              `json:"acknowledged_writes"`
-	Promotions int              `json:"promotions"`
-}
-
 const (
 	readyTimeout = 20 * time.Second
 	// settleTime is the time without events at the end, in which everything has to work again.
@@ -240,7 +226,7 @@
 func (r *run) play(ctx context.Context, events []Event) {
 	start := time.Now()
 	var sessions, rest sync.WaitGroup
-	for i := range r.options.Sessions {
+	for i := range r.options.Sessions + pressingSessions {
 		sessions.Go(func() { r.runUser(i) })
 	}
 	rest.Go(func() {
@@ -253,8 +239,9 @@
 	rest.Go(r.settle)
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
 	if r.options.Schedule != ScheduleRecord {
-		for _, n := range r.nodes {
+		for i, n := range r.nodes {
 			rest.Go(func() { r.sendRefused(n) })
+			rest.Go(func() { r.sendMalformed(n, i) })
 		}
 	}
 	for _, event := range events {
@@ -268,7 +255,9 @@
 		r.wait.Go(func() { r.carryOut(event) })
 	}
 	r.wait.Wait()
+	lastEvent := time.Now()
 	time.Sleep(settleTime)
+	r.judgeRecovery(lastEvent)
 	close(r.ended)
 	sessions.Wait()
 	rest.Wait()
@@ -335,49 +324,6 @@
 	}
 }
 
-// judgeWrites judges that each acknowledged write is in its group's log once.
-func (r *run) judgeWrites(d *database) {
-	leader := d.group.Leader()
-	r.judge.check(ruleKept, leader != nil, "no target of %s leads in the end", d.group.Name)
-	if leader == nil {
-		return
-	}
-	writes := leader.Writes()
-	r.statements.judgeDoubtful(d.group.Name, writes)
-	for _, item := range slices.Sorted(maps.Keys(r.written)) {
-		if r.written[item].database == d {
-			r.judge.check(ruleKept, writes[item] > 0, "%q is missing at %s", item, leader.ID)
-			r.judge.check(ruleOnce, writes[item] <= 1, "%q is there %d times", item, writes[item])
-		}
-	}
-}
-
-// finish judges what is left in the end and writes the report.
-func (r *run) finish(events []Event) (*Report, error) {
-	r.statements.settle(time.Now())
-	promotions := 0
-	for _, d := range r.databases {
-		r.judgeWrites(d)
-		promotions += len(d.group.Promotions())
-	}
-	report := &Report{
-		Seed: r.options.Seed, Length: r.options.Length.String(), Schedule: r.options.Schedule,
-		Events: events, Rules: r.judge.rules, Counts: r.judge.counts,
-		Written: len(r.written), Promotions: promotions,
-	}
-	body, err := json.MarshalIndent(report, "", "  ")
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if err := os.WriteFile(filepath.Join(r.options.Dir, "report.json"), body, 0o600); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if broken := r.judge.broken(); len(broken) > 0 {
-		return report, ErrBroken.New("%v", broken)
-	}
-	return report, nil
-}
-
 // nodeOf returns the node that an event concerns.
 func (r *run) nodeOf(e Event) *node { return r.nodes[e.Index%len(r.nodes)] }
 
--- a/internal/standin/soak/sent.go
+++ b/internal/standin/soak/sent.go
@@ -24,6 +24,8 @@
 	// of which there are several if it was sent again; running is the one that its other statements ran in.
 	begun   map[uint64]bool
 	running uint64
+	// hasRun is set once a statement of it ran.
+	hasRun bool
 	// items are those that its statements write. unsettled counts the statements that are kept.
 	items     []string
 	unsettled int
@@ -37,6 +39,7 @@
 	id              string
 	group, customer string
 	settings        map[string]string
+	sentAt          time.Time
 
 	// The fields below are guarded by statements.mu. hasRun is set once a target ran it with success; code
 	// is that of the answer, and answeredAt when the answer came or the caller gave up.
@@ -48,6 +51,8 @@
 // statements judges what targets run by what callers sent. It is safe for concurrent use.
 type statements struct {
 	judge *judge
+	// rate judges the operations of pressingCustomer.
+	rate rateJudge
 	// forget drops the targets' record of a statement.
 	forget func(id string)
 
@@ -60,10 +65,12 @@
 	// doubtful holds the statements of which something may be kept although their answer promises the
 	// contrary. The targets' logs tell in the end.
 	doubtful []*sent
+	// forbidden holds items that nothing may write, by the groups that would have them.
+	forbidden map[string][]string
 }
 
 func newStatements(j *judge, forget func(id string)) *statements {
-	return &statements{judge: j, forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction)}
+	return &statements{judge: j, rate: rateJudge{judge: j}, forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction), forbidden: make(map[string][]string)}
 }
 
 // note records a statement that is about to be sent.
@@ -106,7 +113,10 @@
 	if ran.Result != "" {
 		return
 	}
-	st.hasRun = true
+	s.noteRun(st)
+	if st.mayNotRun {
+		s.judge.check(ruleSent, false, "%s: %s ran %s, which may not run", st.id, ran.Target, shorten(ran.Text))
+	}
 	if st.isSetup {
 		return
 	}
@@ -117,6 +127,19 @@
 	s.judge.check(ruleSetup, fault == "", "%s %s ran at %s: %s", st.id, shorten(st.text), ran.Target, fault)
 }
 
+// noteRun records that a target ran a statement with success. The caller holds s.mu.
+func (s *statements) noteRun(st *sent) {
+	isFirst := !st.hasRun
+	st.hasRun = true
+	if tx := st.transaction; tx != nil {
+		isFirst = !tx.hasRun
+		tx.hasRun = true
+	}
+	if isFirst && st.customer == pressingCustomer.name {
+		s.rate.note(admitted{st.sentAt, time.Now()})
+	}
+}
+
 // isUnchanged reports whether a target got the text that the caller sent, but for the name of a prepared
 // statement.
 func isUnchanged(st *sent, ran hosted.Statement) bool {
@@ -182,9 +205,10 @@
 	return ""
 }
 
-// settle judges the promises about statements that were answered before the given time, and drops what was
+// settle judges the rate, and the promises about statements that were answered before the given time, and drops what was
 // recorded about them.
 func (s *statements) settle(before time.Time) {
+	s.rate.settle(before)
 	for _, st := range s.takeAnswered(before) {
 		s.forget(st.id)
 		if promises[st.code] && !st.isDoubtful() {
@@ -243,11 +267,21 @@
 	return nil
 }
 
-// judgeDoubtful judges by the writes in a group's log the statements that were answered with a promise
-// although a target ran them.
-func (s *statements) judgeDoubtful(group string, writes map[string]int) {
+// noteForbidden records items that nothing may write in a group.
+func (s *statements) noteForbidden(group string, items ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forbidden[group] = append(s.forbidden[group], items...)
+}
+
+// judgeLog judges by the writes in a group's log the statements that were answered with a promise although a
+// target ran them, and that nothing wrote what nothing may write.
+func (s *statements) judgeLog(group string, writes map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, item := range s.forbidden[group] {
+		s.judge.check(ruleSent, writes[item] == 0, "%q is in the log, of a line that may not run", item)
+	}
 	for _, st := range s.doubtful {
 		if st.group != group {
 			continue
--- a/internal/standin/soak/sent_test.go
+++ b/internal/standin/soak/sent_test.go
@@ -151,8 +151,8 @@
 		if c.isInLog {
 			writes["item1"] = 1
 		}
-		s.judgeDoubtful("stitch", writes)
-		s.judgeDoubtful("pages", writes)
+		s.judgeLog("stitch", writes)
+		s.judgeLog("pages", writes)
 		must.Eq(t, c.checked, j.rules[ruleNotRun].Checked, must.Sprint(name))
 		must.Eq(t, c.want, j.rules[ruleNotRun].Broken, must.Sprint(name))
 	}
@@ -175,6 +175,49 @@
 	must.Eq(t, 2, j.rules[ruleSetup].Broken)
 }
 
+// TestMalformedLineThatRanIsFound checks that a run of a statement that may not run is found, and a write of
+// an item that nothing may write.
+func TestMalformedLineThatRanIsFound(t *testing.T) {
+	s, j := newTestStatements()
+	s.note(&sent{request: request{text: "STEPDOWN 99", mayNotRun: true}, id: "1", group: "pages"})
+	s.noteForbidden("pages", "item1")
+	s.observe("pages", hosted.Statement{ID: "1", Text: "STEPDOWN 99", Result: "MALFORMED"})
+	s.judgeLog("pages", map[string]int{"item2": 1})
+	must.SliceEmpty(t, j.broken())
+	s.observe("pages", hosted.Statement{ID: "1", Text: "STEPDOWN 99"})
+	must.Eq(t, 1, j.rules[ruleSent].Broken)
+	s.judgeLog("pages", map[string]int{"item1": 1})
+	must.Eq(t, 2, j.rules[ruleSent].Broken)
+}
+
+// TestMalformedLines checks that every kind of line is drawn, and that what may run has an ID of its own.
+func TestMalformedLines(t *testing.T) {
+	r := &run{}
+	random := rand.New(rand.NewPCG(1, 1))
+	var half, loneLF, overlong, withoutID int
+	for range 2000 {
+		id := newStatementID()
+		line := r.drawMalformed(random, id)
+		body := strings.TrimSuffix(line.raw, "\r\n")
+		switch {
+		case line.isHalf:
+			half++
+			must.Eq(t, body, line.raw)
+		case line.request == nil:
+			withoutID++
+		case len(line.raw) > maxLineBytes:
+			overlong++
+		case strings.Contains(body, "\n"):
+			loneLF++
+			must.Len(t, 1, line.forbidden)
+		}
+		must.StrNotContains(t, body, "\r\n")
+		must.True(t, line.request != nil || len(line.forbidden) == 1)
+		must.True(t, line.request == nil || body == "QUERY "+id+" "+line.request.text)
+	}
+	must.True(t, min(half, loneLF, overlong, withoutID) > 50)
+}
+
 // TestRecordsAreDropped checks that nothing is kept of statements that were answered long ago.
 func TestRecordsAreDropped(t *testing.T) {
 	var forgotten []string
--- a/internal/standin/soak/session.go
+++ b/internal/standin/soak/session.go
@@ -8,6 +8,10 @@
 const (
 	// maxThinkTime is the longest pause between two operations of a session.
 	maxThinkTime = 250 * time.Millisecond
+	// pressingSessions is the number of sessions of pressingCustomer, and maxPressingThinkTime the longest
+	// pause between two of its operations.
+	pressingSessions     = 6
+	maxPressingThinkTime = 60 * time.Millisecond
 	// reconnectDelay is the pause after a connection that could not be opened.
 	reconnectDelay = 20 * time.Millisecond
 	// maxStatements is the highest number of statements between the beginning and the end of a transaction.
@@ -50,22 +54,33 @@
 	zone   string
 	route  route
 	random *rand.Rand
+	// customer is whose key the sessions present, one of customers if it is nil. longestThink is the longest
+	// pause between two operations.
+	customer     *customer
+	longestThink time.Duration
 }
 
 // runUser opens sessions and runs operations in them until the run ends.
 func (r *run) runUser(number int) {
-	u := &user{run: r, random: rand.New(rand.NewPCG(r.options.Seed, uint64(2+number)))}
+	u := &user{run: r, random: rand.New(rand.NewPCG(r.options.Seed, uint64(2+number))), longestThink: maxThinkTime}
 	u.zone = zones[number%len(zones)]
+	if number >= r.options.Sessions {
+		u.customer, u.longestThink = &pressingCustomer, maxPressingThinkTime
+	}
 	for !r.hasEnded() {
 		u.route = r.routes[u.random.IntN(len(r.routes))]
 		u.runSession()
-		time.Sleep(upTo(u.random, maxThinkTime))
+		time.Sleep(upTo(u.random, u.longestThink))
 	}
 }
 
 func (u *user) runSession() {
 	n := u.run.balancer.pick(u.zone, u.random)
-	c, refused, err := connect(n.callers, u.route.name, drawCustomer(u.random))
+	as := drawCustomer(u.random)
+	if u.customer != nil {
+		as = *u.customer
+	}
+	c, refused, err := connect(n.callers, u.route, as)
 	if err != nil || refused != "" {
 		u.run.judge.count("sessions not opened")
 		time.Sleep(reconnectDelay)
@@ -82,7 +97,7 @@
 			return
 		}
 		if i < operations-1 {
-			time.Sleep(upTo(u.random, maxThinkTime))
+			time.Sleep(upTo(u.random, u.longestThink))
 		}
 	}
 	c.bye()
@@ -110,7 +125,7 @@
 // sendRefused sends statements to a node that it refuses, so that its log has lines.
 func (r *run) sendRefused(n *node) {
 	for !r.hasEnded() {
-		c, refused, err := connect(n.front, r.routes[0].name, customers[0])
+		c, refused, err := connect(n.front, r.routes[0], customers[0])
 		if err != nil || refused != "" {
 			time.Sleep(refusedInterval)
 			continue
--- a/internal/standin/soak/setup.go
+++ b/internal/standin/soak/setup.go
@@ -35,6 +35,8 @@
 	arguments string
 	// namesKnown is set if the statement names a prepared statement that the caller has.
 	namesKnown bool
+	// mayNotRun is set if no target may run the statement.
+	mayNotRun bool
 	// begins and commits are set for the BEGIN and the COMMIT of transaction.
 	begins, commits bool
 	// item is what the statement writes, empty if it writes nothing.
