Callers: what a session keeps is bounded, for itself and over the node

Callers could see a node run out of memory through another caller: the settings and prepared statements of a session had no limit.

Cause: sessionState accepted every SET and PREPARE. Now a session keeps at most 256 entries of 48 KiB together, names and a fixed size of each included, and a budget bounds all sessions of a node: 1 KiB for each at any time, and 8 MiB for what is above. Past a bound SET and PREPARE are refused as too_large and change nothing; a smaller value is always accepted, DEALLOC gives room back, and so does the end of a session, also by a panic. One statement stays below 64 KiB, which a connection to a target is to hold. Texts are copied, since they are parts of whole messages.

TestLaterSetLeavesPendingCallUnchanged passes an account to newSessionState; its checks are the same.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
@@ -206,7 +207,7 @@
 // TestLaterSetLeavesPendingCallUnchanged guards against a SET changing the settings of a call
 // that was made before it.
 func TestLaterSetLeavesPendingCallUnchanged(t *testing.T) {
-	s := newSessionState()
+	s := newSessionState(budget.New(stateLimits).Account())
 	s.storeSetting("tz", "utc")
 	first := s.newCall(&read)
 	s.storeSetting("tz", "ist")
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -54,7 +54,7 @@
 		conn:   conn,
 		codec:  s.options.NewCodec(conn),
 		id:     fmt.Sprintf("%s.%d", s.options.Node, number),
-		state:  newSessionState(),
+		state:  newSessionState(s.stateBudget.Account()),
 
 		progress: progress{phase: phaseLogin},
 	}
@@ -76,6 +76,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer s.state.release()
 	if !s.admit() {
 		return
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
@@ -62,6 +63,9 @@
 	// Refused counts refused sessions and statements by refusal code.
 	Refused expvar.Map
 
+	// stateBudget is the budget of the sessions' settings and prepared statements.
+	stateBudget *budget.Budget
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -80,7 +84,10 @@
 // New returns a Server. It accepts no connections until Serve is called.
 func New(options Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{})}
+	return &Server{
+		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
+		stateBudget: budget.New(stateLimits),
+	}
 }
 
 // Vars returns the server's counters.
@@ -88,6 +95,7 @@
 	all := new(expvar.Map)
 	all.Set("counts", &s.Counts)
 	all.Set("refused", &s.Refused)
+	all.Set("state_bytes", expvar.Func(func() any { return s.stateBudget.Held() }))
 	return all
 }
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -1,8 +1,7 @@
 package front
 
 import (
-	"slices"
-
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/request"
 )
 
@@ -18,25 +17,14 @@
 type sessionState struct {
 	settings []Setting
 	prepared map[string]StatementTemplate
+	// account holds the size of settings and prepared.
+	account  *budget.Account
 	txStatus byte
 	sequence uint64
 }
 
-func newSessionState() *sessionState {
-	return &sessionState{prepared: make(map[string]StatementTemplate), txStatus: txIdle}
-}
-
-// storeSetting sets a session setting. It replaces the slice instead of changing it in place,
-// because a Call that was made earlier still refers to the old one.
-func (s *sessionState) storeSetting(name, value string) {
-	next := slices.Clone(s.settings)
-	i := slices.IndexFunc(next, func(v Setting) bool { return v.Name == name })
-	if i < 0 {
-		s.settings = append(next, Setting{Name: name, Value: value})
-		return
-	}
-	next[i].Value = value
-	s.settings = next
+func newSessionState(account *budget.Account) *sessionState {
+	return &sessionState{prepared: make(map[string]StatementTemplate), account: account, txStatus: txIdle}
 }
 
 // action is the way in which a statement is handled.
@@ -63,17 +51,11 @@
 	}
 	switch st.Verb {
 	case VerbSet:
-		s.storeSetting(st.Name, st.Value)
-		return actionAnswer, 0, nil
+		return answerUnless(s.storeSetting(st.Name, st.Value))
 	case VerbPrepare:
-		s.prepared[st.Name] = st.Shape
-		return actionAnswer, 0, nil
+		return answerUnless(s.storePrepared(st.Name, st.Shape))
 	case VerbDeallocate:
-		if _, ok := s.prepared[st.Name]; !ok {
-			return actionRefuse, 0, unpreparedRefusal(st.Name)
-		}
-		delete(s.prepared, st.Name)
-		return actionAnswer, 0, nil
+		return answerUnless(s.deallocate(st.Name))
 	case VerbBegin:
 		if s.txStatus != txIdle {
 			return actionRefuse, 0, protocolRefusal("a transaction is open already")
@@ -103,6 +85,15 @@
 	}
 }
 
+// answerUnless returns the action for a statement that the session itself carries out: its answer, or
+// refusal if that is not nil.
+func answerUnless(refusal *request.Refusal) (action, request.Kind, *request.Refusal) {
+	if refusal != nil {
+		return actionRefuse, 0, refusal
+	}
+	return actionAnswer, 0, nil
+}
+
 // planInFailedTransaction is plan for a failed transaction, in which only its end is accepted.
 func (s *sessionState) planInFailedTransaction(st *Statement) (action, request.Kind, *request.Refusal) {
 	if st.Verb == VerbRollback || st.Verb == VerbCommit {
