Callers: a refusal and its log line stay short, however long the caller's text

An EXEC with an unknown name of nearly 1 MiB was answered by an ERROR line far above the 1 MiB that a message may have, and gave log lines of that size.

Cause: details quote a caller's text whole, here, in the check of the key and in what targets answer, and log lines have the caller's identifier and the causes of refusals. Now every detail that leaves this package is cut at 512 bytes, the quoted name at 64, between two runes and marked; a log line has 64 bytes of an identifier and 4 KiB of a cause, which leaves room for a panic's stack. Answers have their identifiers as before.

It fails too with the details, the identifiers or the causes alone not cut; TestCutText with the quoted name not cut.

--- a/internal/front/cut.go
+++ b/internal/front/cut.go
@@ -29,7 +29,7 @@
 // progress describes what a session is doing, for the line that is logged if it is cut.
 type progress struct {
 	phase phase
-	// statement is the last statement's identifier, verb its verb, and began when it was read.
+	// statement is the last statement's identifier, cut for the log; verb is its verb, and began when it was read.
 	statement string
 	verb      Verb
 	began     time.Time
@@ -96,7 +96,7 @@
 		fields = append(fields, "transaction_age", now.Sub(p.transactionBegan))
 	}
 	if cause != nil {
-		fields = append(fields, "cause", cause)
+		fields = append(fields, "cause", loggedCause(cause))
 	}
 	s.server.options.Log.Write(requestlog.Entry{ID: p.statement, Session: s.id, Outcome: requestlog.OutcomeCut, Fields: fields})
 }
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -179,10 +179,11 @@
 // told to close meanwhile.
 func (s *session) beginStatement(st *Statement) {
 	now := s.server.options.Clock.Now()
+	id := loggedID(st.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = true
-	s.progress.phase, s.progress.statement, s.progress.verb, s.progress.began = phaseServing, st.ID, st.Verb, now
+	s.progress.phase, s.progress.statement, s.progress.verb, s.progress.began = phaseServing, id, st.Verb, now
 	_ = s.conn.SetReadDeadline(time.Time{})
 }
 
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -22,7 +22,7 @@
 	if !s.server.options.Log.Allow(outcome, now) {
 		return
 	}
-	s.server.options.Log.Write(requestlog.Entry{ID: st.ID, Session: s.id, Outcome: outcome, Fields: []any{
+	s.server.options.Log.Write(requestlog.Entry{ID: loggedID(st.ID), Session: s.id, Outcome: outcome, Fields: []any{
 		"customer", s.customer, "service", s.service, "group", req.Group, "kind", req.Kind,
 		"target", resp.Target, "replica", resp.Replica, "position", resp.Position, "took", took,
 		"at_owner", resp.Times.AtOwner, "at_target", resp.Times.AtTarget, "exchanges", resp.Times.Exchanges,
@@ -40,9 +40,9 @@
 	if c := s.server.options.Config.Current(); c != nil {
 		config = c.Version
 	}
-	s.server.options.Log.Write(requestlog.Entry{ID: st.ID, Session: s.id, Outcome: outcome, Fields: []any{
+	s.server.options.Log.Write(requestlog.Entry{ID: loggedID(st.ID), Session: s.id, Outcome: outcome, Fields: []any{
 		"fate", refusal.Code.Fate, "customer", s.customer, "service", s.service,
-		"step", refusal.Step, "peer", refusal.Peer, "detail", refusal.Detail, "cause", refusal.Cause,
+		"step", refusal.Step, "peer", refusal.Peer, "detail", refusal.Detail, "cause", loggedCause(refusal.Cause),
 		"retry_after", refusal.RetryAfter, "config", config,
 	}})
 }
@@ -53,7 +53,7 @@
 // logPanic logs input that made the codec panic. The session ends, the process does not.
 func (s *session) logPanic(err error) {
 	if s.server.options.Log.Allow(outcomePanic, s.server.options.Clock.Now()) {
-		s.server.options.Log.Write(requestlog.Entry{Session: s.id, Outcome: outcomePanic, Fields: []any{"step", step, "cause", err}})
+		s.server.options.Log.Write(requestlog.Entry{Session: s.id, Outcome: outcomePanic, Fields: []any{"step", step, "cause", loggedCause(err)}})
 	}
 }
 
@@ -64,6 +64,6 @@
 func (s *Server) recordAcceptError(err error) {
 	s.Counts.Add("accepts_failed", 1)
 	if s.options.Log.Allow(outcomeAcceptFailed, s.options.Clock.Now()) {
-		s.options.Log.Write(requestlog.Entry{Outcome: outcomeAcceptFailed, Fields: []any{"step", step, "cause", err}})
+		s.options.Log.Write(requestlog.Entry{Outcome: outcomeAcceptFailed, Fields: []any{"step", step, "cause", loggedCause(err)}})
 	}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -131,7 +131,7 @@
 
 func (s *session) reject(refusal *request.Refusal) {
 	s.server.Refused.Add(refusal.Code.Name, 1)
-	s.codec.Reject(refusal)
+	s.codec.Reject(withShortDetail(refusal))
 	_ = s.flush()
 }
 
@@ -184,7 +184,7 @@
 		return
 	}
 	s.server.Counts.Add("malformed", 1)
-	s.codec.Refuse(protocolRefusal(err.Error()), s.state.txStatus)
+	s.codec.Refuse(withShortDetail(protocolRefusal(err.Error())), s.state.txStatus)
 	_ = s.flush()
 }
 
@@ -295,6 +295,7 @@
 }
 
 func (s *session) refuse(st *Statement, refusal *request.Refusal) {
+	refusal = withShortDetail(refusal)
 	s.server.Refused.Add(refusal.Code.Name, 1)
 	s.logRefused(st, refusal)
 	s.codec.Refuse(refusal, s.state.txStatus)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -133,5 +133,5 @@
 }
 
 func unpreparedRefusal(name string) *request.Refusal {
-	return request.Refuse(request.CodeUnprepared, step, "", "no prepared statement %q", name)
+	return request.Refuse(request.CodeUnprepared, step, "", "no prepared statement %s", quote(name))
 }
