Callers: an idle session and the log's queue keep no whole messages

A session that had sent a statement of 1 MiB kept all of it while it was idle, and so did a log line that waited for the writer. So a node's memory grew with the longest message of each session, and a session that logged in kept its startup message, which contains the key.

Cause: the identifier, the service's name and other short texts are parts of the string that holds the whole message; keeping one keeps all.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -109,7 +110,8 @@
 		s.reject(request.AsRefusal(err))
 		return false
 	}
-	s.service, s.customer = startup.Service, identity.Customer
+	// The service's name is a part of the whole message, which contains the key.
+	s.service, s.customer = strings.Clone(startup.Service), identity.Customer
 	s.server.options.Auth.SetIdentity(s.id, identity)
 	if !s.open() {
 		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
--- a/internal/front/stored_test.go
+++ b/internal/front/stored_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -157,3 +159,41 @@
 }
 
 func (st Statement) settingSize() int { return Setting{Name: st.Name, Value: st.Value}.size() }
+
+// TestShortTextsKeepWholeMessages guards against a session, or the log's queue, that keeps the whole messages in
+// which short settings, prepared statements and identifiers came.
+func TestShortTextsKeepWholeMessages(t *testing.T) {
+	const messages, length = 40, 1 << 20
+	before := heapInUse()
+	s := newServer(&fakeChain{}, nil)
+	conn, other := net.Pipe()
+	defer other.Close()
+	sessions := make([]*session, messages)
+	for i := range sessions {
+		startup := fmt.Sprint("orders", i, strings.Repeat("x", length))
+		codec := &scriptedCodec{startup: Startup{Service: startup[:len("orders")], Key: "k1"}}
+		s.options.NewCodec = func(net.Conn) Codec { return codec }
+		sessions[i] = newSession(s, conn, uint64(i))
+		must.True(t, sessions[i].admit())
+		codec.startup = Startup{}
+		message := strings.Repeat("x", length) + fmt.Sprint("set", i)
+		st := set(message[length:length+3], message[length+3:])
+		st.ID = message[length : length+3]
+		sessions[i].beginStatement(&st)
+		sessions[i].state.plan(&st)
+		sessions[i].endStatement()
+		st.Verb, st.Shape.Name = VerbPrepare, st.Value
+		sessions[i].state.plan(&st)
+		sessions[i].logRefused(&st, unpreparedRefusal(st.Name))
+	}
+	must.Less(t, messages*length/4, heapInUse()-before)
+	runtime.KeepAlive(sessions)
+	runtime.KeepAlive(s)
+}
+
+func heapInUse() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
+}
--- a/internal/front/text.go
+++ b/internal/front/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"unicode/utf8"
 
 	"crocusyoke/internal/request"
@@ -47,8 +48,9 @@
 	return &short
 }
 
-// loggedID returns the identifier of a statement for a log line.
-func loggedID(id string) string { return cutText(id, maxLoggedID) }
+// loggedID returns the identifier of a statement for a log line. It is no part of the caller's message, which must
+// not be kept with it.
+func loggedID(id string) string { return strings.Clone(cutText(id, maxLoggedID)) }
 
 // loggedCause returns err for a log line, nil if there is none.
 func loggedCause(err error) any {
