Callers: large statements that are served at once are bounded in bytes

Callers that send statements of nearly 1 MiB at the same time made a node hold each of them several times over, without a bound: as text, encoded, as a frame, and on the owner's side again. Users: 24 callers are enough.

Now a budget of 8 MiB bounds the texts that are being served, settings included, beside 2 KiB of each session that are always served. What has no room is refused at once, as overloaded with a time to come back, and was not sent anywhere; in a transaction it fails the transaction like any refused statement. COMMIT and ROLLBACK are never refused for it: they are short and free what the transaction holds.

Without the change (go test -run NAME ./internal/front on, the limits declared in the test): TestLargeStatementsAtOnceFillTheNode: - "overloaded I", + "ok I" TestSettingsMakeCommitTooLarge: - "overloaded I|overloaded I", + "ok T|ok T"; with COMMIT not exempt it fails as well.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
@@ -24,6 +25,8 @@
 	codec  Codec
 	id     string
 	state  *sessionState
+	// serving holds the size of the statement that is being served.
+	serving *budget.Account
 
 	service  string
 	customer string
@@ -57,6 +60,8 @@
 		id:     fmt.Sprintf("%s.%d", s.options.Node, number),
 		state:  newSessionState(s.stateBudget.Account()),
 
+		serving: s.servingBudget.Account(),
+
 		progress: progress{phase: phaseLogin},
 	}
 }
@@ -218,7 +223,13 @@
 
 // forward sends a statement through the filter chain and passes on the answer.
 func (s *session) forward(ctx context.Context, st *Statement, kind request.Kind) {
-	req, refusal := s.newRequest(s.state.newCall(st), kind)
+	call := s.state.newCall(st)
+	defer s.serving.Release()
+	if refusal := s.takeRoom(st, call); refusal != nil {
+		s.failStatement(st, refusal)
+		return
+	}
+	req, refusal := s.newRequest(call, kind)
 	if refusal != nil {
 		s.failStatement(st, refusal)
 		return
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -65,6 +65,8 @@
 
 	// stateBudget is the budget of the sessions' settings and prepared statements.
 	stateBudget *budget.Budget
+	// servingBudget is the budget of the statements that are being served.
+	servingBudget *budget.Budget
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -86,7 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
-		stateBudget: budget.New(stateLimits),
+		stateBudget: budget.New(stateLimits), servingBudget: budget.New(servingLimits),
 	}
 }
 
@@ -95,6 +97,7 @@
 	all := new(expvar.Map)
 	all.Set("counts", &s.Counts)
 	all.Set("refused", &s.Refused)
+	all.Set("serving_bytes", expvar.Func(func() any { return s.servingBudget.Held() }))
 	all.Set("state_bytes", expvar.Func(func() any { return s.stateBudget.Held() }))
 	return all
 }
