Callers: large statements that are being read are bounded

Callers that send a large statement slowly, or not to its end, made a node hold up to 1 MiB each: 7,000 of them are 7 GB, before any check of what was sent.

Now the part of a statement behind its first 4 KiB is read only in the session's turn; eight sessions have one at a time. The others wait in sending, as for a slow network, for 1 s, and are then refused as overloaded with a time to come back. A turn whose statement takes more than 5 s to arrive ends with a timeout. Both are not run, fail an open transaction, and end the session, since the next statement can't be found. A turn lasts until the statement has its room to be served or its answer, so that what was read is accounted for throughout; a stop ends the wait.

Without the change TestHalfSentStatementsFillTheNode never ends: nobody is refused (panic: deadlock: all goroutines in bubble are blocked). Guards broken one at a time, each found: no turns, no end with the stop, no time for a stalled read, turns kept after the read, while a statement is served, after an answer of the node and after the startup message, at the end of a session, the transaction not failed.

--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -16,6 +16,11 @@
 // has ended waits a moment for its caller to close. Only a caller that keeps a transaction open without a
 // statement, or does not read its answer, is cut.
 //
+// What the sessions of a node keep or have under way is bounded, so that no caller takes the memory of the
+// others: settings and prepared statements by a budget with a share for each session, statements that are
+// being served by another one, and statements that are being read by a number of turns. Past a bound a caller
+// is refused. Nothing that a session or the log keeps refers to a whole message.
+//
 // The package does not depend on a particular protocol: reading and writing messages is left
 // to a Codec.
 package front
--- a/internal/front/inflight.go
+++ b/internal/front/inflight.go
@@ -30,6 +30,7 @@
 // none: it is short and frees more than it takes. The session's account is released with the answer.
 func (s *session) takeRoom(st *Statement, call *Call) *request.Refusal {
 	if st.Verb == VerbCommit || st.Verb == VerbRollback || s.serving.Resize(call.size()) {
+		s.in.endTurn()
 		return nil
 	}
 	return request.Refuse(request.CodeOverloaded, step, "", "the node serves too many large statements").
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -27,6 +27,8 @@
 	state  *sessionState
 	// serving holds the size of the statement that is being served.
 	serving *budget.Account
+	// in is what codec reads from.
+	in *statementConn
 
 	service  string
 	customer string
@@ -53,14 +55,16 @@
 }
 
 func newSession(s *Server, conn net.Conn, number uint64) *session {
+	in := &statementConn{Conn: conn, turns: s.largeReads, stopped: s.ctx}
 	return &session{
 		server: s,
 		conn:   conn,
-		codec:  s.options.NewCodec(conn),
+		codec:  s.options.NewCodec(in),
 		id:     fmt.Sprintf("%s.%d", s.options.Node, number),
 		state:  newSessionState(s.stateBudget.Account()),
 
 		serving: s.servingBudget.Account(),
+		in:      in,
 
 		progress: progress{phase: phaseLogin},
 	}
@@ -82,6 +86,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer s.in.endTurn()
 	defer s.state.release()
 	if !s.admit() {
 		return
@@ -103,6 +108,9 @@
 		if ErrProtocol.Has(err) {
 			s.reject(protocolRefusal(err.Error()))
 		}
+		if refusal := readRefusal(err); refusal != nil {
+			s.reject(refusal)
+		}
 		return false
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
@@ -122,6 +130,7 @@
 		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
 		return false
 	}
+	s.in.endTurn()
 	s.codec.SessionOpened()
 	return s.flush() == nil
 }
@@ -149,9 +158,11 @@
 		s.handleReadError(err)
 		return false
 	}
+	s.in.endRead()
 	s.beginStatement(&statement)
 	s.server.Counts.Add("statements", 1)
 	s.serveStatement(ctx, &statement)
+	s.in.endTurn()
 	s.setPhase(phaseAnswering)
 	if err := s.flush(); err != nil {
 		s.handleWriteError(err)
@@ -174,8 +185,9 @@
 	return contain.Call("read statement", s.codec.Next)
 }
 
-// handleReadError refuses input that violates the protocol. Any other error means that the
-// caller has closed the connection, that the connection broke, or that an idle session is to close.
+// handleReadError refuses input that violates the protocol or that can't be read to its end. Any other
+// error means that the caller has closed the connection, that the connection broke, or that an idle
+// session is to close.
 func (s *session) handleReadError(err error) {
 	if contain.Error.Has(err) {
 		s.logPanic(err)
@@ -183,6 +195,11 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		s.logCut(cutAtLimit, nil)
 	}
+	if refusal := readRefusal(err); refusal != nil {
+		s.failStatement(&Statement{}, refusal)
+		_ = s.flush()
+		return
+	}
 	if !ErrProtocol.Has(err) {
 		s.endedByCaller = !contain.Error.Has(err) && !errors.Is(err, os.ErrDeadlineExceeded)
 		if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -67,6 +67,8 @@
 	stateBudget *budget.Budget
 	// servingBudget is the budget of the statements that are being served.
 	servingBudget *budget.Budget
+	// largeReads has an element for each session that reads a large statement.
+	largeReads chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -89,6 +91,7 @@
 	return &Server{
 		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
 		stateBudget: budget.New(stateLimits), servingBudget: budget.New(servingLimits),
+		largeReads: make(chan struct{}, maxLargeReads),
 	}
 }
 
@@ -97,6 +100,7 @@
 	all := new(expvar.Map)
 	all.Set("counts", &s.Counts)
 	all.Set("refused", &s.Refused)
+	all.Set("large_reads", expvar.Func(func() any { return len(s.largeReads) }))
 	all.Set("serving_bytes", expvar.Func(func() any { return s.servingBudget.Held() }))
 	all.Set("state_bytes", expvar.Func(func() any { return s.stateBudget.Held() }))
 	return all
