PostgreSQL port: prepared statements are bounded over the node, and idle sessions keep no exchanges

A session could prepare 4 MiB and 32 sessions together all of a node's 128 MB. Two faults of the limit beside it: the statements of one exchange were each compared with the limit alone, so that together they went beyond it, and an unnamed statement was refused for the size of the one that it replaces. An idle session kept its last exchange, decoded and as sent, and the value that its application name was cut from.

Room is taken when an exchange is planned, before it is sent, and what the target does not confirm is given back at the end of the exchange; a Parse without room is refused as too_large.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -97,6 +97,8 @@
 		txStatus: txIdle,
 		ctx:      ctx,
 		cancel:   cancel,
+
+		statements: statement.Statements{Account: s.statementBudget.Account()},
 	}
 }
 
@@ -114,6 +116,7 @@
 
 // release frees the connection slot and ends the session, if there is one.
 func (c *conn) release() {
+	c.statements.Release()
 	c.server.releaseSlot(c)
 	if c.session == "" {
 		return
@@ -148,12 +151,21 @@
 			c.endOnReadError(e.err)
 			return
 		}
-		if !c.serveExchange(&e) {
+		goesOn := c.serveExchange(&e)
+		c.endExchange()
+		if !goesOn {
 			return
 		}
 	}
 }
 
+// endExchange drops what refers to the messages of the last exchange, so that an idle connection does not keep
+// them.
+func (c *conn) endExchange() {
+	c.statements.EndExchange()
+	c.request = request.Request{}
+}
+
 // endOnReadError handles an error in reading an exchange, after which the connection is closed.
 // If the caller sent a message that is too large or violates the protocol, it is told so. After
 // other errors nothing is sent.
--- a/internal/pgfront/counters.go
+++ b/internal/pgfront/counters.go
@@ -52,3 +52,10 @@
 	all.Set("idle_in_transaction", &c.IdleInTransaction)
 	return all
 }
+
+// Vars returns all counters and levels under their metric names.
+func (s *Server) Vars() *expvar.Map {
+	all := s.Counters.Vars()
+	all.Set("statement_bytes", expvar.Func(func() any { return s.statementBudget.Held() }))
+	return all
+}
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/filter/session"
@@ -49,6 +50,9 @@
 	extraHandshakes = 64
 )
 
+// statementLimits bound the prepared statements of all sessions of a node.
+var statementLimits = budget.Limits{Share: 2 << 10, Common: 32 << 20}
+
 // Options configure a Server. A duration or limit of zero means the default above. Clock and
 // Logger may be nil.
 type Options struct {
@@ -101,6 +105,8 @@
 type Server struct {
 	Counters
 	options Options
+	// statementBudget is the budget of the sessions' prepared statements.
+	statementBudget *budget.Budget
 	// draining is closed when a drain begins, ending when its time is almost over.
 	draining, ending chan struct{}
 	// base is the parent of all connections' contexts. stop cancels it, which cancels all
@@ -134,6 +140,8 @@
 		base:     base,
 		stop:     stop,
 		conns:    make(map[uint32]*conn),
+
+		statementBudget: budget.New(statementLimits),
 	}
 }
 
--- a/internal/pgfront/variables.go
+++ b/internal/pgfront/variables.go
@@ -84,7 +84,7 @@
 	case varTimeout:
 		return v.setTimeout(value)
 	case varAppName:
-		v.appName = value[:min(len(value), maxAppName)]
+		v.appName = strings.Clone(value[:min(len(value), maxAppName)])
 	default:
 		return checkFixed(name, value)
 	}
--- a/internal/statement/plan.go
+++ b/internal/statement/plan.go
@@ -184,7 +184,7 @@
 		return
 	}
 	if old := s.named[change.name]; old != nil {
-		s.totalBytes -= len(old.parseMessage)
+		s.totalBytes -= old.size(change.name)
 		delete(s.named, change.name)
 	}
 	if change.statement == nil {
@@ -194,5 +194,5 @@
 		s.named = make(map[string]*prepared)
 	}
 	s.named[change.name] = change.statement
-	s.totalBytes += len(change.statement.parseMessage)
+	s.totalBytes += change.statement.size(change.name)
 }
--- a/internal/statement/prepared.go
+++ b/internal/statement/prepared.go
@@ -3,17 +3,10 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/request"
 )
 
-// Limits on the prepared statements of one session.
-const (
-	// MaxStatements is the maximum number of prepared statements.
-	MaxStatements = 2000
-	// MaxStatementBytes is the maximum total size of their Parse messages in bytes.
-	MaxStatementBytes = 4 << 20
-)
-
 // step names this package in refusals.
 const step = "statement"
 
@@ -29,8 +22,11 @@
 // connection may serve the next exchange. The zero value is ready to use. A Statements is not
 // safe for concurrent use.
 type Statements struct {
-	named map[string]*prepared
-	// totalBytes is the total size of the Parse messages in named.
+	// Account holds the size of named and of what the current exchange parses; nil if that is not bounded
+	// beyond the limits of one session.
+	Account *budget.Account
+	named   map[string]*prepared
+	// totalBytes is the total size of the statements in named.
 	totalBytes int
 	decoded    decodeBuffers
 	plan       Plan
@@ -99,6 +95,8 @@
 	offset  int
 	portals []portal
 	pending []pendingChange
+	// reservedBytes is the size of the statements that the exchange parses.
+	reservedBytes int
 }
 
 // Plan classifies and rewrites one exchange, whose messages are in batch. The result refers to
@@ -107,6 +105,7 @@
 func (s *Statements) Plan(batch []byte) (*Plan, error) {
 	p := &s.plan
 	p.reset(batch)
+	s.settle()
 	for rest := batch; len(rest) > 0; {
 		p.offset = len(batch) - len(rest)
 		m, after, ok := Next(rest)
@@ -182,14 +181,13 @@
 		return duplicateStatementError(name)
 	}
 	rest := m.Body()[len(name)+1:]
-	if err := s.checkLimits(p, len(rest)); err != nil {
+	statement := &prepared{info: Classify(s.decoded.parse.Query), parseMessage: unnamedParse(rest)}
+	if err := s.reserve(p, name, statement); err != nil {
 		return err
 	}
-	statement := &prepared{info: Classify(s.decoded.parse.Query)}
 	if statement.info.Class == ClassUnsupported {
 		p.Info = statement.info
 	}
-	statement.parseMessage = unnamedParse(rest)
 	p.recordReference(statement)
 	if name == "" {
 		p.copyMessage(m)
@@ -305,12 +303,3 @@
 	}
 	return s.named[name]
 }
-
-// checkLimits returns a refusal if a Parse message with a body of size bytes exceeds a limit.
-func (s *Statements) checkLimits(p *Plan, size int) error {
-	count := len(s.named) + len(p.pending)
-	if count >= MaxStatements || s.totalBytes+size > MaxStatementBytes {
-		return request.Refuse(request.CodeTooLarge, step, "", "too many prepared statements")
-	}
-	return nil
-}
--- a/internal/statement/setting.go
+++ b/internal/statement/setting.go
@@ -36,7 +36,8 @@
 		setting.Verb = VerbShow
 	}
 	name, t := parseSettingName(s, &setting)
-	setting.Name = name
+	// The name must not keep the whole text of which it is a part.
+	setting.Name = strings.Clone(name)
 	if setting.Verb == VerbSet && (name == "transaction" || name == "constraints") {
 		_, more := skipStatement(s, t)
 		return Info{Class: ClassWrite}, more
