--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
@@ -23,6 +25,10 @@
 	codec  Codec
 	id     string
 	state  *sessionState
+	// serving holds the size of the statement that is being served.
+	serving *budget.Account
+	// in is what codec reads from.
+	in *statementConn
 
 	service  string
 	customer string
@@ -49,12 +55,16 @@
 }
 
 func newSession(s *Server, conn net.Conn, number uint64) *session {
+	in := &statementConn{Conn: conn, turns: s.largeReads, stopped: s.ctx}
 	return &session{
 		server: s,
 		conn:   conn,
-		codec:  s.options.NewCodec(conn),
+		codec:  s.options.NewCodec(in),
 		id:     fmt.Sprintf("%s.%d", s.options.Node, number),
-		state:  newSessionState(),
+		state:  newSessionState(s.stateBudget.Account()),
+
+		serving: s.servingBudget.Account(),
+		in:      in,
 
 		progress: progress{phase: phaseLogin},
 	}
@@ -76,6 +86,8 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer s.in.endTurn()
+	defer s.state.release()
 	if !s.admit() {
 		return
 	}
@@ -96,6 +108,9 @@
 		if ErrProtocol.Has(err) {
 			s.reject(protocolRefusal(err.Error()))
 		}
+		if refusal := readRefusal(err); refusal != nil {
+			s.reject(refusal)
+		}
 		return false
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
@@ -108,12 +123,14 @@
 		s.reject(request.AsRefusal(err))
 		return false
 	}
-	s.service, s.customer = startup.Service, identity.Customer
+	// The service's name is a part of the whole message, which contains the key.
+	s.service, s.customer = strings.Clone(startup.Service), identity.Customer
 	s.server.options.Auth.SetIdentity(s.id, identity)
 	if !s.open() {
 		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
 		return false
 	}
+	s.in.endTurn()
 	s.codec.SessionOpened()
 	return s.flush() == nil
 }
@@ -130,7 +147,7 @@
 
 func (s *session) reject(refusal *request.Refusal) {
 	s.server.Refused.Add(refusal.Code.Name, 1)
-	s.codec.Reject(refusal)
+	s.codec.Reject(withShortDetail(refusal))
 	_ = s.flush()
 }
 
@@ -141,9 +158,11 @@
 		s.handleReadError(err)
 		return false
 	}
+	s.in.endRead()
 	s.beginStatement(&statement)
 	s.server.Counts.Add("statements", 1)
 	s.serveStatement(ctx, &statement)
+	s.in.endTurn()
 	s.setPhase(phaseAnswering)
 	if err := s.flush(); err != nil {
 		s.handleWriteError(err)
@@ -166,8 +185,9 @@
 	return contain.Call("read statement", s.codec.Next)
 }
 
-// handleReadError refuses input that violates the protocol. Any other error means that the
-// caller has closed the connection, that the connection broke, or that an idle session is to close.
+// handleReadError refuses input that violates the protocol or that can't be read to its end. Any other
+// error means that the caller has closed the connection, that the connection broke, or that an idle
+// session is to close.
 func (s *session) handleReadError(err error) {
 	if contain.Error.Has(err) {
 		s.logPanic(err)
@@ -175,6 +195,11 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		s.logCut(cutAtLimit, nil)
 	}
+	if refusal := readRefusal(err); refusal != nil {
+		s.failStatement(&Statement{}, refusal)
+		_ = s.flush()
+		return
+	}
 	if !ErrProtocol.Has(err) {
 		s.endedByCaller = !contain.Error.Has(err) && !errors.Is(err, os.ErrDeadlineExceeded)
 		if !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -183,7 +208,7 @@
 		return
 	}
 	s.server.Counts.Add("malformed", 1)
-	s.codec.Refuse(protocolRefusal(err.Error()), s.state.txStatus)
+	s.codec.Refuse(withShortDetail(protocolRefusal(err.Error())), s.state.txStatus)
 	_ = s.flush()
 }
 
@@ -215,7 +240,13 @@
 
 // forward sends a statement through the filter chain and passes on the answer.
 func (s *session) forward(ctx context.Context, st *Statement, kind request.Kind) {
-	req, refusal := s.newRequest(s.state.newCall(st), kind)
+	call := s.state.newCall(st)
+	defer s.serving.Release()
+	if refusal := s.takeRoom(st, call); refusal != nil {
+		s.failStatement(st, refusal)
+		return
+	}
+	req, refusal := s.newRequest(call, kind)
 	if refusal != nil {
 		s.failStatement(st, refusal)
 		return
@@ -294,6 +325,7 @@
 }
 
 func (s *session) refuse(st *Statement, refusal *request.Refusal) {
+	refusal = withShortDetail(refusal)
 	s.server.Refused.Add(refusal.Code.Name, 1)
 	s.logRefused(st, refusal)
 	s.codec.Refuse(refusal, s.state.txStatus)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
@@ -62,6 +63,13 @@
 	// Refused counts refused sessions and statements by refusal code.
 	Refused expvar.Map
 
+	// stateBudget is the budget of the sessions' settings and prepared statements.
+	stateBudget *budget.Budget
+	// servingBudget is the budget of the statements that are being served.
+	servingBudget *budget.Budget
+	// largeReads has an element for each session that reads a large statement.
+	largeReads chan struct{}
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -80,7 +88,11 @@
 // New returns a Server. It accepts no connections until Serve is called.
 func New(options Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{})}
+	return &Server{
+		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
+		stateBudget: budget.New(stateLimits), servingBudget: budget.New(servingLimits),
+		largeReads: make(chan struct{}, maxLargeReads),
+	}
 }
 
 // Vars returns the server's counters.
@@ -88,6 +100,9 @@
 	all := new(expvar.Map)
 	all.Set("counts", &s.Counts)
 	all.Set("refused", &s.Refused)
+	all.Set("large_reads", expvar.Func(func() any { return len(s.largeReads) }))
+	all.Set("serving_bytes", expvar.Func(func() any { return s.servingBudget.Held() }))
+	all.Set("state_bytes", expvar.Func(func() any { return s.stateBudget.Held() }))
 	return all
 }
 
