Limits: no room at the node is overloaded, with when to come back

The node's room is others' to give back, so a later try can pass, which too_large denies: it stays for the session's own bounds.

--- a/internal/front/stored.go
+++ b/internal/front/stored.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"crocusyoke/internal/budget"
 	"crocusyoke/internal/request"
@@ -22,6 +23,9 @@
 // stateLimits bound the settings and prepared statements of all sessions of a node.
 var stateLimits = budget.Limits{Share: 1 << 10, Common: 8 << 20}
 
+// stateRetryAfter is when a caller may come back for whose settings and prepared statements the node had no room.
+const stateRetryAfter = time.Second
+
 // size returns the memory that the setting takes, in bytes.
 func (v Setting) size() int { return entryBytes + len(v.Name) + len(v.Value) }
 
@@ -86,8 +90,8 @@
 		return request.Refuse(request.CodeTooLarge, step, "",
 			"a session keeps at most %d settings and prepared statements of %d bytes together", maxEntries, maxStateBytes)
 	case !s.account.Resize(total):
-		return request.Refuse(request.CodeTooLarge, step, "",
-			"the node has no room for more settings and prepared statements of its sessions")
+		return request.Refuse(request.CodeOverloaded, step, "",
+			"the node has no room for more settings and prepared statements of its sessions").WithRetryAfter(stateRetryAfter)
 	}
 	return nil
 }
--- a/internal/statement/room.go
+++ b/internal/statement/room.go
@@ -1,6 +1,10 @@
 package statement
 
-import "crocusyoke/internal/request"
+import (
+	"time"
+
+	"crocusyoke/internal/request"
+)
 
 // Limits on the prepared statements of one session.
 const (
@@ -18,6 +22,9 @@
 	return statementOverhead + len(name) + len(p.parseMessage) + len(setting.Name) + len(setting.Value)
 }
 
+// roomRetryAfter is when a caller may come back for whose prepared statement the node had no room.
+const roomRetryAfter = time.Second
+
 // reserve makes room for a statement that the exchange parses, or returns a refusal. What it replaces keeps its
 // room until the target has confirmed the exchange.
 func (s *Statements) reserve(p *Plan, name string, statement *prepared) error {
@@ -30,7 +37,8 @@
 		return request.Refuse(request.CodeTooLarge, step, "", "too many prepared statements")
 	}
 	if !s.Account.Resize(s.totalBytes + p.reservedBytes + size) {
-		return request.Refuse(request.CodeTooLarge, step, "", "the node has no room for more prepared statements of its sessions")
+		return request.Refuse(request.CodeOverloaded, step, "", "the node has no room for more prepared statements of its sessions").
+			WithRetryAfter(roomRetryAfter)
 	}
 	p.reservedBytes += size
 	return nil
