Owner: a transaction that is given up is no longer counted as open

Whether it is the session's current one says nothing about that; a flag of its own does. Beside it: what is kept of a target's error code is bounded, 32 bytes.

--- a/internal/owner/answers.go
+++ b/internal/owner/answers.go
@@ -14,6 +14,8 @@
 	// errorLinesPerSecond and errorLineBurst bound the log lines about answers with one error code.
 	errorLinesPerSecond = 5
 	errorLineBurst      = 10
+	// maxCodeBytes bounds what is kept of an error code, in bytes.
+	maxCodeBytes = 32
 	// maxErrorCodes bounds the error codes that are told apart. Further ones count as otherCode.
 	maxErrorCodes = 32
 	otherCode     = "other"
@@ -74,6 +76,7 @@
 	if code == "" {
 		return
 	}
+	code = code[:min(len(code), maxCodeBytes)]
 	allowed, leftOut := g.manager.counts.errorAnswers.record(o.answeredAt, code, refused != nil)
 	if !allowed {
 		return
--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -33,9 +34,10 @@
 	}
 	must.Eq(t, errorLineBurst+1, strings.Count(out.String(), "\n"))
 	for i := range 2 * maxErrorCodes {
-		g.recordErrorAnswer("db1", req, &exchangeResult{reply: target.Reply{Code: strings.Repeat("x", i+1)}, answeredAt: time.Unix(2, 0)})
+		g.recordErrorAnswer("db1", req, &exchangeResult{reply: target.Reply{Code: fmt.Sprint("x", i, strings.Repeat("x", 100))}, answeredAt: time.Unix(2, 0)})
 	}
 	answers := g.manager.counts.errorAnswers
+	must.NotNil(t, answers.refused.Get("x0"+strings.Repeat("x", maxCodeBytes-2)))
 	must.Eq(t, "1", answers.refused.Get("MALFORMED").String())
 	must.Eq(t, "31", answers.setUp.Get("BUSY").String())
 	must.Eq(t, "34", answers.refused.Get(otherCode).String())
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -37,6 +37,8 @@
 	// connReturned is set once conn was returned to its pool or closed. Only the statement that made the
 	// transaction busy uses it.
 	connReturned bool
+	// closed is set once the member's schedule no longer counts the transaction as open.
+	closed bool
 }
 
 // rollbackTimeout bounds the rollback of an abandoned transaction. After that its connection
@@ -137,7 +139,8 @@
 	tx.lastUsed = now
 	tx.tainted = tx.tainted || o.cancelled
 	change := schedule.TransactionUnchanged
-	if over {
+	if over && !tx.closed {
+		tx.closed = true
 		change = schedule.TransactionClosed
 	}
 	deliver(tx.member.schedule.Done(now, &slot.item, change))
@@ -257,10 +260,11 @@
 	if !scheduler.Cancel(&slot.item) {
 		deliver(scheduler.Done(now, &slot.item, schedule.TransactionUnchanged))
 	}
-	if g.transactions[tx.session] == tx {
-		g.forget(tx)
+	if !tx.closed {
+		tx.closed = true
 		deliver(scheduler.CloseTransaction(now))
 	}
+	g.forget(tx)
 	g.signalIdle()
 }
 
