Peers: texts between nodes need not be valid UTF-8

Seen by the review: a refusal that quotes odd bytes of a target or caller, or a request with an odd idempotency key, could not be decoded by the other node; the stream broke, and what had not run would be told as of unknown outcome. Frames are decoded like calls: texts as they are. TestRefusalWithOddBytesBreaksStream, TestRequestWithOddKeyBreaksStream: 'invalid UTF-8 string' before.

--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -298,7 +298,18 @@
 	if err != nil {
 		return err
 	}
-	return Error.Wrap(cbor.Unmarshal(body, v))
+	return Error.Wrap(frameDecoder.Unmarshal(body, v))
+}
+
+// frameDecoder takes texts as they are: what a caller or a target has sent need not be valid UTF-8.
+var frameDecoder = newFrameDecoder()
+
+func newFrameDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
 }
 
 func (r *frameReader) readBody(size int) ([]byte, error) {
