--- a/internal/target/pgtarget/conn.go
+++ b/internal/target/pgtarget/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -16,6 +15,7 @@
 
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/target"
+	"crocusyoke/internal/target/idle"
 )
 
 const (
@@ -54,12 +54,7 @@
 	pid       uint32
 	secretKey []byte
 
-	// rawConn, peekFunc, peekErr and peekBuffer are kept here so that checkIdle allocates no
-	// memory.
-	rawConn    syscall.RawConn
-	peekFunc   func(fd uintptr) bool
-	peekErr    error
-	peekBuffer [1]byte
+	idle *idle.Check
 }
 
 func newConn(h *pgconn.HijackedConn) *conn {
@@ -69,10 +64,7 @@
 		sizeHint:  minSizeHint,
 		pid:       h.PID,
 		secretKey: h.SecretKey,
-	}
-	c.peekFunc = c.peekSocket
-	if socket, ok := h.Conn.(syscall.Conn); ok {
-		c.rawConn, _ = socket.SyscallConn()
+		idle:      idle.New(h.Conn),
 	}
 	c.position, _ = logpos.Parse(h.ParameterStatuses[target.ParamPosition])
 	return c
--- a/internal/target/pgtarget/message.go
+++ b/internal/target/pgtarget/message.go
@@ -5,7 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"io"
-	"syscall"
+
+	"crocusyoke/internal/target/idle"
 )
 
 // Sizes and type bytes of the messages that this package interprets.
@@ -32,7 +33,6 @@
 	errReplyTooLarge  = errors.New("reply too large")
 	errCopy           = errors.New("target started a COPY, which is not supported")
 	errNotOneExchange = errors.New("request is malformed or is not a single exchange")
-	errUnsolicited    = errors.New("target sent data while no exchange was in progress")
 )
 
 func (c *conn) readFull(buffer []byte) error {
@@ -90,33 +90,9 @@
 // connection.
 func (c *conn) checkIdle() error {
 	if c.reader.Buffered() > 0 {
-		return errUnsolicited
-	}
-	if c.rawConn == nil {
-		return nil
-	}
-	if err := c.rawConn.Read(c.peekFunc); err != nil {
-		return err
-	}
-	return c.peekErr
-}
-
-// peekSocket looks for data on the socket without blocking or consuming it. It sets c.peekErr to
-// nil if the connection is open and no data has arrived. It returns true, so that
-// syscall.RawConn.Read does not wait.
-func (c *conn) peekSocket(fd uintptr) bool {
-	n, _, err := syscall.Recvfrom(int(fd), c.peekBuffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case n > 0:
-		c.peekErr = errUnsolicited
-	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
-		c.peekErr = nil
-	case err != nil:
-		c.peekErr = err
-	default:
-		c.peekErr = io.EOF
+		return idle.ErrUnsolicited
 	}
-	return true
+	return c.idle.Err()
 }
 
 // parseParameterStatus returns the name and value in the body of a ParameterStatus message.
