Soak: a success must be what a target answered; the pressing customer presses harder

Callers read items that were written not long ago, and a success of a read, write or COMMIT must have the digest and the rows of a target's run of it (hosted.Statement has the rows). Rows are read without trimming.

--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -200,6 +200,7 @@
 	if st.Transaction == 0 {
 		st.Transaction = s.transaction
 	}
+	st.Rows = rows
 	st.Result, _, _ = strings.Cut(failure, " ")
 	if st.ID != ownID {
 		s.target.note(st)
--- a/internal/standin/hosted/session_test.go
+++ b/internal/standin/hosted/session_test.go
@@ -124,10 +124,11 @@
 	first.query("b", "BEGIN")
 	first.query("e", "EXEC p item some data")
 	second.query("r", "READ item")
+	first.query("o", "READ item")
 	first.query("n", "EXEC q item")
 	ran := g.Target("t1").Ran()
-	must.Len(t, 4, ran)
-	begin, exec, read, unknown := ran[0], ran[1], ran[2], ran[3]
+	must.Len(t, 5, ran)
+	begin, exec, read, own, unknown := ran[0], ran[1], ran[2], ran[3], ran[4]
 	must.Eq(t, &Prepared{Kind: KindWrite, Shape: "a b"}, exec.Prepared)
 	must.Eq(t, "item some data", exec.Arguments)
 	must.Eq(t, map[string]string{"tz": " x y"}, exec.Settings)
@@ -139,6 +140,8 @@
 	must.Nil(t, unknown.Prepared)
 	must.Eq(t, "NOSTMT", unknown.Result)
 	must.Eq(t, "", exec.Result)
+	must.SliceEmpty(t, read.Rows)
+	must.Eq(t, []string{"some data"}, own.Rows)
 }
 
 // TestSetupIsRefusedBySeed checks that a share of the proxy's own set-up statements is refused, the same ones
--- a/internal/standin/hosted/statement.go
+++ b/internal/standin/hosted/statement.go
@@ -34,6 +34,8 @@
 	Transaction uint64
 	// Target is the ID of the target. Result is the code of its error, empty if the statement succeeded.
 	Target, Result string
+	// Rows are those of its answer.
+	Rows []string
 }
 
 // CallerText returns the text without the position that a proxy may have put before it.
--- a/internal/standin/soak/caller.go
+++ b/internal/standin/soak/caller.go
@@ -14,6 +14,9 @@
 // answerTimeout bounds the wait for one answer.
 const answerTimeout = 4 * time.Second
 
+// noDigest is in an answer in place of a target's digest.
+const noDigest = "-"
+
 var statementCount atomic.Uint64
 
 // caller is one session.
@@ -31,7 +34,8 @@
 type answer struct {
 	id     string
 	code   string
-	signed bool
+	digest string
+	rows   []string
 	state  string
 	err    error
 	sentAt time.Time
@@ -39,7 +43,7 @@
 }
 
 // acknowledged reports whether a target has run the statement with success.
-func (a *answer) acknowledged() bool { return a.err == nil && a.code == "" && a.signed }
+func (a *answer) acknowledged() bool { return a.err == nil && a.code == "" && a.digest != noDigest }
 
 // isUnanswered reports whether the caller gave up while the connection was still open.
 func (a *answer) isUnanswered() bool { return errors.Is(a.err, os.ErrDeadlineExceeded) }
@@ -95,7 +99,7 @@
 	for a.err == nil && a.state == "" {
 		var line string
 		if line, a.err = c.in.ReadString('\n'); a.err == nil {
-			a.take(strings.TrimSpace(line))
+			a.take(line)
 		}
 	}
 	a.endAt = time.Now()
@@ -103,10 +107,12 @@
 }
 
 func (a *answer) take(line string) {
-	word, rest, _ := strings.Cut(line, " ")
+	word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
 	switch word {
+	case "ROW":
+		a.rows = append(a.rows, rest)
 	case "COMPLETE":
-		a.signed = rest != "-"
+		a.digest = rest
 	case "ERROR":
 		a.code, _, _ = strings.Cut(rest, " ")
 	case "READY":
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -20,7 +20,7 @@
 	// targetQueue is how many statements wait at a target before it refuses more.
 	targetQueue = 40
 	handshake   = 12 * time.Millisecond
-	// valueLimit is how many bytes of a value targets keep. No caller reads what was written.
+	// valueLimit is how many bytes of a value targets keep and return.
 	valueLimit = 64
 	// workSpread is the spread of the work times, as the standard deviation of their logarithm. Of
 	// longWorkEvery statements one takes minLongWork to maxLongWork.
@@ -51,6 +51,8 @@
 	// zones holds the zone of each target that has an entry, by its ID.
 	zones    map[string]string
 	replaced int
+	// recent holds the items that were written last.
+	recent []string
 }
 
 // newDatabase starts the group with the given index and registers its targets. observe is called with what
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -19,6 +19,7 @@
 //     what the session prepared, in its own transaction or in none;
 //   - a target runs only what a caller sent, with its text unchanged;
 //   - a refusal that promises that nothing ran is true: the log has nothing of the statement;
+//   - a success is what a target answered, with its digest and rows;
 //   - a customer that presses runs no more than its rate and burst allow;
 //   - each node serves every group soon after the last event.
 //
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -18,6 +18,7 @@
 	ruleSetup     = "a statement runs as its caller set it up"
 	ruleSent      = "a target runs only what a caller sent"
 	ruleRecovery  = "each node serves every group in the end"
+	ruleAnswer    = "a success is what a target answered"
 	ruleRate      = "a customer's rate is kept"
 	ruleNotRun    = "a refusal that promises that nothing ran is true"
 )
@@ -53,7 +54,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleRate, ruleRecovery} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleRate, ruleRecovery, ruleAnswer} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
--- a/internal/standin/soak/malformed.go
+++ b/internal/standin/soak/malformed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"time"
 )
@@ -97,7 +98,7 @@
 	if line.isHalf {
 		_, _ = fmt.Fprint(c.conn, line.raw)
 		c.close()
-		r.statements.noteAnswer(st, &answer{id: id, endAt: time.Now()})
+		r.statements.noteAnswer(st, &answer{id: id, err: net.ErrClosed, endAt: time.Now()})
 		return false
 	}
 	a := c.exchange(id, line.raw)
--- a/internal/standin/soak/operations.go
+++ b/internal/standin/soak/operations.go
@@ -22,6 +22,8 @@
 	shareSetupsAtCommit = 15
 	shareExec           = 50
 	shareUnprepared     = 2
+	// shareRecent is the percentage of reads of what was written last.
+	shareRecent = 50
 )
 
 // change changes values and prepared names of a session, in a transaction or not. It reports false if the
@@ -71,12 +73,12 @@
 		q = c.setup.execRequest(name, item+" "+drawData(u.random, c.isPlain, len("QUERY 0123456789abcdef EXEC \r\n")+len(name)+len(item)+2))
 		q.item = item
 	case isPrepared:
-		q = c.setup.execRequest(name, drawItem(u.random, c.isPlain, false))
+		q = c.setup.execRequest(name, u.drawReadItem(c, false))
 	case writes:
 		item := u.newItem(c)
 		q = request{text: "WRITE " + item + " " + drawData(u.random, c.isPlain, len("QUERY 0123456789abcdef WRITE \r\n")+len(item)+1), item: item}
 	default:
-		q = request{text: "READ " + drawItem(u.random, c.isPlain, true)}
+		q = request{text: "READ " + u.drawReadItem(c, true)}
 	}
 	return q
 }
@@ -102,6 +104,16 @@
 	return fitting[u.random.IntN(len(fitting))], true
 }
 
+// drawReadItem draws an item to read, often one that was written not long ago.
+func (u *user) drawReadItem(c *caller, isLastField bool) string {
+	if isOneOf(u.random, shareRecent) {
+		if item := u.route.database.recentItem(u.random.IntN(maxRecentItems)); item != "" {
+			return item
+		}
+	}
+	return drawItem(u.random, c.isPlain, isLastField)
+}
+
 // newItem returns an item that nothing else writes.
 func (u *user) newItem(c *caller) string {
 	item := u.run.newItem()
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -292,6 +292,7 @@
 func (r *run) newItem() string { return fmt.Sprintf("item%d", r.items.Add(1)) }
 
 func (r *run) noteWritten(to route, items ...string) {
+	to.database.noteRecent(items...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, item := range items {
--- a/internal/standin/soak/sent.go
+++ b/internal/standin/soak/sent.go
@@ -41,9 +41,10 @@
 	settings        map[string]string
 	sentAt          time.Time
 
-	// The fields below are guarded by statements.mu. hasRun is set once a target ran it with success; code
-	// is that of the answer, and answeredAt when the answer came or the caller gave up.
+	// The fields below are guarded by statements.mu. hasRun is set once a target ran it with success;
+	// answers are those of such runs, code is that of the answer to the caller, and answeredAt when the answer came or the caller gave up.
 	hasRun     bool
+	answers    []targetAnswer
 	code       string
 	answeredAt time.Time
 }
@@ -96,6 +97,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.judgeSuccess(st, a)
 	st.code, st.answeredAt = a.code, a.endAt
 	s.answered = append(s.answered, st)
 }
@@ -113,6 +115,7 @@
 	if ran.Result != "" {
 		return
 	}
+	st.answers = append(st.answers, answerOf(ran))
 	s.noteRun(st)
 	if st.mayNotRun {
 		s.judge.check(ruleSent, false, "%s: %s ran %s, which may not run", st.id, ran.Target, shorten(ran.Text))
--- a/internal/standin/soak/sent_test.go
+++ b/internal/standin/soak/sent_test.go
@@ -244,7 +244,7 @@
 // blanks, and that the longest lines are as long as they may be.
 func TestDrawnLinesAreAllowed(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
-	u := &user{run: &run{}, random: random}
+	u := &user{run: &run{}, random: random, route: route{database: &database{}}}
 	longest, withBlanks := 0, 0
 	for i := range 40000 {
 		c := &caller{setup: newSetup(), isPlain: i%2 == 0}
--- a/internal/standin/soak/session.go
+++ b/internal/standin/soak/session.go
@@ -26,6 +26,8 @@
 	shareTransaction = 35
 	shareSetups      = 35
 	shareWrites      = 35
+	// sharePressingTransaction is shareTransaction of pressingCustomer.
+	sharePressingTransaction = 5
 	// Percentages of transactions: that only read, that are rolled back, that their caller leaves.
 	shareReadOnly   = 20
 	shareRolledBack = 12
@@ -54,31 +56,37 @@
 	zone   string
 	route  route
 	random *rand.Rand
-	// customer is whose key the sessions present, one of customers if it is nil. longestThink is the longest
-	// pause between two operations.
-	customer     *customer
-	longestThink time.Duration
+	// isPressing is set if the sessions are those of pressingCustomer: they are long, and most of their
+	// operations are single statements with short pauses between them.
+	isPressing bool
 }
 
 // runUser opens sessions and runs operations in them until the run ends.
 func (r *run) runUser(number int) {
-	u := &user{run: r, random: rand.New(rand.NewPCG(r.options.Seed, uint64(2+number))), longestThink: maxThinkTime}
+	u := &user{run: r, random: rand.New(rand.NewPCG(r.options.Seed, uint64(2+number)))}
 	u.zone = zones[number%len(zones)]
-	if number >= r.options.Sessions {
-		u.customer, u.longestThink = &pressingCustomer, maxPressingThinkTime
-	}
+	u.isPressing = number >= r.options.Sessions
 	for !r.hasEnded() {
 		u.route = r.routes[u.random.IntN(len(r.routes))]
 		u.runSession()
-		time.Sleep(upTo(u.random, u.longestThink))
+		u.think()
 	}
 }
 
+// think pauses between two operations.
+func (u *user) think() {
+	longest := maxThinkTime
+	if u.isPressing {
+		longest = maxPressingThinkTime
+	}
+	time.Sleep(upTo(u.random, longest))
+}
+
 func (u *user) runSession() {
 	n := u.run.balancer.pick(u.zone, u.random)
 	as := drawCustomer(u.random)
-	if u.customer != nil {
-		as = *u.customer
+	if u.isPressing {
+		as = pressingCustomer
 	}
 	c, refused, err := connect(n.callers, u.route, as)
 	if err != nil || refused != "" {
@@ -89,7 +97,7 @@
 	defer c.close()
 	c.isPlain = isOneOf(u.random, sharePlain)
 	operations := 1
-	if !isOneOf(u.random, shareSingleUse) {
+	if u.isPressing || !isOneOf(u.random, shareSingleUse) {
 		operations = 1 + u.random.IntN(operationsOfLongSessions)
 	}
 	for i := range operations {
@@ -97,7 +105,7 @@
 			return
 		}
 		if i < operations-1 {
-			time.Sleep(upTo(u.random, u.longestThink))
+			u.think()
 		}
 	}
 	c.bye()
@@ -108,7 +116,11 @@
 	if isOneOf(u.random, shareSetups) && !u.change(c, n, nil, 1) {
 		return false
 	}
-	if isOneOf(u.random, shareTransaction) {
+	share := shareTransaction
+	if u.isPressing {
+		share = sharePressingTransaction
+	}
+	if isOneOf(u.random, share) {
 		return u.transact(c, n)
 	}
 	q := u.draw(c, isOneOf(u.random, shareWrites)).in(nil, 1)
--- a/internal/standin/soak/text.go
+++ b/internal/standin/soak/text.go
@@ -68,7 +68,7 @@
 	return names[random.IntN(len(names))]
 }
 
-// drawItem draws an item that is only read. The last field of a line may have blanks.
+// drawItem draws an item that nothing writes. The last field of a line may have blanks.
 func drawItem(random *rand.Rand, plain, isLastField bool) string {
 	if plain || !isOneOf(random, shareOdd) {
 		return "steady"
