--- a/internal/platform/httpclient/httpclient.go
+++ b/internal/platform/httpclient/httpclient.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -22,6 +23,10 @@
 // maxBodyBytes is the maximum number of bytes read from the body of an answer.
 const maxBodyBytes = 64 << 20
 
+// HeaderEra is the header of an answer that states the store's era, which grows with each restore of
+// the store from a copy.
+const HeaderEra = "Platform-Era"
+
 type client struct {
 	base string
 	http *http.Client
@@ -45,7 +50,8 @@
 // Get implements platform.Table.
 func (c *client) Get(ctx context.Context, key string) (platform.Row, error) {
 	var row platform.Row
-	err := c.getJSON(ctx, "/rows/"+escapePath(key), &row)
+	era, err := c.getJSON(ctx, "/rows/"+escapePath(key), &row)
+	row.Era = era
 	return row, err
 }
 
@@ -54,7 +60,10 @@
 	var list struct {
 		Rows []platform.Row `json:"rows"`
 	}
-	err := c.getJSON(ctx, "/rows?prefix="+url.QueryEscape(prefix), &list)
+	era, err := c.getJSON(ctx, "/rows?prefix="+url.QueryEscape(prefix), &list)
+	for i := range list.Rows {
+		list.Rows[i].Era = era
+	}
 	return list.Rows, err
 }
 
@@ -69,9 +78,10 @@
 		return platform.Row{}, err
 	}
 	var row platform.Row
-	if err := json.Unmarshal(reply, &row); err != nil {
+	if err := json.Unmarshal(reply.body, &row); err != nil {
 		return platform.Row{}, platform.ErrOutcomeUnknown.New("put %s: malformed answer: %v", key, err)
 	}
+	row.Era = reply.era
 	return row, nil
 }
 
@@ -83,7 +93,8 @@
 
 // GetObject implements platform.Objects.
 func (c *client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return c.read(ctx, "/objects/"+escapePath(name))
+	reply, err := c.read(ctx, "/objects/"+escapePath(name))
+	return reply.body, err
 }
 
 // ListVMs implements platform.VMs.
@@ -91,57 +102,67 @@
 	var list struct {
 		VMs []platform.VM `json:"vms"`
 	}
-	err := c.getJSON(ctx, "/vms", &list)
+	_, err := c.getJSON(ctx, "/vms", &list)
 	return list.VMs, err
 }
 
-func (c *client) getJSON(ctx context.Context, path string, into any) error {
-	body, err := c.read(ctx, path)
+// getJSON decodes the body of the answer to a read. It returns the store's era also if nothing was
+// found.
+func (c *client) getJSON(ctx context.Context, path string, into any) (era uint64, err error) {
+	reply, err := c.read(ctx, path)
 	if err != nil {
-		return err
+		return reply.era, err
 	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return platform.ErrOutage.New("GET %s: malformed answer: %v", path, err)
+	if err := json.Unmarshal(reply.body, into); err != nil {
+		return 0, platform.ErrOutage.New("GET %s: malformed answer: %v", path, err)
 	}
-	return nil
+	return reply.era, nil
 }
 
-func (c *client) read(ctx context.Context, path string) ([]byte, error) {
-	status, body, _, err := c.call(ctx, http.MethodGet, path, nil)
+func (c *client) read(ctx context.Context, path string) (answer, error) {
+	reply, _, err := c.call(ctx, http.MethodGet, path, nil)
 	switch {
 	case err != nil:
-		return nil, platform.ErrOutage.Wrap(err)
-	case status == http.StatusNotFound:
-		return nil, platform.ErrNotFound.New("GET %s", path)
-	case status != http.StatusOK:
-		return nil, platform.ErrOutage.New("GET %s: status %d", path, status)
+		return answer{}, platform.ErrOutage.Wrap(err)
+	case reply.status == http.StatusNotFound:
+		return answer{era: reply.era}, platform.ErrNotFound.New("GET %s", path)
+	case reply.status != http.StatusOK:
+		return answer{}, platform.ErrOutage.New("GET %s: status %d", path, reply.status)
 	}
-	return body, nil
+	return reply, nil
 }
 
-func (c *client) write(ctx context.Context, path string, request []byte) ([]byte, error) {
-	status, body, sent, err := c.call(ctx, http.MethodPut, path, request)
+func (c *client) write(ctx context.Context, path string, request []byte) (answer, error) {
+	reply, sent, err := c.call(ctx, http.MethodPut, path, request)
 	switch {
 	case err != nil && !sent:
-		return nil, platform.ErrOutage.Wrap(err)
+		return answer{}, platform.ErrOutage.Wrap(err)
 	case err != nil:
-		return nil, platform.ErrOutcomeUnknown.Wrap(err)
-	case status == http.StatusConflict:
-		return nil, platform.ErrConflict.New("PUT %s: %s", path, body)
-	case status == http.StatusServiceUnavailable:
+		return answer{}, platform.ErrOutcomeUnknown.Wrap(err)
+	case reply.status == http.StatusConflict:
+		return answer{}, platform.ErrConflict.New("PUT %s: %s", path, reply.body)
+	case reply.status == http.StatusServiceUnavailable:
 		// The platform answers with this status only if the write had no effect.
-		return nil, platform.ErrOutage.New("PUT %s: refused", path)
-	case status >= http.StatusInternalServerError:
-		return nil, platform.ErrOutcomeUnknown.New("PUT %s: status %d", path, status)
-	case status != http.StatusOK:
-		return nil, errs.New("platform: PUT %s: status %d", path, status)
+		return answer{}, platform.ErrOutage.New("PUT %s: refused", path)
+	case reply.status >= http.StatusInternalServerError:
+		return answer{}, platform.ErrOutcomeUnknown.New("PUT %s: status %d", path, reply.status)
+	case reply.status != http.StatusOK:
+		return answer{}, errs.New("platform: PUT %s: status %d", path, reply.status)
 	}
-	return body, nil
+	return reply, nil
+}
+
+// answer is the platform's answer to a call.
+type answer struct {
+	status int
+	body   []byte
+	// era is the store's era; 0 if the answer does not state it.
+	era uint64
 }
 
-// call sends a request and returns the status and body of the answer. The third result is true
-// if any byte of the request may have left this process.
-func (c *client) call(ctx context.Context, method, path string, body []byte) (int, []byte, bool, error) {
+// call sends a request and returns the answer. sent is true if any byte of the request may have
+// left this process.
+func (c *client) call(ctx context.Context, method, path string, body []byte) (reply answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
 	var gotConn atomic.Bool
@@ -149,17 +170,27 @@
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bodyReader(body))
 	if err != nil {
-		return 0, nil, false, err
+		return answer{}, false, err
 	}
 	// Without GetBody the transport can't send a write a second time on its own.
 	req.GetBody = nil
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, gotConn.Load(), err
+		return answer{}, gotConn.Load(), err
 	}
 	defer resp.Body.Close()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
-	return resp.StatusCode, reply, true, err
+	reply = answer{status: resp.StatusCode, era: parseEra(resp.Header)}
+	reply.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	return reply, true, err
+}
+
+// parseEra returns the store's era that an answer's header states, or 0.
+func parseEra(header http.Header) uint64 {
+	era, err := strconv.ParseUint(header.Get(HeaderEra), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return era
 }
 
 func bodyReader(body []byte) io.Reader {
--- a/internal/platform/httpclient/httpclient_test.go
+++ b/internal/platform/httpclient/httpclient_test.go
@@ -39,7 +39,7 @@
 	must.NoError(t, err)
 	rows, err := p.List(ctx, "trust/")
 	must.NoError(t, err)
-	must.Eq(t, []platform.Row{{Key: "trust/config", Version: 1, Value: []byte("a")}}, rows)
+	must.Eq(t, []platform.Row{{Key: "trust/config", Version: 1, Value: []byte("a"), Era: 1}}, rows)
 	must.NoError(t, p.PutObject(ctx, "trust/body", []byte{0, 1}))
 	body, err := p.GetObject(ctx, "trust/body")
 	must.NoError(t, err)
@@ -62,7 +62,7 @@
 	must.True(t, platform.ErrOutcomeUnknown.Has(err), must.Sprint(err))
 	row, err := p.Get(ctx, "row")
 	must.NoError(t, err)
-	must.Eq(t, platform.Row{Key: "row", Version: 2, Value: []byte("b")}, row)
+	must.Eq(t, platform.Row{Key: "row", Version: 2, Value: []byte("b"), Era: 1}, row)
 	must.EqOp(t, 2, server.Counters().Writes)
 	must.EqOp(t, 1, server.Counters().Lost)
 }
--- a/internal/standin/platformd/api.go
+++ b/internal/standin/platformd/api.go
@@ -17,6 +17,10 @@
 	PathCounters = "/admin/counters"
 )
 
+// HeaderEra is the header of each answer of the table service that states the store's era, which
+// grows with each restore.
+const HeaderEra = "Platform-Era"
+
 // MaxBody is the maximum size of a request body in bytes.
 const MaxBody = 16 << 20
 
--- a/internal/standin/platformd/memory.go
+++ b/internal/standin/platformd/memory.go
@@ -1,6 +1,7 @@
 package platformd
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,7 +12,9 @@
 
 // memory holds rows, objects and VMs.
 type memory struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era is 1 at first and grows with each restore.
+	era     uint64
 	rows    map[string]platform.Row
 	objects map[string][]byte
 	// vmHistory holds the versions of the VM list, oldest first. No snapshot is modified.
@@ -25,46 +28,73 @@
 	vms         []platform.VM
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 func newMemory() *memory {
 	return &memory{
+		era:       firstEra,
 		rows:      make(map[string]platform.Row),
 		objects:   make(map[string][]byte),
 		vmListLag: DefaultVMLag,
 	}
 }
 
+// Copy is a copy of a platform's rows and objects at one moment.
+type Copy struct {
+	rows    map[string]platform.Row
+	objects map[string][]byte
+}
+
+func (m *memory) copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{maps.Clone(m.rows), maps.Clone(m.objects)}
+}
+
+// restore replaces the rows and objects by those of a copy and begins a new era.
+func (m *memory) restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.rows, m.objects = maps.Clone(c.rows), maps.Clone(c.objects)
+}
+
+// row returns the row called key, with the era. If there is none, only the era is set.
 func (m *memory) row(key string) (platform.Row, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row, ok := m.rows[key]
+	row.Era = m.era
 	return row, ok
 }
 
-func (m *memory) rowsWithPrefix(prefix string) []platform.Row {
+func (m *memory) rowsWithPrefix(prefix string) (rows []platform.Row, era uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := []platform.Row{}
+	rows = []platform.Row{}
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows
+	return rows, m.era
 }
 
 // put writes the row if its current version is version, where 0 stands for no row. It returns
-// the row as it is then and whether it was written.
+// the row as it is then, with the era, and whether it was written.
 func (m *memory) put(key string, version uint64, value []byte) (platform.Row, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	current := m.rows[key]
-	if current.Version != version {
-		return current, false
+	row := m.rows[key]
+	written := row.Version == version
+	if written {
+		row = platform.Row{Key: key, Version: version + 1, Value: value}
+		m.rows[key] = row
 	}
-	row := platform.Row{Key: key, Version: version + 1, Value: value}
-	m.rows[key] = row
-	return row, true
+	row.Era = m.era
+	return row, written
 }
 
 func (m *memory) object(name string) ([]byte, bool) {
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -48,6 +49,12 @@
 	s.faults.set(f)
 }
 
+// Copy returns a copy of the rows and objects as they are now.
+func (s *Server) Copy() Copy { return s.memory.copy() }
+
+// Restore replaces the rows and objects by those of a copy and begins a new era.
+func (s *Server) Restore(c Copy) { s.memory.restore(c) }
+
 // Counters returns the counts since New.
 func (s *Server) Counters() Counters {
 	return Counters{
@@ -61,6 +68,8 @@
 type response struct {
 	status int
 	body   any
+	// era is the store's era; 0 if the response does not state it.
+	era uint64
 }
 
 // operation carries out a call and returns its response.
@@ -104,14 +113,14 @@
 func (s *Server) getRow(r *http.Request) response {
 	row, ok := s.memory.row(strings.TrimPrefix(r.URL.Path, PathRows))
 	if !ok {
-		return response{status: http.StatusNotFound}
+		return response{status: http.StatusNotFound, era: row.Era}
 	}
-	return response{status: http.StatusOK, body: row}
+	return response{status: http.StatusOK, body: row, era: row.Era}
 }
 
 func (s *Server) listRows(r *http.Request) response {
-	rows := s.memory.rowsWithPrefix(r.URL.Query().Get("prefix"))
-	return response{status: http.StatusOK, body: Rows{Rows: rows}}
+	rows, era := s.memory.rowsWithPrefix(r.URL.Query().Get("prefix"))
+	return response{status: http.StatusOK, body: Rows{Rows: rows}, era: era}
 }
 
 func (s *Server) putRow(r *http.Request) response {
@@ -122,9 +131,9 @@
 	row, ok := s.memory.put(strings.TrimPrefix(r.URL.Path, PathRows), request.Version, request.Value)
 	if !ok {
 		s.conflicts.Add(1)
-		return response{status: http.StatusConflict, body: row}
+		return response{status: http.StatusConflict, body: row, era: row.Era}
 	}
-	return response{status: http.StatusOK, body: row}
+	return response{status: http.StatusOK, body: row, era: row.Era}
 }
 
 func (s *Server) getObject(r *http.Request) response {
@@ -178,6 +187,9 @@
 }
 
 func writeResponse(w http.ResponseWriter, result response) {
+	if result.era != 0 {
+		w.Header().Set(HeaderEra, strconv.FormatUint(result.era, 10))
+	}
 	raw, isRaw := result.body.([]byte)
 	if isRaw || result.body == nil {
 		w.WriteHeader(result.status)
