Configuration: a row of a restored store is no evidence of what was accepted

Cause: a read of the row that returns a version not above the node's own counts as evidence that nothing newer was accepted. A restored row shows nothing of the kind.

The row's record now states the version of the configuration and the era that its writer read. A row whose record is of another era than the answer is no evidence, nor is a missing row where the store states its era: such nodes rely on the answers of a majority, as in an outage, and a fleet of which everything was restarted refuses keys. Records without an era count as before. New log line: config_store_restored.

--- a/internal/change/state.go
+++ b/internal/change/state.go
@@ -23,15 +23,19 @@
 	Config *fleet.Config
 	// Body is the stored encoding of Config.
 	Body []byte
+	// era is the store's era when the row was read.
+	era uint64
 }
 
 // Read returns the newest configuration of a deployment, or the zero State if there is none.
 func Read(ctx context.Context, store platform.Platform, deployment string) (State, error) {
 	row, record, err := readRow(ctx, store, deployment)
 	if err != nil || row.Version == 0 {
-		return State{}, err
+		return State{era: row.Era}, err
 	}
-	return readBody(ctx, store, row.Version, record)
+	state, err := readBody(ctx, store, row.Version, record)
+	state.era = row.Era
+	return state, err
 }
 
 func readBody(ctx context.Context, store platform.Platform, version uint64, record configuration.Record) (State, error) {
@@ -52,7 +56,7 @@
 func readRow(ctx context.Context, store platform.Table, deployment string) (platform.Row, configuration.Record, error) {
 	row, err := store.Get(ctx, configuration.RowKey(deployment))
 	if platform.ErrNotFound.Has(err) {
-		return platform.Row{}, configuration.Record{}, nil
+		return platform.Row{Era: row.Era}, configuration.Record{}, nil
 	}
 	if err != nil {
 		return row, configuration.Record{}, err
--- a/internal/change/writer.go
+++ b/internal/change/writer.go
@@ -122,6 +122,7 @@
 	if err != nil {
 		return Result{}, err
 	}
+	record.Version, record.Era = entry.ToVersion, state.era
 	if err := w.putRow(ctx, state.Version, record); err != nil {
 		return Result{}, err
 	}
--- a/internal/controller/configuration/history_test.go
+++ b/internal/controller/configuration/history_test.go
@@ -1,10 +1,13 @@
 package configuration
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"crocusyoke/internal/platform"
 )
 
 // TestHistories checks the package's guarantees over random histories of writes, lost and
@@ -12,19 +15,19 @@
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"advance": s.advance,
-			"write":   s.write,
-			"outage":  s.toggleOutage,
-			"cut":     s.partition,
-			"poll":    s.poll,
-			"probe":   s.probe,
-			"survey":  s.probeAll,
-			"deliver": s.deliver,
-			"lose":    s.lose,
-			"restart": s.restart,
-			"":        s.check,
-		})
+		t.Repeat(s.actions())
+		s.heal(t)
+	})
+}
+
+// TestHistoriesWithRestores is TestHistories with restores of the store from copies.
+func TestHistoriesWithRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		actions := s.actions()
+		actions["copy"] = s.copyStore
+		actions["restore"] = s.restoreStore
+		t.Repeat(actions)
 		s.heal(t)
 	})
 }
@@ -33,8 +36,12 @@
 // picks it, after any delay.
 type simulation struct {
 	now    time.Time
-	newest uint64
-	outage bool
+	store  storedRow
+	era    uint64
+	copies []storedRow
+	// written holds all versions ever written.
+	written []uint64
+	outage  bool
 	// isolated nodes reach one another, but neither the store nor the other nodes.
 	isolated map[string]bool
 	names    []string
@@ -45,6 +52,16 @@
 	accepted map[uint64]time.Time
 }
 
+// storedRow is the row of the simulated store: its version in the store, and the version of the configuration
+// and the era that its record states.
+type storedRow struct{ rowVersion, version, era uint64 }
+
+func (r storedRow) record() Record {
+	result := record(r.version)
+	result.Version, result.Era = r.version, r.era
+	return result
+}
+
 // message is an answer in transit to one process of a node.
 type message struct {
 	to      *State
@@ -52,7 +69,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	s := &simulation{now: epoch, nodes: map[string]*State{}, accepted: map[uint64]time.Time{}}
+	s := &simulation{now: epoch, era: 1, copies: make([]storedRow, 1), nodes: map[string]*State{}, accepted: map[uint64]time.Time{}}
 	s.names = []string{"a", "b", "c", "d", "e"}[:rapid.SampledFrom([]int{1, 3, 3, 4, 5}).Draw(t, "nodes")]
 	s.listed = s.names[:rapid.IntRange((len(s.names)+1)/2, len(s.names)).Draw(t, "listed")]
 	s.highest = map[string]uint64{}
@@ -62,6 +79,22 @@
 	return s
 }
 
+func (s *simulation) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"advance": s.advance,
+		"write":   s.write,
+		"outage":  s.toggleOutage,
+		"cut":     s.partition,
+		"poll":    s.poll,
+		"probe":   s.probe,
+		"survey":  s.probeAll,
+		"deliver": s.deliver,
+		"lose":    s.lose,
+		"restart": s.restart,
+		"":        s.check,
+	}
+}
+
 func (s *simulation) start(name string) {
 	s.nodes[name] = New(name, s.now)
 	s.nodes[name].SetListed(s.listed)
@@ -81,7 +114,23 @@
 	if s.outage {
 		t.Skip("outage")
 	}
-	s.newest++
+	if s.store.version > 0 && s.store.era != s.era || s.store.version == 0 && len(s.written) > 0 {
+		t.Skip("not written back")
+	}
+	s.put(s.store.version + 1)
+}
+
+// put writes version to the store.
+func (s *simulation) put(version uint64) {
+	s.store = storedRow{s.store.rowVersion + 1, version, s.era}
+	s.written = append(s.written, version)
+}
+
+func (s *simulation) copyStore(*rapid.T) { s.copies = append(s.copies, s.store) }
+
+func (s *simulation) restoreStore(t *rapid.T) {
+	s.store = rapid.SampledFrom(s.copies).Draw(t, "copy")
+	s.era++
 }
 
 func (s *simulation) toggleOutage(*rapid.T) { s.outage = !s.outage }
@@ -107,17 +156,19 @@
 	if s.outage || s.isolated[name] {
 		t.Skip("no store")
 	}
-	sentAt, version := s.now, s.newest
-	s.send(t, name, func(to *State) {
-		if version == 0 {
-			to.OnRowMissing(sentAt)
-			return
-		}
-		to.OnRowRead(version, record(version), sentAt)
-	})
+	sentAt, stored, era := s.now, s.store, s.era
+	s.send(t, name, func(to *State) { receiveRow(to, stored, era, sentAt) })
 	s.fetch(t, name)
 }
 
+func receiveRow(to *State, stored storedRow, era uint64, sentAt time.Time) {
+	if stored.version == 0 {
+		to.OnNoRow(era, sentAt)
+		return
+	}
+	to.OnRow(platform.Row{Version: stored.rowVersion, Era: era}, stored.record(), sentAt)
+}
+
 // probe lets one node ask another one, which may answer after a delay.
 func (s *simulation) probe(t *rapid.T) {
 	asker, asked := s.pick(t, "asker"), s.pick(t, "asked")
@@ -150,7 +201,7 @@
 	if !due {
 		return
 	}
-	version := fetch.Version
+	version, fetched := fetch.Version, fetch.Record
 	if fetch.Node == "" {
 		if s.outage || s.isolated[name] {
 			return
@@ -159,9 +210,9 @@
 		if s.isolated[name] != s.isolated[fetch.Node] {
 			return
 		}
-		version, _, _ = s.nodes[fetch.Node].Body()
+		version, fetched, _ = s.nodes[fetch.Node].Body()
 	}
-	s.send(t, name, func(to *State) { to.OnBody(version, record(version), body(version)) })
+	s.send(t, name, func(to *State) { to.OnBody(version, fetched, body(version)) })
 }
 
 func (s *simulation) takeMessage(t *rapid.T) message {
@@ -200,7 +251,7 @@
 
 // accept records the versions that a majority of the listed nodes now have in force.
 func (s *simulation) accept() {
-	for version := uint64(1); version <= s.newest; version++ {
+	for _, version := range s.written {
 		count := 0
 		for _, name := range s.listed {
 			if s.nodes[name].Version() >= version {
@@ -228,16 +279,16 @@
 // heal ends all faults and checks that every node gets the newest version.
 func (s *simulation) heal(t *rapid.T) {
 	s.outage = false
-	s.newest++
+	s.put(s.afterAll())
 	s.inFlight = nil
 	s.now = s.now.Add(RetryInterval)
 	for _, node := range s.nodes {
-		node.OnRowRead(s.newest, record(s.newest), s.now)
+		receiveRow(node, s.store, s.era, s.now)
 		fetch, due := node.NextFetch(s.now)
-		if !due || fetch.Version != s.newest {
-			t.Fatalf("no fetch of version %d", s.newest)
+		if !due || fetch.Version != s.store.version {
+			t.Fatalf("no fetch of version %d", s.store.version)
 		}
-		if _, err := node.OnBody(s.newest, record(s.newest), body(s.newest)); err != nil {
+		if _, err := node.OnBody(s.store.version, s.store.record(), body(s.store.version)); err != nil {
 			t.Fatal(err)
 		}
 		if !node.IsFresh(s.now) {
@@ -245,3 +296,11 @@
 		}
 	}
 }
+
+// afterAll returns a version above all that were written.
+func (s *simulation) afterAll() uint64 {
+	if len(s.written) == 0 {
+		return 1
+	}
+	return slices.Max(s.written) + 1
+}
--- a/internal/controller/configuration/state.go
+++ b/internal/controller/configuration/state.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -25,8 +26,20 @@
 	Body string `json:"body" cbor:"1,keyasint"`
 	// Audit names the newest entry of the audit trail.
 	Audit string `json:"audit" cbor:"2,keyasint"`
+	// Version is the version of the configuration; 0 if it is the version of the row. The two differ
+	// once the store was restored.
+	Version uint64 `json:"version,omitempty" cbor:"3,keyasint,omitempty"`
+	// Era is the store's era that the writer read before it wrote the row; 0 if it is not known.
+	Era uint64 `json:"era,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
+// VersionIn returns the version of the configuration that r, the value of row, stands for.
+func (r Record) VersionIn(row platform.Row) uint64 { return cmp.Or(r.Version, row.Version) }
+
+// IsRestored reports whether r, the value of row, was written before the store was last restored. Later
+// versions may then have been accepted and lost by the store.
+func (r Record) IsRestored(row platform.Row) bool { return r.Era != 0 && r.Era != row.Era }
+
 // RowKey returns the key of a deployment's configuration row.
 func RowKey(deployment string) string { return deployment + "/config" }
 
@@ -94,6 +107,8 @@
 	// rejected is the newest version whose body had the right hash but did not validate.
 	rejected uint64
 	counts   Counts
+	// restored is the row as read last, if the store was restored since it was written; otherwise nil.
+	restored *restoredRow
 }
 
 // peerReport is what is kept of a peer's Report, received directly or as a relayed vote. askedAt
--- a/internal/run/configuration/cluster_test.go
+++ b/internal/run/configuration/cluster_test.go
@@ -144,6 +144,19 @@
 	return n
 }
 
+// replaceAll ends all nodes and starts new ones of the same names, which know nothing.
+func (c *cluster) replaceAll() {
+	c.mu.Lock()
+	former := c.nodes
+	c.nodes = nil
+	c.mu.Unlock()
+	for _, n := range former {
+		n.store.cut.Store(true)
+		n.isolated.Store(true)
+		c.start(n.name)
+	}
+}
+
 // probeAll makes every node probe every node in rounds, probeInterval apart.
 func (c *cluster) probeAll() {
 	probes := int64(0)
--- a/internal/run/configuration/counters.go
+++ b/internal/run/configuration/counters.go
@@ -21,6 +21,8 @@
 	Stale         *expvar.Int
 	// outage is true while the row cannot be read. Only the polling goroutine uses it.
 	outage bool
+	// restoredEra is the last logged result of State.RestoredEra. Only the polling goroutine uses it.
+	restoredEra uint64
 }
 
 func newCounters() *counters {
--- a/internal/run/configuration/io.go
+++ b/internal/run/configuration/io.go
@@ -26,6 +26,7 @@
 			r.counters.PollFailures.Add(1)
 		} else {
 			failures = 0
+			r.logRestored()
 		}
 		r.logOutage(failures, err)
 		if err := r.options.Clock.Sleep(ctx, r.pollWait(failures)); err != nil {
@@ -68,7 +69,7 @@
 	sentAt := r.options.Clock.Now()
 	row, err := r.options.Platform.Get(ctx, controller.RowKey(r.options.Deployment))
 	if platform.ErrNotFound.Has(err) {
-		r.update(func(s *controller.State) { s.OnRowMissing(sentAt) })
+		r.update(func(s *controller.State) { s.OnNoRow(row.Era, sentAt) })
 		return nil
 	}
 	if err != nil {
@@ -78,11 +79,25 @@
 	if err != nil {
 		return err
 	}
-	r.update(func(s *controller.State) { s.OnRowRead(row.Version, record, sentAt) })
+	r.update(func(s *controller.State) { s.OnRow(row, record, sentAt) })
 	r.wakeUp()
 	return nil
 }
 
+// logRestored logs, once for each era, that the store was restored and has a configuration from before.
+func (r *Runner) logRestored() {
+	r.mu.Lock()
+	era, version := r.state.RestoredEra(), r.state.Version()
+	r.mu.Unlock()
+	if era == r.counters.restoredEra {
+		return
+	}
+	r.counters.restoredEra = era
+	if era != 0 {
+		level.Warn(r.options.Logger).Log("event", "config_store_restored", "era", era, "version", version)
+	}
+}
+
 // fetchAll runs the fetches that the controller asks for until ctx ends.
 func (r *Runner) fetchAll(ctx context.Context) error {
 	for {
