Configuration: the newest one is written back to a restored store, under a version of its own

After the store of the product's own interface came back from a copy, a change was answered with *accepted* and took effect nowhere: the store gave its version out again, and every node had that version, or a higher one, in force. The change was also based on the copy, so it could bring a withdrawn key back. What only the running processes had of an accepted configuration was lost with them.

Cause: the version of the configuration was the version of the row, which goes back, and the store alone said what a change is based on.

- A node writes the version in force back once a majority has confirmed, 2 s or more after it first read the restored row, that it has none above it (State.NextWriteBack).
It writes the body, an audit entry in its own name and the row, by compare-and-set.
Nothing is written from processes that know nothing.
- Versions of each era have a billion of their own, so a version that was written, not accepted and lost is never given out again, and what was written later is above it at every node.
- Commands that change the configuration wait for that, up to 15 s.
Then they build on the copy only if a majority of the listed nodes answer and none has a newer version (all were restarted); otherwise they are refused with the exit code of an outage. config show doesn't present the copy as the newest.
- The audit trail goes on at the newest entry that is still there and names the newest lost one.

Open: a version that was pending at nodes cut off from a majority, and that spreads and is accepted between the majority's confirmation and the write-back, is replaced by the one written back.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -42,6 +42,9 @@
 	Changes []fleet.Change `json:"changes"`
 	// Previous is the name of the previous entry; empty for the first one.
 	Previous string `json:"previous,omitempty"`
+	// Lost is the name of the entry that preceded this one, if a restore of the platform's store has lost it and
+	// the entries from it back to Previous. It is empty otherwise.
+	Lost string `json:"lost,omitempty"`
 }
 
 // Append stores entry as an object and returns its name. The caller must then write the name
@@ -67,6 +70,21 @@
 	return entry, Error.Wrap(err)
 }
 
+// Resume returns the Previous and Lost of an entry that follows the one called newest in a store that was restored
+// from a copy, whose newest entry is called copied.
+func Resume(ctx context.Context, objects platform.Objects, newest, copied string) (previous, lost string, err error) {
+	if newest == "" || newest == copied {
+		return copied, "", nil
+	}
+	switch _, err = Read(ctx, objects, newest); {
+	case platform.ErrNotFound.Has(err):
+		return copied, newest, nil
+	case err != nil:
+		return "", "", err
+	}
+	return newest, "", nil
+}
+
 // History returns at most limit entries of a chain, newest first, starting with the entry
 // called newest. If an entry cannot be read, it returns the entries read so far and the
 // error.
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -73,3 +73,23 @@
 	_, err = audit.History(t.Context(), store, names[0], 10)
 	must.True(t, platform.ErrOutage.Has(err))
 }
+
+// TestTrailResumedAfterRestore guards against a trail that breaks off at an entry that a restored store has lost.
+func TestTrailResumedAfterRestore(t *testing.T) {
+	store := platformtest.New()
+	names := appendChain(t, store, "asha", "bina")
+	for _, newest := range []string{"", names[0]} {
+		previous, lost, err := audit.Resume(t.Context(), store, newest, names[0])
+		must.NoError(t, err)
+		must.Eq(t, [2]string{names[0], ""}, [2]string{previous, lost})
+	}
+	previous, lost, err := audit.Resume(t.Context(), store, names[1], names[0])
+	must.NoError(t, err)
+	must.Eq(t, [2]string{names[1], ""}, [2]string{previous, lost}, must.Sprint("the entry is still there"))
+	previous, lost, err = audit.Resume(t.Context(), store, "gone", names[0])
+	must.NoError(t, err)
+	must.Eq(t, [2]string{names[0], "gone"}, [2]string{previous, lost})
+	store.SetOutage(true)
+	_, _, err = audit.Resume(t.Context(), store, names[1], names[0])
+	must.True(t, platform.ErrOutage.Has(err))
+}
--- a/internal/change/state.go
+++ b/internal/change/state.go
@@ -16,25 +16,44 @@
 
 // State is a version of the configuration as read from the platform.
 type State struct {
-	// Version is the version of the row; 0 if no configuration was ever written.
+	// Version is the version of the configuration; 0 if none was ever written.
 	Version uint64
 	Record  configuration.Record
 	// Config is nil at version 0.
 	Config *fleet.Config
 	// Body is the stored encoding of Config.
 	Body []byte
-	// era is the store's era when the row was read.
-	era uint64
+	// row is the row that was read, without its value.
+	row platform.Row
 }
 
-// Read returns the newest configuration of a deployment, or the zero State if there is none.
+// errRestored returns the error of a command that needs the newest configuration, while the store has only the one
+// from before a restore.
+func errRestored(version uint64) error {
+	return platform.ErrOutage.New("the store was restored from a copy with version %d of the configuration; until a node has written the newest one back, nothing can be read or changed: try again", version)
+}
+
+// isRestored reports whether the store was restored since the version was written, so that it may not be the newest.
+func (s State) isRestored() bool { return s.Record.IsRestored(s.row) }
+
+// Read returns the newest configuration of a deployment, or the zero State if there is none. It fails with
+// platform.ErrOutage if the store was restored and the newest configuration is not yet written back.
 func Read(ctx context.Context, store platform.Platform, deployment string) (State, error) {
+	state, err := readNewest(ctx, store, deployment)
+	if err == nil && state.isRestored() {
+		err = errRestored(state.Version)
+	}
+	return state, err
+}
+
+// readNewest returns the newest configuration that the store has, also if the store was restored.
+func readNewest(ctx context.Context, store platform.Platform, deployment string) (State, error) {
 	row, record, err := readRow(ctx, store, deployment)
 	if err != nil || row.Version == 0 {
-		return State{era: row.Era}, err
+		return State{row: row}, err
 	}
-	state, err := readBody(ctx, store, row.Version, record)
-	state.era = row.Era
+	state, err := readBody(ctx, store, record.VersionIn(row), record)
+	state.row = platform.Row{Version: row.Version, Era: row.Era}
 	return state, err
 }
 
@@ -51,8 +70,7 @@
 	return State{Version: version, Record: record, Config: config, Body: body}, nil
 }
 
-// readRow returns the row of a deployment and its decoded record. The version is 0 if the row
-// does not exist.
+// readRow returns the row of a deployment and its decoded record. If the row does not exist, only its era is set.
 func readRow(ctx context.Context, store platform.Table, deployment string) (platform.Row, configuration.Record, error) {
 	row, err := store.Get(ctx, configuration.RowKey(deployment))
 	if platform.ErrNotFound.Has(err) {
@@ -81,7 +99,7 @@
 	if err != nil {
 		return State{}, err
 	}
-	if row.Version == version && version > 0 {
+	if record.VersionIn(row) == version && version > 0 {
 		return readBody(ctx, store, version, record)
 	}
 	found, err := findEntry(ctx, store, record.Audit, version)
@@ -97,21 +115,35 @@
 	entry audit.Entry
 }
 
-// findEntry follows the audit chain back from the entry called name to the one that produced
-// version.
+// findEntry returns the entry of the audit chain back from the one called name that produced version.
 func findEntry(ctx context.Context, store platform.Objects, name string, version uint64) (namedEntry, error) {
+	found, err := findLast(ctx, store, name, func(e audit.Entry) bool { return e.ToVersion <= version })
+	if err == nil && found.entry.ToVersion != version {
+		err = platform.ErrNotFound.New("version %d of the configuration", version)
+	}
+	return found, err
+}
+
+// findSuccessor returns the entry of the audit chain back from the one called name that replaced version.
+func findSuccessor(ctx context.Context, store platform.Objects, name string, version uint64) (namedEntry, error) {
+	found, err := findLast(ctx, store, name, func(e audit.Entry) bool { return e.FromVersion <= version })
+	if err == nil && found.entry.FromVersion != version {
+		err = platform.ErrNotFound.New("change of version %d of the configuration", version)
+	}
+	return found, err
+}
+
+// findLast follows the audit chain back from the entry called name to the first one that matches.
+func findLast(ctx context.Context, store platform.Objects, name string, matches func(audit.Entry) bool) (namedEntry, error) {
 	for name != "" {
 		entry, err := audit.Read(ctx, store, name)
 		if err != nil {
 			return namedEntry{}, err
 		}
-		if entry.ToVersion == version {
+		if matches(entry) {
 			return namedEntry{name, entry}, nil
 		}
-		if entry.ToVersion < version {
-			break
-		}
 		name = entry.Previous
 	}
-	return namedEntry{}, platform.ErrNotFound.New("version %d of the configuration", version)
+	return namedEntry{}, platform.ErrNotFound.New("entry of the audit trail")
 }
--- a/internal/change/writer.go
+++ b/internal/change/writer.go
@@ -62,7 +62,7 @@
 // Edit reads the newest configuration, applies edit to a copy of it and writes the copy. It
 // fails with *Conflict if another change was written in the meantime.
 func (w *Writer) Edit(ctx context.Context, edit func(*fleet.Config) error) (Result, error) {
-	state, err := Read(ctx, w.Platform, w.Deployment)
+	state, err := w.read(ctx)
 	if err != nil {
 		return Result{}, err
 	}
@@ -83,14 +83,14 @@
 // based on; 0 means that no configuration exists yet. Apply fails with *Conflict if from is not
 // the newest version, unless the newest version equals config.
 func (w *Writer) Apply(ctx context.Context, from uint64, config *fleet.Config) (Result, error) {
-	state, err := Read(ctx, w.Platform, w.Deployment)
+	state, err := w.read(ctx)
 	if err != nil {
 		return Result{}, err
 	}
 	if state.Version == from {
 		return w.write(ctx, state, config)
 	}
-	if body, err := fleet.Encode(config); err == nil && bytes.Equal(body, state.Body) {
+	if body, err := fleet.Encode(config); err == nil && !state.isRestored() && bytes.Equal(body, state.Body) {
 		return Result{Version: state.Version, Unchanged: true}, nil
 	}
 	return Result{}, w.newConflict(ctx, from, state.Version, state.Record)
@@ -105,7 +105,7 @@
 	if _, err := fleet.Parse(body, "configuration"); err != nil {
 		return Result{}, err
 	}
-	if bytes.Equal(body, state.Body) {
+	if bytes.Equal(body, state.Body) && !state.isRestored() {
 		return Result{Version: state.Version, Unchanged: true}, nil
 	}
 	entry := audit.Entry{
@@ -113,7 +113,7 @@
 		Who:         w.Who,
 		When:        w.Clock.Now().UTC().Round(time.Millisecond),
 		FromVersion: state.Version,
-		ToVersion:   state.Version + 1,
+		ToVersion:   state.next(),
 		Body:        platform.HashName(body),
 		Changes:     fleet.Diff(state.Config, config),
 		Previous:    state.Record.Audit,
@@ -122,8 +122,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	record.Version, record.Era = entry.ToVersion, state.era
-	if err := w.putRow(ctx, state.Version, record); err != nil {
+	record.Version, record.Era = entry.ToVersion, state.row.Era
+	if err := w.putRow(ctx, state, record); err != nil {
 		return Result{}, err
 	}
 	return Result{Version: entry.ToVersion, Changes: entry.Changes}, nil
@@ -160,10 +160,9 @@
 	}
 }
 
-// putRow writes record to the row if the row's version is still the one given by the parameter
-// from. An error of class platform.ErrOutcomeUnknown means that the write may have taken effect or may
-// still do so.
-func (w *Writer) putRow(ctx context.Context, from uint64, record configuration.Record) error {
+// putRow writes record to the row if the row is still the one that state was read from. An error of class
+// platform.ErrOutcomeUnknown means that the write may have taken effect or may still do so.
+func (w *Writer) putRow(ctx context.Context, state State, record configuration.Record) error {
 	value, err := record.Encode()
 	if err != nil {
 		return err
@@ -171,7 +170,7 @@
 	deadline := w.Clock.Now().Add(WriteTimeout)
 	mayBeWritten := false
 	for {
-		_, err := w.Platform.Put(ctx, configuration.RowKey(w.Deployment), from, value)
+		_, err := w.Platform.Put(ctx, configuration.RowKey(w.Deployment), state.row.Version, value)
 		if err == nil {
 			return nil
 		}
@@ -179,42 +178,42 @@
 			return err
 		}
 		mayBeWritten = true
-		done, err := w.resolveWrite(ctx, from, record)
+		done, err := w.resolveWrite(ctx, state, record)
 		if done {
 			return err
 		}
 		if w.Clock.Now().After(deadline) {
-			return platform.ErrOutcomeUnknown.New("write of version %d: check config history before trying again", from+1)
+			return platform.ErrOutcomeUnknown.New("write of version %d: check config history before trying again", record.Version)
 		}
 		if err := w.Clock.Sleep(ctx, RetryInterval); err != nil {
-			return platform.ErrOutcomeUnknown.New("write of version %d: %w", from+1, err)
+			return platform.ErrOutcomeUnknown.New("write of version %d: %w", record.Version, err)
 		}
 	}
 }
 
-// resolveWrite reads the row to determine the outcome of a write of record that was based on
-// the version given by the parameter from. It returns true and nil if the write took effect, and
-// true and a *Conflict if another write did. It returns false if the outcome is still unknown.
-func (w *Writer) resolveWrite(ctx context.Context, from uint64, record configuration.Record) (done bool, err error) {
+// resolveWrite reads the row to determine the outcome of a write of record that was based on state. It returns true
+// and nil if the write took effect, and true and a *Conflict if another write did. It returns false if the outcome is
+// still unknown.
+func (w *Writer) resolveWrite(ctx context.Context, state State, record configuration.Record) (done bool, err error) {
 	row, newest, err := readRow(ctx, w.Platform, w.Deployment)
-	if err != nil || row.Version <= from {
+	if err != nil || row.Version <= state.row.Version {
 		return false, err
 	}
-	winner, err := findEntry(ctx, w.Platform, newest.Audit, from+1)
+	winner, err := findSuccessor(ctx, w.Platform, newest.Audit, state.Version)
 	if err != nil {
 		return false, err
 	}
 	if winner.name == record.Audit {
 		return true, nil
 	}
-	return true, &ConflictError{From: from, Winner: winner.entry, Newest: row.Version}
+	return true, &ConflictError{From: state.Version, Winner: winner.entry, Newest: newest.VersionIn(row)}
 }
 
 // newConflict returns a *Conflict for a change whose base version, the parameter from, was
 // already replaced by another change. If the audit entry of that other change cannot be read, its
 // author is given as "unknown".
 func (w *Writer) newConflict(ctx context.Context, from, newest uint64, record configuration.Record) error {
-	winner, err := findEntry(ctx, w.Platform, record.Audit, from+1)
+	winner, err := findSuccessor(ctx, w.Platform, record.Audit, from)
 	if err != nil {
 		winner.entry = audit.Entry{Who: "unknown", ToVersion: newest}
 	}
--- a/internal/controller/configuration/history_test.go
+++ b/internal/controller/configuration/history_test.go
@@ -158,6 +158,7 @@
 	}
 	sentAt, stored, era := s.now, s.store, s.era
 	s.send(t, name, func(to *State) { receiveRow(to, stored, era, sentAt) })
+	s.writeBack(name)
 	s.fetch(t, name)
 }
 
@@ -169,6 +170,15 @@
 	to.OnRow(platform.Row{Version: stored.rowVersion, Era: era}, stored.record(), sentAt)
 }
 
+// writeBack performs the node's conditional write that is due, if any.
+func (s *simulation) writeBack(name string) {
+	write, due := s.nodes[name].NextWriteBack(s.now)
+	if due && write.RowVersion == s.store.rowVersion {
+		s.put(write.Version)
+		s.store.era = write.Era
+	}
+}
+
 // probe lets one node ask another one, which may answer after a delay.
 func (s *simulation) probe(t *rapid.T) {
 	asker, asked := s.pick(t, "asker"), s.pick(t, "asked")
--- a/internal/controller/configuration/restore.go
+++ b/internal/controller/configuration/restore.go
@@ -6,6 +6,24 @@
 	"crocusyoke/internal/platform"
 )
 
+const (
+	// WriteBackDelay is the time from a node's first read of a restored row to the time at which its
+	// peers must confirm its version before it writes that version back. A version that was written
+	// shortly before the restore spreads meanwhile.
+	WriteBackDelay = 2 * time.Second
+	// versionsPerEra is the number of versions of which each of the store's eras has its own. A node may have
+	// versions in force that were not accepted and that the store has lost, and versions of a later era are above
+	// these.
+	versionsPerEra = 1_000_000_000
+)
+
+// VersionAfterRestore returns the version of the first configuration written in the given era, where newest is the
+// newest version that was accepted before. Versions written in an earlier era are below it.
+func VersionAfterRestore(newest, era uint64) uint64 {
+	first := max(newest/versionsPerEra, era-1) * versionsPerEra
+	return first + newest%versionsPerEra + 1
+}
+
 // restoredRow is a row that was written before the store was last restored, or the lack of a row that was.
 type restoredRow struct {
 	row    platform.Row
@@ -56,3 +74,51 @@
 	}
 	s.restored = &restoredRow{row: platform.Row{Version: row.Version, Era: row.Era}, record: record, seenAt: seenAt}
 }
+
+// WriteBack is a write of the configuration in force to a store that was restored from a copy.
+type WriteBack struct {
+	// RowVersion and Era are those of the restored row; RowVersion is 0 if there is none. The write must replace this
+	// row.
+	RowVersion uint64
+	Era        uint64
+	// RowAudit is the audit entry that the restored row names.
+	RowAudit string
+	// From is the version in force, and Version the one to write it back as. Record and Body are those of From.
+	From    uint64
+	Version uint64
+	Record  Record
+	Body    []byte
+}
+
+// NextWriteBack returns the write that is due at now, if any. One is due if the store was restored and a majority of
+// the listed nodes has confirmed since that it has no version above the one in force here, which is then the
+// newest one accepted.
+func (s *State) NextWriteBack(now time.Time) (WriteBack, bool) {
+	r := s.restored
+	if r == nil || s.config == nil || r.record.VersionIn(r.row) > max(s.Version(), s.rejected) {
+		return WriteBack{}, false
+	}
+	from := r.seenAt.Add(WriteBackDelay)
+	if now.Before(from) || !s.hasMajoritySince(from) {
+		return WriteBack{}, false
+	}
+	return WriteBack{
+		RowVersion: r.row.Version,
+		Era:        r.row.Era,
+		RowAudit:   r.record.Audit,
+		From:       s.Version(),
+		Version:    VersionAfterRestore(s.Version(), r.row.Era),
+		Record:     s.record,
+		Body:       s.body,
+	}, true
+}
+
+// hasMajoritySince reports whether a majority of the listed nodes, including this one if it vouches, have answered at
+// or after since that they have no version above the one in force here.
+func (s *State) hasMajoritySince(since time.Time) bool {
+	others := s.list.majority()
+	if s.vouches && s.list.has(s.self) {
+		others--
+	}
+	return len(s.agreementTimes(since)) >= others
+}
--- a/internal/run/configuration/io.go
+++ b/internal/run/configuration/io.go
@@ -27,6 +27,7 @@
 		} else {
 			failures = 0
 			r.logRestored()
+			r.writeBack(ctx)
 		}
 		r.logOutage(failures, err)
 		if err := r.options.Clock.Sleep(ctx, r.pollWait(failures)); err != nil {
--- a/internal/run/configuration/restore_test.go
+++ b/internal/run/configuration/restore_test.go
@@ -14,6 +14,7 @@
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
+	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/platformtest"
 	"crocusyoke/internal/status"
 )
@@ -105,6 +106,26 @@
 	return errors.New("no answer")
 }
 
+// TestChangeIgnoredAfterRestore guards against a version that the restored store gives out again: nodes
+// that have the former one in force ignore it, and the operator is told that it was accepted.
+func TestChangeIgnoredAfterRestore(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"at once": 0, "later": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestoredFleet(t, 5)
+				f.restore()
+				time.Sleep(wait)
+				f.edit(setRate(7))
+				time.Sleep(inForceBound)
+				for _, n := range f.all() {
+					must.Eq(t, 7, n.runner.Current().Customer("mill").Rate)
+				}
+				f.mustKeepKeyWithdrawn(time.Second)
+			})
+		})
+	}
+}
+
 // TestWithdrawnKeyBackAtAStartAfterRestore guards against a node that starts after a restore and serves
 // the copy's configuration.
 func TestWithdrawnKeyBackAtAStartAfterRestore(t *testing.T) {
@@ -133,13 +154,144 @@
 	})
 }
 
+// TestAcceptedChangeMissingInRestoredStore guards against an accepted change that only the processes that run
+// know: when all are replaced, it is lost.
+func TestAcceptedChangeMissingInRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 5)
+		f.restore()
+		for end := time.Now().Add(inForceBound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			for _, n := range f.all() {
+				must.True(t, n.runner.Fresh())
+			}
+		}
+		state, err := change.Read(t.Context(), f.store, "trust")
+		must.NoError(t, err)
+		must.Len(t, 1, state.Config.Customer("mill").Keys)
+	})
+}
+
+// TestAuditTrailAcrossARestore guards against a trail that ends at, or silently lacks, an entry that the restored
+// store has lost.
+func TestAuditTrailAcrossARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		before, err := change.History(t.Context(), f.store, "trust", 10)
+		must.NoError(t, err)
+		f.restore()
+		time.Sleep(inForceBound)
+		entries, err := change.History(t.Context(), f.store, "trust", 10)
+		must.NoError(t, err)
+		must.Len(t, 3, entries)
+		must.StrHasPrefix(t, "n", entries[0].Who)
+		must.Eq(t, before[0].ToVersion, entries[0].FromVersion)
+		must.Eq(t, before[0].Body, entries[0].Body)
+		must.Eq(t, before[1:], entries[1:])
+	})
+}
+
+// TestConfigurationLostInARestore guards against a store that comes back from before the first configuration.
+func TestConfigurationLostInARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		f.store.Restore(platformtest.New().Copy())
+		f.mustKeepKeyWithdrawn(inForceBound)
+		state, err := change.Read(t.Context(), f.store, "trust")
+		must.NoError(t, err)
+		must.NotNil(t, state.Config)
+		must.Len(t, 1, state.Config.Customer("mill").Keys)
+	})
+}
+
 // TestAllNodesRestartedAfterRestore guards against a fleet that serves the copy's configuration although nobody knows
-// what was accepted.
+// what was accepted, and against one that an operator can't get out of that.
 func TestAllNodesRestartedAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newRestoredFleet(t, 3)
 		f.restore()
 		f.replaceAll()
 		f.mustKeepKeyWithdrawn(inForceBound)
+		f.edit(withdrawKey)
+		time.Sleep(inForceBound)
+		for _, n := range f.all() {
+			must.True(t, n.runner.Fresh())
+		}
+		f.mustKeepKeyWithdrawn(time.Second)
+	})
+}
+
+// TestChangeOfARestoredConfiguration guards against a change that is based on the copy's configuration while nodes have
+// a newer one that they can't write back.
+func TestChangeOfARestoredConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		for _, n := range f.all() {
+			n.store.cut.Store(true)
+		}
+		f.restore()
+		_, err := f.operator().Edit(t.Context(), setRate(7))
+		must.True(t, platform.ErrOutage.Has(err), must.Sprint(err))
+		_, err = change.Read(t.Context(), f.store, "trust")
+		must.True(t, platform.ErrOutage.Has(err), must.Sprint("the copy is not the newest"))
+		f.mustKeepKeyWithdrawn(time.Minute)
+		for _, n := range f.all() {
+			must.True(t, n.runner.Fresh())
+			n.store.cut.Store(false)
+		}
+		f.edit(setRate(7))
+		time.Sleep(inForceBound)
+		f.mustKeepKeyWithdrawn(time.Second)
+	})
+}
+
+// TestRestoredConfigurationConfirmedUnchanged guards against a fleet that stays without a fresh configuration because the
+// operator's command finds nothing to change.
+func TestRestoredConfigurationConfirmedUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		f.restore()
+		f.replaceAll()
+		time.Sleep(inForceBound)
+		for _, n := range f.all() {
+			must.False(t, n.runner.Fresh())
+		}
+		f.edit(func(*fleet.Config) error { return nil })
+		time.Sleep(inForceBound)
+		for _, n := range f.all() {
+			must.True(t, n.runner.Fresh())
+		}
+	})
+}
+
+// TestChangeOfARestoredConfigurationUnconfirmed guards against a change that is based on the copy's configuration while
+// the nodes that may have a newer one don't answer.
+func TestChangeOfARestoredConfigurationUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		f.restore()
+		f.replaceAll()
+		for _, n := range f.all()[1:] {
+			n.isolated.Store(true)
+		}
+		_, err := f.operator().Edit(t.Context(), setRate(7))
+		must.True(t, platform.ErrOutage.Has(err), must.Sprint(err))
+	})
+}
+
+// TestFileFromBeforeARestoreConflicts guards against a file whose base version the store gives out again.
+func TestFileFromBeforeARestoreConflicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 3)
+		state, err := change.Read(t.Context(), f.store, "trust")
+		must.NoError(t, err)
+		f.restore()
+		_, err = f.operator().Apply(t.Context(), state.Version, state.Config)
+		must.NoError(t, err, must.Sprint("the content is the newest"))
+		state.Config.Customer("mill").Rate = 9
+		_, err = f.operator().Apply(t.Context(), state.Version, state.Config)
+		var conflict *change.ConflictError
+		must.True(t, errors.As(err, &conflict), must.Sprint(err))
+		must.StrHasPrefix(t, "n", conflict.Winner.Who)
+		must.Eq(t, conflict.Newest, conflict.Winner.ToVersion)
 	})
 }
