Configuration changes: a write that spans a restore of the store is of unknown outcome

An operator's change was reported as written, and as accepted, although it had replaced a version that another one had written, or stood in a store that no node follows at that version.

Cause: the compare-and-set names the row's version only. If the store is restored between the read and the write, it may give out that version a second time, and the condition holds for another row.

The writer compares the era of the answer with the one that it read, also where it reads the row to resolve a lost answer. If they differ, the command ends as outcome unknown and names the restore.

Failed on the code before (go test ./internal/run/configuration -run LostVersion): TestChangeBasedOnALostVersion/answered: expected condition to be true; is false, error <nil> Its case of a lost answer held before, after 15 s of tries. go test -race of change, run/configuration and cli: ok.

--- a/internal/change/writer.go
+++ b/internal/change/writer.go
@@ -170,9 +170,9 @@
 	deadline := w.Clock.Now().Add(WriteTimeout)
 	mayBeWritten := false
 	for {
-		_, err := w.Platform.Put(ctx, configuration.RowKey(w.Deployment), state.row.Version, value)
+		row, err := w.Platform.Put(ctx, configuration.RowKey(w.Deployment), state.row.Version, value)
 		if err == nil {
-			return nil
+			return checkEra(state, row, record)
 		}
 		if !mayBeWritten && platform.ErrOutage.Has(err) {
 			return err
@@ -191,14 +191,29 @@
 	}
 }
 
+// checkEra returns an error of class platform.ErrOutcomeUnknown if the store was restored between the reading of state
+// and that of row. The version of the row that state was read from may then have been given out again.
+func checkEra(state State, row platform.Row, record configuration.Record) error {
+	if row.Era == state.row.Era {
+		return nil
+	}
+	return platform.ErrOutcomeUnknown.New("write of version %d: the store was restored from a copy meanwhile: check config history before trying again", record.Version)
+}
+
 // resolveWrite reads the row to determine the outcome of a write of record that was based on state. It returns true
 // and nil if the write took effect, and true and a *Conflict if another write did. It returns false if the outcome is
 // still unknown.
 func (w *Writer) resolveWrite(ctx context.Context, state State, record configuration.Record) (done bool, err error) {
 	row, newest, err := readRow(ctx, w.Platform, w.Deployment)
-	if err != nil || row.Version <= state.row.Version {
+	if err != nil {
 		return false, err
 	}
+	if err := checkEra(state, row, record); err != nil {
+		return true, err
+	}
+	if row.Version <= state.row.Version {
+		return false, nil
+	}
 	winner, err := findSuccessor(ctx, w.Platform, newest.Audit, state.Version)
 	if err != nil {
 		return false, err
--- a/internal/run/configuration/restore_test.go
+++ b/internal/run/configuration/restore_test.go
@@ -203,6 +203,32 @@
 	})
 }
 
+// TestChangeBasedOnALostVersion guards against a conditional write that passes because the store gives out the
+// version that it names a second time.
+func TestChangeBasedOnALostVersion(t *testing.T) {
+	for name, loss := range map[string]platformtest.Loss{"answered": platformtest.LossNone, "answer lost": platformtest.LossAfter} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testChangeBasedOnALostVersion(t, loss) })
+		})
+	}
+}
+
+func testChangeBasedOnALostVersion(t *testing.T, loss platformtest.Loss) {
+	f := newRestoredFleet(t, 3)
+	state, err := change.Read(t.Context(), f.store, "trust")
+	must.NoError(t, err)
+	f.store.BeforePut(func() {
+		f.restore()
+		value, err := state.Record.Encode()
+		must.NoError(t, err)
+		_, err = f.store.Put(t.Context(), "trust/config", 2, value)
+		must.NoError(t, err)
+		f.store.LosePuts(loss)
+	})
+	_, err = f.operator().Edit(t.Context(), setRate(9))
+	must.True(t, platform.ErrOutcomeUnknown.Has(err), must.Sprint(err))
+}
+
 // TestAllNodesRestartedAfterRestore guards against a fleet that serves the copy's configuration although nobody knows
 // what was accepted, and against one that an operator can't get out of that.
 func TestAllNodesRestartedAfterRestore(t *testing.T) {
