Promotions: a restore of the product's own store is told, and lost records are written again

Cause: promotion.Runner records again what it wrote within a minute before a restore, but was told of one only by the hosted store's client. That a record is written across a restore is noticed since the client states the era.

TestRestoreIsNotTold without the call of OnNewEra: wanted {2, 3, 4}, got nil. That the node passes it on is not tested. go test -race of run/configuration and node: ok.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,9 +226,9 @@
 		Clock:      n.clock,
 		Logger:     n.logger,
 		Random:     mathrand.New(mathrand.NewPCG(seed(), seed())),
+		OnNewEra:   func(era uint64) { n.promotion.ObserveEra(era) },
 	})
-	n.config = config
-	n.exchange = newReportExchange(config)
+	n.config, n.exchange = config, newReportExchange(config)
 	n.assembleQuota()
 }
 
--- a/internal/run/configuration/cluster_test.go
+++ b/internal/run/configuration/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,6 +86,23 @@
 	runner   *Runner
 	store    *cutStore
 	isolated atomic.Bool
+
+	mu sync.Mutex
+	// newEras holds the eras that the runner told of.
+	newEras []uint64
+}
+
+func (n *node) onNewEra(era uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.newEras = append(n.newEras, era)
+}
+
+// eras returns the eras that the runner told of.
+func (n *node) eras() []uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.newEras)
 }
 
 // cutStore fails all reads while cut is set, for one node only.
@@ -136,6 +154,7 @@
 		Clock:      clock.Wall{},
 		Logger:     log.NewNopLogger(),
 		Random:     rand.New(rand.NewPCG(1, uint64(len(c.nodes)))),
+		OnNewEra:   n.onNewEra,
 	})
 	c.mu.Lock()
 	c.nodes = append(c.nodes, n)
--- a/internal/run/configuration/io.go
+++ b/internal/run/configuration/io.go
@@ -70,12 +70,14 @@
 	sentAt := r.options.Clock.Now()
 	row, err := r.options.Platform.Get(ctx, controller.RowKey(r.options.Deployment))
 	if platform.ErrNotFound.Has(err) {
+		r.observeEra(row.Era)
 		r.update(func(s *controller.State) { s.OnNoRow(row.Era, sentAt) })
 		return nil
 	}
 	if err != nil {
 		return err
 	}
+	r.observeEra(row.Era)
 	record, err := controller.DecodeRecord(row.Value)
 	if err != nil {
 		return err
@@ -85,6 +87,15 @@
 	return nil
 }
 
+// observeEra calls OnNewEra if era, which an answer of the store states, is above that of the answer before.
+func (r *Runner) observeEra(era uint64) {
+	former := r.storeEra
+	r.storeEra = era
+	if former != 0 && era > former && r.options.OnNewEra != nil {
+		r.options.OnNewEra(era)
+	}
+}
+
 // logRestored logs, once for each era, that the store was restored and has a configuration from before.
 func (r *Runner) logRestored() {
 	r.mu.Lock()
--- a/internal/run/configuration/restore_test.go
+++ b/internal/run/configuration/restore_test.go
@@ -321,3 +321,19 @@
 		must.Eq(t, conflict.Newest, conflict.Winner.ToVersion)
 	})
 }
+
+// TestRestoreIsNotTold guards against records of promotions that a restore of the store has lost and that their
+// node doesn't write again.
+func TestRestoreIsNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 1)
+		must.Eq(t, nil, f.nodes[0].eras())
+		for range 2 {
+			f.restore()
+			time.Sleep(5 * time.Second)
+		}
+		f.store.Restore(platformtest.New().Copy())
+		time.Sleep(5 * time.Second)
+		must.Eq(t, []uint64{2, 3, 4}, f.nodes[0].eras())
+	})
+}
--- a/internal/run/configuration/runner.go
+++ b/internal/run/configuration/runner.go
@@ -28,7 +28,7 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("configuration")
 
-// Options configures a Runner. All fields except Random are required.
+// Options configures a Runner. All fields except Random and OnNewEra are required.
 type Options struct {
 	Platform platform.Platform
 	Peers    peer.Caller
@@ -43,6 +43,9 @@
 	// Random provides jitter, so that nodes do not poll at the same time; nil uses the
 	// global source.
 	Random *rand.Rand
+	// OnNewEra is called with the store's era after each restore of the store that the node learns of; nil if
+	// nothing depends on it.
+	OnNewEra func(era uint64)
 }
 
 // Runner keeps the configuration of one node up to date. It implements fleet.Source.
@@ -61,6 +64,8 @@
 	publishMu sync.Mutex
 	// lastRejected is the highest version whose rejection was logged.
 	lastRejected uint64
+	// storeEra is the era of the store's newest answer; 0 if it stated none. Only the polling goroutine uses it.
+	storeEra uint64
 	// wakeFetcher wakes the fetching goroutine.
 	wakeFetcher chan struct{}
 }
