Configuration: freshness and the write-back after a restore, measured for fleets of many sizes

TestRestoredFleetsOfManySizes plays 6 to 300 nodes on logical time: every node stays fresh from a restore of the store until the configuration was written back and is in force everywhere within 9 s, and the write-back comes before commands give up (15 s).

The package comments say how versions go on after a restore.

--- a/internal/change/doc.go
+++ b/internal/change/doc.go
@@ -11,6 +11,10 @@
 // version. If there is no next version, the writer sends the same compare-and-set again. This
 // is safe because a compare-and-set from a given version takes effect at most once.
 //
+// A store that was restored from a copy may have lost the newest version. Changes then wait until a node has
+// written it back, which shows in the row (configuration.Record.IsRestored). A write during which the store is
+// restored is of unknown outcome.
+//
 // A written version is accepted once a majority of the listed nodes have it, or a newer one,
 // in force at the same time. The writer checks this with two rounds of polls. A node that has
 // the version in both rounds and did not restart in between had it all the time from its
--- a/internal/controller/configuration/doc.go
+++ b/internal/controller/configuration/doc.go
@@ -58,6 +58,19 @@
 // greater of its ages by the monotonic clock and by the wall clock: the monotonic clock may
 // stop while a VM is suspended, and old evidence must not appear new afterwards.
 //
+// # A restored store
+//
+// The store may come back from a copy and lose what was written since. Versions of rows then go back and
+// are given out again, and the store's era grows. The record of the row states the version of the configuration,
+// which never goes back, and the era in which it was written. A row whose record is of another era than the answer
+// is no row evidence: later versions may have been accepted and lost. Nodes stay fresh by peer evidence, as in an
+// outage.
+//
+// A node writes its version back once peer evidence, dated at or after WriteBackDelay since its first read of the
+// restored row, shows that no version above its own was accepted. The version written back, and those after it, are
+// above all of earlier eras, also above those that were lost without being accepted. A version of an earlier
+// era that is accepted only after that evidence is replaced.
+//
 // # Reads of the store
 //
 // Every node polls the row. The interval grows with the number of listed nodes, so that all
--- a/internal/controller/configuration/scale_test.go
+++ b/internal/controller/configuration/scale_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/platform"
 )
 
 // Parameters of probing, which resembles that of package membership.
@@ -26,6 +28,8 @@
 	nodes  []*simNode
 	newest uint64
 	reads  int
+	// restored is true while the store has a row from before a restore.
+	restored bool
 	// voteBytes is the total size of the votes sent.
 	voteBytes int
 }
@@ -66,7 +70,7 @@
 	f.probe(n, f.peer(n))
 	if store && !f.now.Before(n.nextPoll) {
 		f.reads++
-		n.OnRowRead(f.newest, record(f.newest), f.now)
+		f.poll(n)
 		n.nextPoll = f.now.Add(n.PollWait(0, f.rng.Float64()))
 	}
 	if fetch, due := n.NextFetch(f.now); due {
@@ -74,6 +78,22 @@
 	}
 }
 
+func (f *fleetSimulation) poll(n *simNode) {
+	if f.restored {
+		n.OnRow(platform.Row{Version: f.newest, Era: 2}, recordOfEra(f.newest, 1), f.now)
+		f.writeBack(n)
+		return
+	}
+	n.OnRowRead(f.newest, record(f.newest), f.now)
+}
+
+// writeBack performs the node's write-back, if one is due after its read of the row.
+func (f *fleetSimulation) writeBack(n *simNode) {
+	if write, due := n.NextWriteBack(f.now); due {
+		f.restored, f.newest = false, write.Version
+	}
+}
+
 func (f *fleetSimulation) peer(n *simNode) *simNode {
 	size := len(f.nodes)
 	if size <= 2*cellSize {
@@ -175,6 +195,44 @@
 	}
 }
 
+// TestRestoredFleetsOfManySizes guards against large fleets that refuse keys after a restore of the store, or in which
+// no node writes the configuration back before commands give up.
+func TestRestoredFleetsOfManySizes(t *testing.T) {
+	for _, size := range []int{6, 24, 100, 300} {
+		checkRestoredFleet(t, size)
+	}
+}
+
+// BenchmarkRestoredFleet measures the time until a node writes the configuration back.
+func BenchmarkRestoredFleet(b *testing.B) {
+	for _, size := range []int{300, 2100} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(checkRestoredFleet(b, size).Seconds(), "s-write-back")
+			}
+		})
+	}
+}
+
+// commandWait is how long commands wait for a write-back.
+const commandWait = 15 * time.Second
+
+func checkRestoredFleet(t testing.TB, size int) time.Duration {
+	t.Helper()
+	f := newFleetSimulation(size)
+	f.run(60, true)
+	f.restored = true
+	began := f.now
+	for f.restored {
+		stale, _ := f.run(1, true)
+		must.Eq(t, 0, stale, must.Sprintf("%d nodes, %s after the restore", size, f.now.Sub(began)))
+		must.Less(t, commandWait, f.now.Sub(began), must.Sprintf("%d nodes", size))
+	}
+	took := f.now.Sub(began)
+	must.Less(t, 9*time.Second, f.propagationTime())
+	return took
+}
+
 // BenchmarkFleet measures the same for larger fleets. One operation is one whole run.
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []int{6, 24, 100, 400, 2100} {
--- a/internal/run/configuration/runner.go
+++ b/internal/run/configuration/runner.go
@@ -1,9 +1,9 @@
 // Package configuration runs the configuration controller. One row of the platform's table
-// stands for the current configuration: the row's version is the version of the
-// configuration, and its value names the object that holds the configuration itself, the
-// body. The package polls the row, fetches bodies from the store or from peers, and
-// publishes the versions that the controller puts in force. All decisions are the
-// controller's.
+// stands for the current configuration: its value states the version of the configuration and
+// names the object that holds the configuration itself, the body. The package polls the row,
+// fetches bodies from the store or from peers, publishes the versions that the controller
+// puts in force, and writes the newest one back to a store that was restored from a copy. All
+// decisions are the controller's.
 package configuration
 
 import (
