Soak: an EXEC under an unknown name, and MALFORMED for what the protocol allows, break a rule

Two gaps that the review showed by tests: an EXEC that a target gets under a name that is not prepared there could be answered with another code and was seen by no rule; and a program that refuses every odd text broke none. The row 'refused' of TestStatementWithAnotherSetupIsFound had NOSTMT for a prepared name and no violation: it has one now, and BUSY has none.

--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -20,7 +20,9 @@
 	ruleRecovery  = "each node serves every group in the end"
 	ruleAnswer    = "a success is what a target answered"
 	ruleRate      = "a customer's rate is kept"
-	ruleNotRun    = "a refusal that promises that nothing ran is true"
+	// ruleWellFormed is for SET, PREPARE, DEALLOC and EXEC. Their sessions stay far below what a session may keep.
+	ruleWellFormed = "what the protocol allows is not refused as malformed"
+	ruleNotRun     = "a refusal that promises that nothing ran is true"
 )
 
 const (
@@ -54,7 +56,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleRate, ruleRecovery, ruleAnswer} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
--- a/internal/standin/soak/sent.go
+++ b/internal/standin/soak/sent.go
@@ -95,6 +95,9 @@
 	if st.namesKnown {
 		s.judge.check(ruleSetup, a.code != "NOSTMT", "%s %s: NOSTMT, though its PREPARE was acknowledged", st.id, shorten(st.text))
 	}
+	if st.isSetup || st.isExec {
+		s.judge.check(ruleWellFormed, a.code != "MALFORMED", "%s %s: MALFORMED", st.id, shorten(st.text))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.judgeSuccess(st, a)
@@ -112,6 +115,9 @@
 		return
 	}
 	s.judge.check(ruleSent, isUnchanged(st, ran), "%s: sent %s, %s got %s", st.id, shorten(st.text), ran.Target, shorten(ran.Text))
+	if st.isExec && st.prepared != nil {
+		s.judge.check(ruleSetup, ran.Result != "NOSTMT", "%s %s: %s has nothing prepared under the name that it got", st.id, shorten(st.text), ran.Target)
+	}
 	if ran.Result != "" {
 		return
 	}
--- a/internal/standin/soak/sent_test.go
+++ b/internal/standin/soak/sent_test.go
@@ -40,7 +40,8 @@
 	}{
 		"as set up":           {change: func(*hosted.Statement) {}},
 		"after a position":    {change: func(ran *hosted.Statement) { ran.Text = "AFTER 1.7 " + ran.Text }},
-		"refused":             {change: func(ran *hosted.Statement) { ran.Prepared, ran.Result = nil, "NOSTMT" }},
+		"refused":             {change: func(ran *hosted.Statement) { ran.Result = "BUSY" }},
+		"unknown name":        {change: func(ran *hosted.Statement) { ran.Prepared, ran.Result = nil, "NOSTMT" }, want: []string{ruleSetup}},
 		"another shape":       {change: func(ran *hosted.Statement) { ran.Prepared.Shape = "qb" }, want: []string{ruleSetup}},
 		"another kind":        {change: func(ran *hosted.Statement) { ran.Prepared.Kind = hosted.KindRead }, want: []string{ruleSetup}},
 		"nothing prepared":    {change: func(ran *hosted.Statement) { ran.Prepared = nil }, want: []string{ruleSetup}},
