Soak and its links: bounded memory, no entries of replaced targets, digests of missing writes

TestEndedCarrierHoldsNoBytes failed before. - An odd entry, or the entry that ends it, was written also for a target that was replaced meanwhile, and stayed; the platform removes such entries after three heartbeats. TestReplacedTargetGetsNoEntry fails without the check. A target's name is known to events only once it runs. - A missing write is listed with the digest and time of its acknowledgement.

--- a/internal/standin/link/carry.go
+++ b/internal/standin/link/carry.go
@@ -59,7 +59,7 @@
 	queue            chan chunk
 }
 
-// run carries the stream and returns when its end was delivered, or can't be.
+// run carries the stream and returns when its end was delivered, or can't be. The carrier then holds no bytes.
 func (c *carrier) run() {
 	c.queue = make(chan chunk, maxChunks)
 	stopped := make(chan struct{})
@@ -69,6 +69,7 @@
 	}()
 	c.collect(stopped)
 	<-stopped
+	c.queue = nil
 }
 
 // collect reads from the sender until its stream ends.
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -112,6 +112,16 @@
 	})
 }
 
+// TestEndedCarrierHoldsNoBytes guards against bytes that were never delivered and stayed in memory, up to
+// 1 MiB a connection.
+func TestEndedCarrierHoldsNoBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &carrier{delay: time.Millisecond, remaining: NoCut}
+		play(c, io.EOF, "a", "b")
+		must.Eq(t, 0, cap(c.queue))
+	})
+}
+
 // TestCut checks that both ends are reset after the given number of bytes.
 func TestCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -103,12 +103,22 @@
 	return time.Duration(float64(mean) * math.Exp(workSpread*rand.NormFloat64()-workSpread*workSpread/2))
 }
 
-// register writes the entry of a target.
+// register writes the entry of a target, unless that was replaced.
 func (d *database) register(id, state string) {
 	d.mu.Lock()
-	zone := d.zones[id]
-	d.mu.Unlock()
-	d.store.Put("servers", id, d.group.Entry(id, zone, state))
+	defer d.mu.Unlock()
+	if zone, ok := d.zones[id]; ok {
+		d.store.Put("servers", id, d.group.Entry(id, zone, state))
+	}
+}
+
+// writeEntry writes an entry in place of that of a target, unless that was replaced.
+func (d *database) writeEntry(id, entry string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.zones[id]; ok {
+		d.store.Put("servers", id, []byte(entry))
+	}
 }
 
 // ids returns the IDs of the targets that have entries.
@@ -135,11 +145,14 @@
 	d.replaced++
 	base, _, _ := strings.Cut(old.ID, "+")
 	id := fmt.Sprintf("%s+%d", base, d.replaced)
-	d.zones[id] = d.zones[old.ID]
+	zone := d.zones[old.ID]
 	delete(d.zones, old.ID)
-	d.mu.Unlock()
 	d.store.Delete("servers", old.ID)
+	d.mu.Unlock()
 	d.group.Replace(old, id)
+	d.mu.Lock()
+	d.zones[id] = zone
+	d.mu.Unlock()
 	time.Sleep(upTo(random, maxEntryDelay))
 	d.register(id, "ready")
 }
@@ -164,7 +177,7 @@
 			address = d.group.Target(id).Address
 		}
 		entry := strings.NewReplacer("%ADDR%", address, "%GROUP%", d.group.Name).Replace(odd)
-		d.store.Put("servers", id, []byte(entry))
+		d.writeEntry(id, entry)
 	}
 	time.Sleep(oddEntryTime)
 	for _, id := range ids {
--- a/internal/standin/soak/malformed.go
+++ b/internal/standin/soak/malformed.go
@@ -42,21 +42,21 @@
 	item, other := r.newItem(), r.newItem()
 	text := strings.ReplaceAll(malformedTexts[random.IntN(len(malformedTexts))], "%ITEM%", item)
 	var l malformedLine
-	switch random.IntN(10) {
-	case 0, 1:
+	switch drawn := random.IntN(100); {
+	case drawn < 1:
+		text = "WRITE " + item + " " + strings.Repeat("d", maxLineBytes+random.IntN(overlongBy))
+	case drawn < 20:
 		lineEnd := []string{"\n", "\r", "\n\r"}[random.IntN(3)]
 		text = "WRITE " + item + " x" + lineEnd + "QUERY " + newStatementID() + " WRITE " + other + " x"
 		l.forbidden = []string{other}
 		l.request = &request{text: text}
 		l.raw = "QUERY " + id + " " + text + "\r\n"
 		return l
-	case 2:
-		text = "WRITE " + item + " " + strings.Repeat("d", maxLineBytes+random.IntN(overlongBy))
-	case 3:
+	case drawn < 30:
 		text, l.isHalf = "WRITE "+item+" hal", true
-	case 4:
+	case drawn < 40:
 		return malformedLine{raw: "QUERY - WRITE " + item + " x\r\n", forbidden: []string{item}}
-	case 5:
+	case drawn < 50:
 		return malformedLine{raw: "WRITE " + item + " x\r\n", forbidden: []string{item}}
 	}
 	l.request = &request{text: text, mayNotRun: true}
--- a/internal/standin/soak/operations.go
+++ b/internal/standin/soak/operations.go
@@ -172,7 +172,7 @@
 	commit := request{text: "COMMIT", commits: true}
 	a := u.run.statement(c, n, u.route, commit.in(tx, position))
 	if a.acknowledged() {
-		u.run.noteWritten(u.route, items...)
+		u.run.noteWritten(u.route, a, items...)
 	}
 	return a.state == "I"
 }
--- a/internal/standin/soak/recovery.go
+++ b/internal/standin/soak/recovery.go
@@ -35,9 +35,10 @@
 	}
 	defer c.bye()
 	item := r.newItem()
-	if !r.send(c, to, request{text: "WRITE " + item + " data", item: item}).acknowledged() {
+	a := r.send(c, to, request{text: "WRITE " + item + " data", item: item})
+	if !a.acknowledged() {
 		return false
 	}
-	r.noteWritten(to, item)
+	r.noteWritten(to, a, item)
 	return true
 }
--- a/internal/standin/soak/report.go
+++ b/internal/standin/soak/report.go
@@ -31,8 +31,9 @@
 	writes := leader.Writes()
 	r.statements.judgeLog(d.group.Name, writes)
 	for _, item := range slices.Sorted(maps.Keys(r.written)) {
-		if r.written[item].database == d {
-			r.judge.check(ruleKept, writes[item] > 0, "%q is missing at %s", item, leader.ID)
+		if w := r.written[item]; w.database == d {
+			r.judge.check(ruleKept, writes[item] > 0, "%q, acknowledged by %s at %s, is missing at %s",
+				item, w.digest, w.at.UTC().Format("15:04:05.000"), leader.ID)
 			r.judge.check(ruleOnce, writes[item] <= 1, "%q is there %d times", item, writes[item])
 		}
 	}
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -114,8 +114,15 @@
 	configuring sync.Mutex
 
 	mu sync.Mutex
-	// written holds the acknowledged writes: their routes, by their items.
-	written map[string]route
+	// written holds the acknowledged writes by their items.
+	written map[string]written
+}
+
+// written is an acknowledged write: the digest of the target that acknowledged it, and when that came.
+type written struct {
+	database *database
+	digest   string
+	at       time.Time
 }
 
 // Play plays one run. Its error is of class ErrBroken if a rule was broken.
@@ -133,7 +140,7 @@
 		return nil, err
 	}
 	defer network.release()
-	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]route), super: supervise.New()}
+	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.store = hosted.NewStore()
 	defer r.closeStandins()
@@ -291,12 +298,13 @@
 
 func (r *run) newItem() string { return fmt.Sprintf("item%d", r.items.Add(1)) }
 
-func (r *run) noteWritten(to route, items ...string) {
+// noteWritten records the items of an acknowledged write or COMMIT.
+func (r *run) noteWritten(to route, a *answer, items ...string) {
 	to.database.noteRecent(items...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, item := range items {
-		r.written[item] = to
+		r.written[item] = written{database: to.database, digest: a.digest, at: a.endAt}
 	}
 }
 
--- a/internal/standin/soak/sent_test.go
+++ b/internal/standin/soak/sent_test.go
@@ -195,7 +195,7 @@
 	r := &run{}
 	random := rand.New(rand.NewPCG(1, 1))
 	var half, loneLF, overlong, withoutID int
-	for range 2000 {
+	for range 10000 {
 		id := newStatementID()
 		line := r.drawMalformed(random, id)
 		body := strings.TrimSuffix(line.raw, "\r\n")
--- a/internal/standin/soak/session.go
+++ b/internal/standin/soak/session.go
@@ -126,7 +126,7 @@
 	q := u.draw(c, isOneOf(u.random, shareWrites)).in(nil, 1)
 	a := u.run.statement(c, n, u.route, q)
 	if a.acknowledged() && q.item != "" {
-		u.run.noteWritten(u.route, q.item)
+		u.run.noteWritten(u.route, a, q.item)
 	}
 	return a.state == "I"
 }
