Promotion: a target that declines a poll is alive

A new owner got MAXCONN from the primary's login, as the former owner's connections were still open, counted that as a poll without an answer, knew no primary for 1.5 s, and promoted a replica while the primary ran and acknowledged a COMMIT. A BUSY to a STATUS counted the same. A login refused for want of a connection or slot, and a BUSY status, are target.ErrDeclined: the target is alive. Such polls neither make it unreachable nor let a group count as without a primary, for up to 4 s (the platform frees connections of VMs that are gone after 3 s); peers that get the same answer say that they reach it. They are repeated with the pause of failed polls.

--- a/internal/controller/promotion/held_test.go
+++ b/internal/controller/promotion/held_test.go
@@ -20,9 +20,11 @@
 	// unreachable targets do not answer polls. peersReach is what peers answer to queries.
 	unreachable map[string]bool
 	peersReach  bool
-	status      map[string]target.Status
-	adopted     []string
-	followed    []string
+	// declining targets answer polls without their status.
+	declining map[string]bool
+	status    map[string]target.Status
+	adopted   []string
+	followed  []string
 	// adoptsTerms makes reachable targets hold the terms that they are told to adopt.
 	adoptsTerms bool
 	// unannounced prevents the lease's row from naming an attempt's term.
@@ -53,6 +55,10 @@
 				h.group.ObserveFailedPoll(h.now, name)
 				continue
 			}
+			if h.declining[name] {
+				h.group.ObserveDeclinedPoll(h.now, name)
+				continue
+			}
 			h.group.Observe(h.now, s)
 		}
 		for _, action := range h.group.Tick(h.now) {
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -108,6 +108,7 @@
 	o.polledAt = sentAt
 	o.answered = true
 	o.missedPolls = 0
+	o.declinedSince, o.declinedAt = time.Time{}, time.Time{}
 }
 
 // ObserveFailedPoll records that a poll sent at sentAt failed. It is ignored if a later poll was
--- a/internal/controller/promotion/state.go
+++ b/internal/controller/promotion/state.go
@@ -40,6 +40,9 @@
 	missedPolls  int
 	firstMissAt  time.Time
 	followSentAt time.Time // when the newest Follow was returned
+	// declinedSince is when the first poll since the newest answered one was sent that the target declined, and
+	// declinedAt when the newest one was; zero if there is none.
+	declinedSince, declinedAt time.Time
 }
 
 // answerKey identifies the answer of a peer about a target.
--- a/internal/controller/promotion/times.go
+++ b/internal/controller/promotion/times.go
@@ -12,6 +12,9 @@
 	// HeldSuspectTimeout replaces SuspectTimeout with Options.HeldTerms. It can be shorter because peers
 	// are queried from the first missed poll on.
 	HeldSuspectTimeout = 300 * time.Millisecond
+	// DeclinedTimeout is how long a target may decline polls before they count as failed. The platform frees the
+	// connections of VMs that are gone within this time.
+	DeclinedTimeout = 4 * time.Second
 	// PeerQueryInterval is the minimum interval between two rounds of queries to peers.
 	PeerQueryInterval = 300 * time.Millisecond
 	// PeerAnswerTTL is the maximum age of a peer's answer that counts.
--- a/internal/controller/promotion/unreachable.go
+++ b/internal/controller/promotion/unreachable.go
@@ -45,12 +45,44 @@
 			return reasonNone, true
 		}
 	}
-	if timedOut {
+	if timedOut && !g.hasDeclined(now) {
 		return ReasonNoPrimary, len(unreachable) > 0
 	}
 	return reasonNone, len(unreachable) > 0
 }
 
+// ObserveDeclinedPoll records that a target answered a poll that was sent at sentAt without its status. It is alive,
+// and so not unreachable, until it has declined polls for DeclinedTimeout.
+func (g *Group) ObserveDeclinedPoll(sentAt time.Time, name string) {
+	o := g.observation(name)
+	if o.answered && sentAt.Before(o.polledAt) {
+		return
+	}
+	if o.declinedSince.IsZero() {
+		o.declinedSince = sentAt
+	}
+	if sentAt.Sub(o.declinedSince) >= DeclinedTimeout {
+		g.ObserveFailedPoll(sentAt, name)
+		return
+	}
+	if o.missedPolls == 0 {
+		o.firstMissAt = sentAt
+	}
+	o.missedPolls = 1
+	o.declinedAt = sentAt
+}
+
+// hasDeclined reports whether a member has lately declined a poll, and may be the primary.
+func (g *Group) hasDeclined(now time.Time) bool {
+	for _, m := range g.members {
+		o := g.observations[m.Name]
+		if o != nil && !o.declinedAt.IsZero() && now.Sub(o.declinedAt) < PeerAnswerTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // IsUnfit reports whether another node should own the group, that is, decide on its promotions. This
 // is so if this node cannot reach a target that may be the primary, while a peer can. The result is
 // always false without Options.HeldTerms.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -141,3 +141,11 @@
 		}
 	}
 }
+
+// observeDeclinedPoll is owner.Options.Declined.
+func (n *Node) observeDeclinedPoll(group, targetName string, sentAt time.Time) {
+	n.promotion.ObserveDeclinedPoll(group, targetName, sentAt)
+	if n.polls != nil {
+		n.polls.ObservePoll(targetName, sentAt, true)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -299,6 +299,7 @@
 		Idempotent:             runIdempotent,
 		IdempotentBegin:        runIdempotentBegin,
 		Observe:                n.observePoll,
+		Declined:               n.observeDeclinedPoll,
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 	})
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -111,9 +111,11 @@
 	// an idempotency key. nil means a plain exchange.
 	Idempotent      ExchangeFunc
 	IdempotentBegin ExchangeFunc
-	// Observe is called after every successful poll and Unreachable after every failed one,
-	// from the poller's goroutine. They may be nil.
+	// Observe is called after every successful poll, Declined after every one that failed with
+	// target.ErrDeclined and Unreachable after any other failed one, from the poller's goroutine.
+	// They may be nil.
 	Observe     func(group string, sentAt time.Time, status target.Status)
+	Declined    func(group, targetName string, sentAt time.Time)
 	Unreachable func(group, targetName string, sentAt time.Time)
 	// SoleOrderer reports whether both of these hold: this node is the only one that may order
 	// promotions of the group at present, and no promotion to a term above highest has been
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -35,9 +35,11 @@
 	perCustomer bool
 	stop        context.CancelFunc
 
-	lastPollAt       time.Time
-	pollFailedAt     time.Time
-	pollFailures     int
+	lastPollAt   time.Time
+	pollFailedAt time.Time
+	pollFailures int
+	// pollDeclines is the number of polls in a row that the target has declined.
+	pollDeclines     int
 	statusAt         time.Time
 	status           target.Status
 	readablePosition logpos.Position
@@ -99,6 +101,7 @@
 	m.status = status
 	m.statusAt = sentAt
 	m.pollFailures = 0
+	m.pollDeclines = 0
 	m.readablePosition = status.ReadablePosition()
 	m.errorShare *= pollErrorDecay
 }
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -67,6 +67,9 @@
 	if m.isUnreachable() {
 		return evidence.NextRetry(m.pollFailedAt, m.pollFailures)
 	}
+	if m.pollDeclines > 0 {
+		return evidence.NextRetry(m.lastPollAt, m.pollDeclines)
+	}
 	demand := g.demand()
 	demand.HeldTerms = g.options.HeldTerms
 	demand.Primary = m.status.Role == target.RolePrimary
@@ -118,6 +121,10 @@
 		}
 	}
 	g.manager.counts.polls.Add(1)
+	if target.ErrDeclined.Has(err) {
+		m.recordPollDeclined(sentAt)
+		return nil
+	}
 	if err != nil {
 		m.recordPollFailure(sentAt)
 		return nil
@@ -159,6 +166,19 @@
 	}
 }
 
+// recordPollDeclined records that the target answered a poll without its status. It is not unreachable.
+func (m *member) recordPollDeclined(sentAt time.Time) {
+	g := m.group
+	g.manager.counts.pollsFailed.Add(1)
+	g.mu.Lock()
+	m.lastPollAt = sentAt
+	m.pollDeclines++
+	g.mu.Unlock()
+	if g.options.Declined != nil {
+		g.options.Declined(g.name, m.name, sentAt)
+	}
+}
+
 // wakePollers makes every poller check whether a poll is due. g.mu is held.
 func (g *group) wakePollers() {
 	for _, m := range g.members {
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -161,6 +161,15 @@
 	g.controller.ObserveFailedPoll(sentAt, targetName)
 }
 
+// ObserveDeclinedPoll tells the controller that the target answered a poll that was sent at sentAt without its
+// status (target.ErrDeclined).
+func (r *Runner) ObserveDeclinedPoll(name, targetName string, sentAt time.Time) {
+	g := r.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.ObserveDeclinedPoll(sentAt, targetName)
+}
+
 // PrimaryDomain returns the failure domain of the group's primary, or "" if the primary is
 // not known.
 func (r *Runner) PrimaryDomain(name string) string {
--- a/internal/run/promotion/suspect.go
+++ b/internal/run/promotion/suspect.go
@@ -53,11 +53,11 @@
 	defer cancel()
 	control, err := r.options.Dialer.Control(ctx, login)
 	if err != nil {
-		return false
+		return target.ErrDeclined.Has(err)
 	}
 	defer control.Close()
 	_, err = control.Status(ctx)
-	return err == nil
+	return err == nil || target.ErrDeclined.Has(err)
 }
 
 // askPeers carries out QueryPeers: it asks a bounded number of nodes whether they reach the
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -24,6 +24,10 @@
 // and so won't take effect.
 var ErrNotOrdered = errs.Class("promotion not ordered")
 
+// ErrDeclined is the class of errors of control calls that the target has answered without carrying them out, for
+// want of a connection or a slot. The target is alive.
+var ErrDeclined = errs.Class("declined by the target")
+
 // Role is a target's role in its group.
 type Role string
 
