Test of a restored configuration: the isolated node reads the store after the restore

Cause, in the test: the node was started before the store was restored, so its first read raced with the restore.

Change: the node starts to run once the store is restored, isolated from the beginning, so the check is that of the read which the test names, in every run. The other order has a test of its own, TestReadBeforeRestoreFreshTooLong: the evidence ends after FreshnessBound although restored rows are read meanwhile.

--- a/internal/run/configuration/cluster_test.go
+++ b/internal/run/configuration/cluster_test.go
@@ -144,7 +144,15 @@
 }
 
 func (c *cluster) start(name string) *node {
+	n := c.add(name, false)
+	c.run(n)
+	return n
+}
+
+// add adds a node that does not run yet. No other node reaches it if it is isolated.
+func (c *cluster) add(name string, isolated bool) *node {
 	n := &node{name: name, store: &cutStore{store: c.store}}
+	n.isolated.Store(isolated)
 	n.runner = New(Options{
 		Platform:   n.store,
 		Peers:      &fakeCaller{c, n},
@@ -159,10 +167,13 @@
 	c.mu.Lock()
 	c.nodes = append(c.nodes, n)
 	c.mu.Unlock()
-	go func() { _ = n.runner.Run(c.ctx) }()
 	return n
 }
 
+func (c *cluster) run(n *node) {
+	go func() { _ = n.runner.Run(c.ctx) }()
+}
+
 // replaceAll ends all nodes and starts new ones of the same names, which know nothing.
 func (c *cluster) replaceAll() {
 	c.mu.Lock()
--- a/internal/run/configuration/restore_test.go
+++ b/internal/run/configuration/restore_test.go
@@ -12,6 +12,7 @@
 
 	"crocusyoke/internal/change"
 	"crocusyoke/internal/clock"
+	controller "crocusyoke/internal/controller/configuration"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/platform"
@@ -144,9 +145,9 @@
 func TestNodeBehindFreshAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newRestoredFleet(t, 5)
-		behind := f.start("n4")
-		behind.isolated.Store(true)
+		behind := f.add("n4", true)
 		f.restore()
+		f.run(behind)
 		for range 50 {
 			must.False(t, behind.runner.Fresh() && behind.runner.Version() < f.nodes[0].runner.Version())
 			time.Sleep(100 * time.Millisecond)
@@ -154,6 +155,28 @@
 	})
 }
 
+// TestReadBeforeRestoreFreshTooLong guards against a read from before a restore as evidence of what was accepted
+// after it: it counts for controller.FreshnessBound, and restored rows that are read meanwhile do not renew it.
+func TestReadBeforeRestoreFreshTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestoredFleet(t, 5)
+		behind := f.add("n4", true)
+		f.run(behind)
+		synctest.Wait()
+		must.True(t, behind.runner.Fresh())
+		f.restore()
+		time.Sleep(1500 * time.Millisecond)
+		must.Eq(t, 3, f.nodes[0].runner.Version(), must.Sprint("written back before the node could read the restored row"))
+		behind.store.cut.Store(true)
+		time.Sleep(controller.FreshnessBound - 1500*time.Millisecond + time.Millisecond)
+		for range 50 {
+			must.False(t, behind.runner.Fresh())
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.Less(t, f.nodes[0].runner.Version(), behind.runner.Version())
+	})
+}
+
 // TestAcceptedChangeMissingInRestoredStore guards against an accepted change that only the processes that run
 // know: when all are replaced, it is lost.
 func TestAcceptedChangeMissingInRestoredStore(t *testing.T) {
