Quota: the runner's tick is no ticker that may be due when the wait begins

Cause: Go 1.26's runtime has one race context for all timers of a synctest bubble (unlockAndRun, bubble.timers.raceCtx). A select on the channel of a timer that is already due, and that nobody waited for, runs the timer on the goroutine's own thread; two goroutines that do so at once share the context, which the detector's state does not survive. Runner.Run's ticker can be due there, since Wake interrupts its wait.

Change: the loop keeps the time of the next tick and waits with a timer that is set anew, so it is never due when the wait begins; ticks stay 50 ms apart.

--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -22,19 +22,34 @@
 // Run maintains the node's tokens until ctx ends and returns after its last call has ended.
 func (r *Runner) Run(ctx context.Context) error {
 	defer r.wait.Wait()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	var tickAt time.Time
+	for ctx.Err() == nil {
+		if now := r.now(); !now.Before(tickAt) {
+			tickAt = now.Add(tickInterval)
+		}
 		contain.Step(r.o.Logger, "quota tick", func() {
 			r.refresh(r.o.View())
 			r.sendDueReports(ctx)
 		})
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-r.wake:
-		}
+		r.awaitWake(ctx, timer, tickAt.Sub(r.now()))
+	}
+	return nil
+}
+
+// awaitWake waits until Wake is called or ctx ends, but at most for d. It uses timer, which is never due
+// when the wait begins: Go's race detector ends a test binary in which channels of due timers are received
+// from by several goroutines of a synctest bubble at once.
+func (r *Runner) awaitWake(ctx context.Context, timer *time.Timer, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer.Reset(d)
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.wake:
 	}
 }
 
