Owners serve a session's requests in the order of their sequence numbers only

A request that arrived on an older stream of its session, behind newer ones on another stream, stopped the serving of the newer stream: with an owner that heeds cancellations, each later request of the session was refused or timed out, and its open transaction was lost. A request that had been answered was served again if it came again on its stream.

Cause: the server took the latest stream of a session for the newest, and did not look at the sequence numbers. Now a stream whose request is older than the session's newest one ends without effect on the others, and so does one on which a number falls, or comes again after its answer. A refused request may come again under its number, as the retry filter sends it.

--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -20,6 +20,8 @@
 	ended chan struct{}
 
 	mu          sync.Mutex
+	last        uint64 // sequence number of the newest request
+	answered    bool   // whether the newest request was answered, and not refused
 	sequence    uint64 // sequence number of the running request; 0 if none
 	cancel      context.CancelFunc
 	earlyCancel uint64 // sequence number of a request that was canceled before it began to run
@@ -55,13 +57,14 @@
 	if err := reader.read(&frame); err != nil {
 		return false
 	}
-	if !s.updateContext(frame.Context) {
+	if !s.updateContext(frame.Context, frame.Sequence) {
 		counters.Add(counterMalformed, 1)
 		return false
 	}
 	s.server.answering.Add(1)
 	defer s.server.answering.Add(-1)
 	answer, panicked := s.serve(ctx, frame.toRequest(s.context, s.server.clock.Now()))
+	s.setAnswered(answer.Refusal == nil)
 	if s.stream.Context().Err() != nil {
 		return false
 	}
@@ -72,27 +75,56 @@
 	return !panicked
 }
 
-// updateContext replaces the session's context unless c is nil. It returns false if the first
-// request on the stream has no context, or if c names no session or a different one: a stream
-// carries only one session.
-func (s *session) updateContext(c *sessionContext) bool {
+// updateContext replaces the session's context unless c is nil, for the request with the given sequence number.
+// It returns false if the first request on the stream has no context, if c names no session or a different one,
+// since a stream carries only one session, or if the request is not the session's newest.
+func (s *session) updateContext(c *sessionContext, sequence uint64) bool {
 	switch {
-	case c == nil:
-		return s.context != nil
-	case c.Session == "":
+	case c == nil && s.context == nil, c != nil && c.Session == "":
 		return false
 	case s.context == nil:
+		s.last = sequence
+		if !s.server.register(s, c.Session) {
+			return false
+		}
 		s.context = c
-		s.server.register(s)
 		return true
+	case c != nil && c.Session != s.context.Session:
+		return false
+	case !s.begin(sequence):
+		return false
 	}
-	if c.Session != s.context.Session {
+	if c != nil {
+		s.context = c
+	}
+	return true
+}
+
+// begin records sequence as that of the newest request. It returns false if a later request has come before, or
+// if that request itself was answered. A refused request may be sent again.
+func (s *session) begin(sequence uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sequence < s.last || sequence == s.last && s.answered {
 		return false
 	}
-	s.context = c
+	s.last, s.answered = sequence, false
 	return true
 }
 
+func (s *session) setAnswered(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = answered
+}
+
+// isNewerThan reports whether the session's newest request came after the one with the given sequence number.
+func (s *session) isNewerThan(sequence uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last > sequence
+}
+
 // serve returns the answer to req. panicked is true if serving it panicked: the outcome of req is then
 // unknown, and so is the state of the session's transaction, so the session must end.
 func (s *session) serve(ctx context.Context, req *request.Request) (answer answerFrame, panicked bool) {
@@ -164,18 +196,23 @@
 	}
 }
 
-// register makes sess available to serveCancel. If the same session still has an older
-// stream, register stops its serving and waits until it has ended.
-func (s *Server) register(sess *session) {
-	name := sess.context.Session
+// register makes sess available to serveCancel as the session called name. If that still has an older stream,
+// register stops its serving and waits until it has ended. It returns false, and does nothing, if the other stream
+// has a newer request than sess.
+func (s *Server) register(sess *session, name string) bool {
 	s.mu.Lock()
 	old := s.activeSessions[name]
+	if old != nil && old.isNewerThan(sess.last) {
+		s.mu.Unlock()
+		return false
+	}
 	s.activeSessions[name] = sess
 	s.mu.Unlock()
 	if old != nil {
 		old.stop()
 		<-old.ended
 	}
+	return true
 }
 
 func (s *Server) unregister(sess *session) {
