A session's new stream ends the former one at the owner at once

When the end of a session's former stream had not arrived at the owner, as with a connection that has gone silent one way, the session's next request waited there until that connection was found silent: its goroutine was reading, and stopping its serving does not end a read.

register now ends the read of the old stream too. TestSessionWaitsForItsSilentStream failed before (no answer within 2 s while the old connection was alive) and passes now, with the race detector.

--- a/internal/peer/quicpeer/sequence_test.go
+++ b/internal/peer/quicpeer/sequence_test.go
@@ -60,3 +60,12 @@
 		must.Error(t, serveRequest(h, again), must.Sprint(again))
 	}
 }
+
+// TestSessionWaitsForItsSilentStream guards against a session whose new stream is not served until the connection of
+// its former one, whose end has not arrived, is found silent.
+func TestSessionWaitsForItsSilentStream(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &stubOwner{})
+	must.NoError(t, serveRequest(newTestClient(t, a, "a", RoleNode).Open(address), 1))
+	must.NoError(t, serveRequest(newTestClient(t, a, "a", RoleNode).Open(address), 2))
+}
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -197,8 +197,8 @@
 }
 
 // register makes sess available to serveCancel as the session called name. If that still has an older stream,
-// register stops its serving and waits until it has ended. It returns false, and does nothing, if the other stream
-// has a newer request than sess.
+// register ends it, also if its client's end of it has not arrived, and waits until it has ended. It returns
+// false, and does nothing, if the other stream has a newer request than sess.
 func (s *Server) register(sess *session, name string) bool {
 	s.mu.Lock()
 	old := s.activeSessions[name]
@@ -210,6 +210,7 @@
 	s.mu.Unlock()
 	if old != nil {
 		old.stop()
+		old.stream.CancelRead(0)
 		<-old.ended
 	}
 	return true
