A customer's refused logins delay only that customer

With logins of one customer that a target refuses, the pool's backoff reached a second for everybody, and one attempt at a time, mostly that customer's, kept the others from opening a connection: customer a got none within a second (TestRefusedLoginsDelayOthers on the code before), and the refused customer itself waited for its deadline each time.

Cause: the pool had one backoff for all failed attempts. Other failures delay everybody, as before.

TestRefusedLoginsDelayOthers and TestRefusalOfACustomerBlamesTarget pass; the packages of the owner, the targets and the line protocol pass with the race detector. At the limit a refused customer's attempt, at most one a second, still closes another customer's longest-idle connection.

--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -28,7 +28,7 @@
 // openFor opens up to want connections for customer. p.mu is held.
 func (p *Pool) openFor(customer string, want int) {
 	for range want {
-		if p.backoff > 0 && p.opening > 0 {
+		if p.backoff.isActive() && p.opening > 0 || p.refused[customer] != nil && p.openingFor[customer] > 0 {
 			// While dials fail, only one is attempted at a time.
 			return
 		}
@@ -40,7 +40,7 @@
 		}
 		p.opening++
 		p.openingFor[customer]++
-		go p.openConn(customer, p.retryAt, evicted)
+		go p.openConn(customer, p.backoff.retryAt, evicted)
 	}
 }
 
@@ -79,15 +79,14 @@
 	}
 	if err != nil {
 		p.failedOpens++
-		p.backoff = min(BackoffMax, max(BackoffMin, 2*p.backoff))
-		p.retryAt = now.Add(p.backoff)
+		p.recordFailure(customer, now, err)
 		p.signalDrained()
 		p.fill()
 		p.mu.Unlock()
 		return
 	}
-	p.backoff = 0
-	p.retryAt = time.Time{}
+	p.backoff = backoff{}
+	delete(p.refused, customer)
 	p.open++
 	conn.opened = now
 	conn.lastUsed = now
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -7,6 +7,9 @@
 //
 // Idle connections are opened in the background, ahead of demand. At the limit, the
 // longest-idle connection is closed to make room for another customer's connection.
+//
+// A failed attempt to open a connection delays the next one. The target's refusal of a customer's login
+// (target.ErrLoginRefused) concerns that customer only: its requests are refused until its next attempt is due.
 package pool
 
 import (
@@ -94,8 +97,9 @@
 	// probeBefore is when a connection was last found silent, that is, did not answer. Idle
 	// connections last used before that time are probed before use.
 	probeBefore time.Time
-	backoff     time.Duration
-	retryAt     time.Time
+	// backoff is that after failed attempts, refused those of customers whose logins the target refuses.
+	backoff     backoff
+	refused     map[string]*refusedLogin
 	silentConns int
 	failedOpens int
 	drained     chan struct{}
@@ -107,7 +111,7 @@
 		options.Logger = log.NewNopLogger()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{options: options, ctx: ctx, stop: stop, openingFor: make(map[string]int)}
+	p := &Pool{options: options, ctx: ctx, stop: stop, openingFor: make(map[string]int), refused: make(map[string]*refusedLogin)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill()
@@ -265,6 +269,10 @@
 		p.mu.Unlock()
 		return conn, nil
 	}
+	if err := p.loginRefusal(customer); err != nil {
+		p.mu.Unlock()
+		return nil, err
+	}
 	wait := make(chan *Conn, 1)
 	p.waiting = append(p.waiting, waiter{customer, wait})
 	p.fill()
@@ -272,7 +280,7 @@
 	select {
 	case conn := <-wait:
 		if conn == nil {
-			return nil, ErrClosed
+			return nil, p.whyNone(customer)
 		}
 		return conn, nil
 	case <-ctx.Done():
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -28,6 +28,10 @@
 // want of a connection or a slot. The target is alive.
 var ErrDeclined = errs.Class("declined by the target")
 
+// ErrLoginRefused is the class of errors of Dial that concern only the login's customer: the target has answered,
+// and has refused it.
+var ErrLoginRefused = errs.Class("login refused by the target")
+
 // Role is a target's role in its group.
 type Role string
 
