Answers are bounded in bytes from their arrival until they are sent

Callers that read large answers slowly could fill a node's memory: nothing bounded what targets and other nodes had answered and callers had not read yet.

Now the context of a session's statements carries an account (budget.NewContext). Each session may always hold 4 KiB, all of them 16 MiB beyond.

The port for PostgreSQL clients is not bounded this way yet.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -5,7 +5,10 @@
 // sessions times the share, plus the common part.
 package budget
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Limits are the bounds of a Budget in bytes.
 type Limits struct {
@@ -73,3 +76,18 @@
 
 // Release makes the account hold nothing. It may be called more than once.
 func (a *Account) Release() { a.Resize(0) }
+
+// accountKey is the key of an Account in a context.
+type accountKey struct{}
+
+// NewContext returns a copy of ctx that carries account, which holds the answer to what is done in ctx. It is used
+// from the goroutine that does so.
+func NewContext(ctx context.Context, account *Account) context.Context {
+	return context.WithValue(ctx, accountKey{}, account)
+}
+
+// FromContext returns the account that ctx carries, nil if there is none.
+func FromContext(ctx context.Context) *Account {
+	account, _ := ctx.Value(accountKey{}).(*Account)
+	return account
+}
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -18,8 +18,8 @@
 //
 // What the sessions of a node keep or have under way is bounded, so that no caller takes the memory of the
 // others: settings and prepared statements by a budget with a share for each session, statements that are
-// being served by another one, and statements that are being read by a number of turns. Past a bound a caller
-// is refused. Nothing that a session or the log keeps refers to a whole message.
+// being served by another one, answers until they are sent by a third, and statements that are being read by a number
+// of turns. Past a bound a caller is refused. Nothing that a session or the log keeps refers to a whole message.
 //
 // The package does not depend on a particular protocol: reading and writing messages is left
 // to a Codec.
--- a/internal/front/inflight.go
+++ b/internal/front/inflight.go
@@ -11,6 +11,10 @@
 // in memory several times over on its way to a target.
 var servingLimits = budget.Limits{Share: 2 << 10, Common: 8 << 20}
 
+// answerLimits bound the answers of all sessions of a node from their arrival until they are sent, in bytes. They
+// travel with the context of a statement (budget.NewContext).
+var answerLimits = budget.Limits{Share: 4 << 10, Common: 16 << 20}
+
 // largeRetryAfter is when a caller may come back with a large statement for which there was no room.
 const largeRetryAfter = 100 * time.Millisecond
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -27,6 +27,8 @@
 	state  *sessionState
 	// serving holds the size of the statement that is being served.
 	serving *budget.Account
+	// answer holds the size of the answer until it is sent.
+	answer *budget.Account
 	// in is what codec reads from.
 	in *statementConn
 
@@ -64,6 +66,7 @@
 		state:  newSessionState(s.stateBudget.Account()),
 
 		serving: s.servingBudget.Account(),
+		answer:  s.answerBudget.Account(),
 		in:      in,
 
 		progress: progress{phase: phaseLogin},
@@ -86,6 +89,8 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	ctx = budget.NewContext(ctx, s.answer)
+	defer s.answer.Release()
 	defer s.in.endTurn()
 	defer s.state.release()
 	if !s.admit() {
@@ -168,6 +173,7 @@
 		s.handleWriteError(err)
 		return false
 	}
+	s.answer.Release()
 	return s.endStatement()
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -67,6 +67,8 @@
 	stateBudget *budget.Budget
 	// servingBudget is the budget of the statements that are being served.
 	servingBudget *budget.Budget
+	// answerBudget is the budget of the answers that have arrived and are not sent yet.
+	answerBudget *budget.Budget
 	// largeReads has an element for each session that reads a large statement.
 	largeReads chan struct{}
 
@@ -91,7 +93,7 @@
 	return &Server{
 		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
 		stateBudget: budget.New(stateLimits), servingBudget: budget.New(servingLimits),
-		largeReads: make(chan struct{}, maxLargeReads),
+		answerBudget: budget.New(answerLimits), largeReads: make(chan struct{}, maxLargeReads),
 	}
 }
 
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/peer"
@@ -21,6 +22,9 @@
 // Error is the class of errors of this package.
 var Error = errs.Class("peer")
 
+// errNoRoom means that a frame was skipped because the node has no room for it.
+var errNoRoom = Error.New("no room for the frame")
+
 // Sizes of frames, in bytes.
 const (
 	// MaxFrame is the maximum size of a frame. It is large enough for a target's whole reply.
@@ -247,6 +251,9 @@
 // maxRetainedBuffer is the maximum capacity, in bytes, of a buffer that is kept for reuse.
 const maxRetainedBuffer = 64 << 10
 
+// answerFrameRest is the usual size of an answerFrame without its messages, in bytes.
+const answerFrameRest = 256
+
 // writeFrame encodes v as one frame and sends it with a single Write.
 func writeFrame(w io.Writer, v any) error {
 	buffer := frameBuffers.Get().(*bytes.Buffer)
@@ -256,6 +263,10 @@
 		}
 	}()
 	buffer.Reset()
+	if answer, ok := v.(*answerFrame); ok {
+		// The buffer would otherwise grow to twice the size of a large answer.
+		buffer.Grow(len(answer.Messages) + answerFrameRest)
+	}
 	var header [headerSize]byte
 	buffer.Write(header[:])
 	if err := cbor.MarshalToBuffer(v, buffer); err != nil {
@@ -284,7 +295,11 @@
 // read reads one frame into v. The buffer grows as bytes arrive, so that a frame that
 // announces a large size does not allocate it in advance. A buffer of up to
 // maxRetainedBuffer bytes is reused for the next frame.
-func (r *frameReader) read(v any) error {
+func (r *frameReader) read(v any) error { return r.readWithin(nil, v) }
+
+// readWithin is read, except that account holds the size of the frame. If it has no room for it, the frame is skipped
+// and the error is errNoRoom.
+func (r *frameReader) readWithin(account *budget.Account, v any) error {
 	header, err := r.in.Peek(headerSize)
 	if err != nil {
 		return err
@@ -294,6 +309,12 @@
 		return Error.New("frame of %d bytes is over the limit of %d", size, MaxFrame)
 	}
 	_, _ = r.in.Discard(headerSize)
+	if !account.Resize(size) {
+		if _, err := r.in.Discard(size); err != nil {
+			return err
+		}
+		return errNoRoom
+	}
 	body, err := r.readBody(size)
 	if err != nil {
 		return err
--- a/internal/peer/quicpeer/remote.go
+++ b/internal/peer/quicpeer/remote.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/quic-go/quic-go"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/request"
 )
@@ -18,6 +20,8 @@
 	cancelTimeout = 300 * time.Millisecond
 	// answerGrace is how long after the request's deadline the client waits for the answer.
 	answerGrace = 100 * time.Millisecond
+	// answerRetryAfter is when a caller may come back for whose answer the node had no room.
+	answerRetryAfter = 250 * time.Millisecond
 )
 
 const refusalStep = "peer"
@@ -48,6 +52,9 @@
 		return nil, request.Refuse(request.CodeOutcomeUnknown, refusalStep, r.address, "stream broke while sending").WithCause(err)
 	}
 	answer, err := r.receive(ctx, req)
+	if errors.Is(err, errNoRoom) {
+		return nil, refuseAnswer(req.Kind, r.address)
+	}
 	if err != nil {
 		r.abortStream()
 		return nil, request.Refuse(request.CodeOutcomeUnknown, refusalStep, r.address, "no answer from the owner").WithCause(err)
@@ -59,6 +66,16 @@
 	return answer.toResponse(), nil
 }
 
+// refuseAnswer returns the refusal of a request for whose answer there is no room. Of a read outside a transaction
+// nothing is kept.
+func refuseAnswer(kind request.Kind, address string) *request.Refusal {
+	if kind == request.KindRead {
+		return request.Refuse(request.CodeOverloaded, refusalStep, address, "the node holds too many large answers").
+			WithRetryAfter(answerRetryAfter)
+	}
+	return request.Refuse(request.CodeOutcomeUnknown, refusalStep, address, "the node had no room for the answer")
+}
+
 // send sends req. It includes the session's context if that has changed since it was last
 // sent on the stream.
 func (r *remoteHandler) send(req *request.Request) error {
@@ -72,7 +89,7 @@
 }
 
 // receive reads the answer to req. An answer to another request is counted and returned as an
-// error. After any error the caller must abort the stream.
+// error. After any error other than errNoRoom the caller must abort the stream.
 func (r *remoteHandler) receive(ctx context.Context, req *request.Request) (*answerFrame, error) {
 	if _, hasDeadline := ctx.Deadline(); !hasDeadline {
 		r.stream.SetReadDeadline(req.Deadline.Add(answerGrace))
@@ -90,7 +107,7 @@
 		}
 	}()
 	answer := &answerFrame{}
-	if err := r.reader.read(answer); err != nil {
+	if err := r.reader.readWithin(budget.FromContext(ctx), answer); err != nil {
 		return nil, err
 	}
 	if !answer.isAnswerTo(req.ID) {
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -6,6 +6,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/request"
 )
@@ -15,6 +16,8 @@
 	server  *Server
 	stream  *quic.Stream
 	context *sessionContext
+	// answer holds the size of the answer until it is sent.
+	answer *budget.Account
 	// stop cancels the serving of the session. ended is closed once it has ended.
 	stop  context.CancelFunc
 	ended chan struct{}
@@ -34,8 +37,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(stream.Context(), cancel)()
-	sess := &session{server: s, stream: stream, stop: cancel, ended: make(chan struct{})}
+	sess := &session{server: s, stream: stream, answer: s.answers.Account(), stop: cancel, ended: make(chan struct{})}
 	defer s.endSession(sess)
+	defer sess.answer.Release()
+	ctx = budget.NewContext(ctx, sess.answer)
 	for sess.serveNext(ctx, reader) {
 	}
 }
@@ -72,6 +77,7 @@
 		counters.Add(counterBrokenStreams, 1)
 		return false
 	}
+	s.answer.Release()
 	return !panicked
 }
 
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/quic-go/quic-go"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/peer"
@@ -39,6 +40,9 @@
 	connectionWindow = 64 << 20
 )
 
+// answerLimits bound the answers to the sessions of all other nodes until they are sent, in bytes.
+var answerLimits = budget.Limits{Share: 4 << 10, Common: 16 << 20}
+
 // serverConfig returns the configuration of accepted connections. The idle timeout of a connection
 // is the lower one of both ends, so the client decides.
 func serverConfig() *quic.Config {
@@ -79,6 +83,8 @@
 	sessions request.Handler
 	handlers map[peer.Kind]handler
 	wait     sync.WaitGroup
+	// answers is the budget of the answers to sessions until they are sent.
+	answers *budget.Budget
 	// answering counts the requests of sessions that are being served or answered.
 	answering atomic.Int64
 
@@ -102,6 +108,7 @@
 		clock:          c,
 		sessions:       sessions,
 		handlers:       make(map[peer.Kind]handler),
+		answers:        budget.New(answerLimits),
 		activeSessions: make(map[string]*session),
 	}
 }
