A statement that a caller was told is gone takes no room any more

On the port for PostgreSQL clients a DEALLOCATE was answered before its statement's room was given back, so another session that prepared next could still be refused as overloaded.

Cause: the room was given back only at the end of the exchange, behind the answer. Applying the answer to the session's statements now does it. TestRoomIsTakenAfterTheAnswer failed before (the statement was still held) and passes; TestOneSessionTakesTheRoomOfOthers passed 60 of 60 runs with the race detector.

--- a/internal/statement/plan.go
+++ b/internal/statement/plan.go
@@ -165,6 +165,7 @@
 			out = append(out, m.Raw...)
 		}
 	}
+	s.settle()
 	if out == nil {
 		return answer
 	}
@@ -177,6 +178,7 @@
 	for _, change := range p.pending {
 		s.applyChange(change)
 	}
+	s.settle()
 }
 
 func (s *Statements) applyChange(change pendingChange) {
--- a/internal/statement/room_test.go
+++ b/internal/statement/room_test.go
@@ -127,3 +127,19 @@
 	runtime.ReadMemStats(&m)
 	return int(m.HeapAlloc)
 }
+
+// TestRoomIsTakenAfterTheAnswer guards against a caller that is told that its statement is gone, or has been replaced,
+// while the statement still takes its room from other sessions.
+func TestRoomIsTakenAfterTheAnswer(t *testing.T) {
+	node := budget.New(budget.Limits{Share: 0, Common: 1 << 20})
+	s := Statements{Account: node.Account()}
+	p, err := s.Plan(encodeFrontend(t, parse("a", 10<<10), &pgproto3.Sync{}))
+	must.NoError(t, err)
+	s.ApplyAll(p)
+	must.Eq(t, s.totalBytes, node.Held())
+	s.EndExchange()
+	p, err = s.Plan(encodeFrontend(t, &pgproto3.Close{ObjectType: 'S', Name: "a"}, &pgproto3.Sync{}))
+	must.NoError(t, err)
+	s.Apply(p, confirm(1))
+	must.Zero(t, node.Held())
+}
