State that a session's blocks, procedures and functions leave on a connection does not reach the next session

On the port for PostgreSQL clients connections to targets are shared by sessions and customers and were never reset: what DO, CALL or a function set for the connection (set_config in a procedure, a temporary table, an advisory lock) was there for the next session's statements.

Now a connection that has run an exchange with DO, CALL or a function that is not known to be free of side effects runs DISCARD ALL before its next exchange outside that transaction, as a round trip of its own. If the target does not confirm it, the connection is closed and the next statement counts as not sent. Other statements pay nothing but a scan of their text; an unknown name before a parenthesis, such as ON CONFLICT (a), costs the round trip too. What triggers, rules, defaults and views run is not seen (docs/ASSUMPTIONS.md).

No PostgreSQL server was at hand: tried against the tests' targets and the stand-in only.

--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -256,3 +256,19 @@
 		must.Eq(t, len(p.Messages), size)
 	})
 }
+
+// TestOrdinaryStatementLeavesState checks which statements may leave state on a connection.
+func TestOrdinaryStatementLeavesState(t *testing.T) {
+	for sql, want := range map[string]bool{
+		"select 1": false, "select count(*) from t where a in (1, 2)": false,
+		"insert into t (a, b) values (1, 2) returning a": false, `insert into s."t" (a) values (coalesce(1, 2))`: false,
+		"update t set a = lower(b)": false, "begin": false, "commit": false, ";": false, "": false,
+		"insert into t (a) values (f(1))": true, "insert into t select f(1)": true, "insert into t (a) select s.f(1)": true,
+		"do $$ begin end $$": true, "select 1; call p()": true, "(select f())": true, "with x as (select f()) select 1": true,
+		`select "lower"(a) from t`: true, "select 1 /* do */": false, "select 'call f()'": false,
+	} {
+		must.Eq(t, want, LeavesState(encodeFrontend(t, &pgproto3.Query{String: sql})), must.Sprint(sql))
+		must.Eq(t, want, LeavesState(encodeFrontend(t, &pgproto3.Parse{Name: "n", Query: sql}, &pgproto3.Sync{})), must.Sprint(sql))
+	}
+	must.False(t, LeavesState([]byte("Q\x00\x00")))
+}
--- a/internal/statement/traits.go
+++ b/internal/statement/traits.go
@@ -5,6 +5,7 @@
 	into          bool // INTO
 	locksRows     bool // FOR UPDATE, FOR NO KEY UPDATE, FOR SHARE or FOR KEY SHARE
 	impureCall    bool // a call of a function that is not known to be free of side effects
+	runsFunction  bool // impureCall, but not of the name behind INTO, which is a table's
 	sessionScoped bool // a call of a function whose effect lasts as long as the connection
 	readOnly      bool // READ ONLY, without a later READ WRITE
 	to            bool // TO
@@ -19,7 +20,7 @@
 func scanTraits(s *scanner) (t traits, more bool) {
 	var lastToken token
 	var previousWord, lastWord word
-	qualified := false
+	qualified, isTable := false, false
 	for {
 		next := s.next()
 		switch next.kind {
@@ -28,31 +29,39 @@
 		case ';':
 			return t, true
 		case '(':
-			t.recordCall(lastToken, lastWord, qualified)
+			t.recordCall(lastToken, lastWord, qualified, isTable)
 		case tokenWord:
 			qualified = lastToken.kind == '.'
+			isTable = isTable && qualified || isInto(lastToken)
 			previousWord, lastWord = lastWord, lookup(next.text)
 			t.recordWord(previousWord, lastWord)
 		case tokenQuotedIdent:
 			qualified = lastToken.kind == '.'
+			isTable = isTable && qualified || isInto(lastToken)
 			previousWord, lastWord = lastWord, lookup(next.text)
 		}
 		lastToken = next
 	}
 }
 
-// recordCall records the word before an opening parenthesis, which may be a function's name. Only
-// an unquoted and unqualified name can be pure, as a quoted or qualified one may be another
+func isInto(t token) bool { return t.kind == tokenWord && lookup(t.text).text == "into" }
+
+// recordCall records the word before an opening parenthesis, which may be a function's name, or a table's after INTO.
+// Only an unquoted and unqualified name can be pure, as a quoted or qualified one may be another
 // function of the same name.
-func (t *traits) recordCall(lastToken token, lastWord word, qualified bool) {
+func (t *traits) recordCall(lastToken token, lastWord word, qualified, isTable bool) {
+	isImpure := false
 	switch lastToken.kind {
 	case tokenQuotedIdent:
-		t.impureCall = true
-		t.sessionScoped = t.sessionScoped || lastWord.sessionScoped
+		isImpure = true
 	case tokenWord:
-		t.impureCall = t.impureCall || qualified || !lastWord.pure
-		t.sessionScoped = t.sessionScoped || lastWord.sessionScoped
+		isImpure = qualified || !lastWord.pure
+	default:
+		return
 	}
+	t.impureCall = t.impureCall || isImpure
+	t.runsFunction = t.runsFunction || isImpure && !isTable
+	t.sessionScoped = t.sessionScoped || lastWord.sessionScoped
 }
 
 func (t *traits) recordWord(previous, current word) {
--- a/internal/target/pgtarget/conn.go
+++ b/internal/target/pgtarget/conn.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/statement"
 	"crocusyoke/internal/target"
 	"crocusyoke/internal/target/idle"
 )
@@ -48,6 +49,9 @@
 	// sizeHint is the number of bytes to allocate for the next reply: the size of the last
 	// one, between minSizeHint and maxSizeHint.
 	sizeHint int
+	// inTransaction is true while a transaction is open or has failed, leftState once statements may have left
+	// state for the rest of the connection.
+	inTransaction, leftState bool
 	// unusable is set once an exchange has failed or the connection was closed.
 	unusable atomic.Bool
 
@@ -90,6 +94,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(pastDeadline) })
 	defer stop()
+	if err := c.discardState(); err != nil {
+		return target.Reply{}, false, c.fail("discard session state", withContextError(ctx, err))
+	}
+	c.leftState = c.leftState || statement.LeavesState(messages)
 	if n, err := c.netConn.Write(messages); err != nil {
 		return target.Reply{}, n > 0, c.fail("send", withContextError(ctx, err))
 	}
@@ -105,6 +113,29 @@
 	return reply, true, nil
 }
 
+// discardMessage discards the state of a connection.
+var discardMessage = simpleQuery("DISCARD ALL")
+
+// discardState makes the target discard what earlier statements may have left on the connection, which the next one
+// may run for another session. In a transaction it does nothing: that is of one session.
+func (c *conn) discardState() error {
+	if !c.leftState || c.inTransaction {
+		return nil
+	}
+	if _, err := c.netConn.Write(discardMessage); err != nil {
+		return err
+	}
+	reply, err := c.readReply()
+	if err != nil {
+		return err
+	}
+	if reply.Code != "" || c.inTransaction {
+		return errNotDiscarded
+	}
+	c.leftState = false
+	return nil
+}
+
 // withContextError joins the context's error to err if the context ended. Otherwise, if err is a
 // timeout of the connection, it joins context.DeadlineExceeded, because the connection's deadline
 // may pass a moment before the context reports that its deadline has passed.
@@ -161,6 +192,7 @@
 		return target.Reply{}, errMalformed
 	}
 	reply.TxStatus = body[0]
+	c.inTransaction = reply.TxStatus != 'I'
 	reply.Position = c.position
 	c.sizeHint = min(max(len(reply.Messages), minSizeHint), maxSizeHint)
 	return reply, nil
--- a/internal/target/pgtarget/message.go
+++ b/internal/target/pgtarget/message.go
@@ -32,6 +32,7 @@
 	errMalformed      = errors.New("malformed backend message")
 	errReplyTooLarge  = errors.New("reply too large")
 	errCopy           = errors.New("target started a COPY, which is not supported")
+	errNotDiscarded   = errors.New("the target has not discarded the session's state")
 	errNotOneExchange = errors.New("request is malformed or is not a single exchange")
 )
 
