Log queue's test: the queued bytes are read under the lock

TestStalledReaderHoldsALine failed under the race detector. Cause, in the test: it read the length of what is queued without the lock, while the writing goroutine, which may run for the first time only then, takes the queue over.

Change: the length is read under the lock, and behind each line instead of once behind the last.

--- a/internal/logqueue/queue_test.go
+++ b/internal/logqueue/queue_test.go
@@ -42,6 +42,13 @@
 
 func line(text string) []byte { return []byte(text + "\n") }
 
+// queued returns how many bytes wait for the underlying writer.
+func (q *Queue) queued() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.pending)
+}
+
 // TestStalledReaderHoldsALine guards against a log line that waits for whoever reads the log. What is
 // queued stays bounded, and what was dropped is told once the reader goes on.
 func TestStalledReaderHoldsALine(t *testing.T) {
@@ -52,8 +59,8 @@
 		for range 1000 {
 			_, err := q.Write(line(long))
 			must.NoError(t, err)
+			must.LessEq(t, maxQueuedBytes, q.queued())
 		}
-		must.LessEq(t, maxQueuedBytes, len(q.pending))
 		close(out.stalled)
 		synctest.Wait()
 		must.StrContains(t, out.String(), "event=\"log lines dropped\" count=")
