Soak: targets fail set-ups after their effect, lose or cut their answers, close idle connections, check positions

Now a target of the soak also carries a set-up out and answers FAILED or TIMEOUT, closes the connection without an answer or in the middle of one, stays in a transaction after a refusal, closes idle connections at any moment, and refuses reads and BEGINs of a position that its log lacks.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -43,6 +43,7 @@
 	flags.DurationVar(&o.Work, "work", o.Work, "mean time of a read, write or commit at a target; 0 for none and no limits")
 	flags.IntVar(&o.Slots, "slots", o.Slots, "statements that a target runs at the same time")
 	flags.IntVar(&o.SetupRefusals, "setup-refusals", o.SetupRefusals, "of so many statements that change a session's values or prepared names, targets refuse one to nodes; 0 for none")
+	flags.IntVar(&o.SetupFailures, "setup-failures", o.SetupFailures, "of so many such statements, targets carry one out and answer with an error, or lose or cut the answer; 0 for none")
 	flags.DurationVar(&o.Lag, "lag", o.Lag, "how far replicas are behind")
 	flags.DurationVar(&o.PromoteAfter, "promote-after", o.PromoteAfter, "how long a promotion takes")
 	flags.DurationVar(&o.CallerDelay, "caller-delay", o.CallerDelay, "one-way delay between callers and nodes; 0 for no proxy")
--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -47,12 +47,17 @@
 	writes      map[string]string
 	// generation is the target's when the session began.
 	generation int
+	// fault is what the target does wrong with the statement in hand.
+	fault setupFault
+	// isIdle is true while the session waits for a statement outside a transaction.
+	isIdle atomic.Bool
 }
 
 func (t *Target) serve(conn net.Conn) {
+	s := &session{target: t, out: conn, connection: connectionCount.Add(1), txState: stateIdle, settings: map[string]string{}, prepared: map[string]Prepared{}}
 	t.mu.Lock()
 	atLimit := len(t.conns) >= t.maxConnections
-	t.conns[conn] = struct{}{}
+	t.conns[conn] = s
 	t.mu.Unlock()
 	defer func() {
 		_ = conn.Close()
@@ -65,13 +70,14 @@
 	if err != nil {
 		return
 	}
-	s := &session{target: t, out: conn, connection: connectionCount.Add(1), txState: stateIdle, settings: map[string]string{}, prepared: map[string]Prepared{}}
 	if !s.begin(line, atLimit) {
 		return
 	}
 	s.send("READY I " + s.position())
 	for {
+		s.isIdle.Store(s.txState == stateIdle)
 		line, err := readLine(in)
+		s.isIdle.Store(false)
 		if errors.Is(err, errLineTooLong) {
 			s.send("ERROR " + overlongLine)
 		}
@@ -143,10 +149,11 @@
 	run := s.noteBegin(id)
 	s.work(text, func() { rows, failure, lost = s.execute(st) })
 	s.noteEnd(run, failure)
-	if lost {
+	if lost || s.breaksOff() {
 		return false
 	}
 	s.answer(id, rows, failure)
+	s.fault = setupOK
 	return true
 }
 
@@ -157,7 +164,7 @@
 	}
 	switch {
 	case failure != "":
-		if s.txState == stateOpen {
+		if s.failsTransaction() {
 			s.txState = stateFailed
 		}
 		s.send("ERROR " + failure)
@@ -216,11 +223,17 @@
 		return nil, malformed
 	case s.txState == stateFailed:
 		return nil, s.executeInFailedTransaction(c)
-	case id == ownID && c.isSetup() && s.target.group.refusesSetup():
-		return nil, "BUSY " + s.target.ID
 	case s.hasLostLead() && c.word != "COMMIT" && c.word != "ROLLBACK":
 		return nil, "READONLY " + s.target.ID
 	}
+	if s.target.readPosition().isBehind(c.after) {
+		return nil, "LAGGING " + s.target.ID
+	}
+	if id == ownID && c.isSetup() {
+		if fault := s.target.group.drawSetupFault(); fault != setupOK {
+			return nil, s.executeFaulty(c, fault)
+		}
+	}
 	return s.executeCommand(c)
 }
 
--- a/internal/standin/hosted/session_test.go
+++ b/internal/standin/hosted/session_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -167,3 +168,83 @@
 	must.StrContains(t, play(ownID, 1), "COMPLETE")
 	must.StrNotContains(t, play("q", 1), "ERROR")
 }
+
+// setupOutcomes plays 200 set-up statements of the proxy in transactions of their own, and counts how targets
+// answer them and in which state the transaction then is; a lost or cut answer counts as it was received.
+func setupOutcomes(t *testing.T, g *Group) map[string]int {
+	outcomes := make(map[string]int)
+	g.Target("t1").SetMaxConnections(201)
+	for range 200 {
+		c, _ := dial(t, g.Target("t1").Address, "ledger")
+		c.query("b", "BEGIN")
+		c.send(ownID, "SET a b")
+		answer := ""
+		for !strings.Contains(answer, "READY") && !strings.Contains(answer, "EOF") {
+			word, rest, _ := strings.Cut(c.line(), " ")
+			code, _, _ := strings.Cut(rest, " ")
+			answer += word + " " + code + "|"
+		}
+		outcomes[answer]++
+		if strings.Contains(answer, "READY T") {
+			c.query("r", "READ x")
+		}
+		must.NoError(t, c.conn.Close())
+	}
+	return outcomes
+}
+
+// TestSetupFailsAfterItsEffect checks which faults of set-up statements are played, and that those that tell
+// of a run have an effect.
+func TestSetupFailsAfterItsEffect(t *testing.T) {
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	g.Load.SetupRefusals, g.Load.SetupFailures = 3, 3
+	outcomes := setupOutcomes(t, g)
+	for _, answer := range []string{
+		"COMPLETE -|READY T|", "ERROR BUSY|READY E|", "ERROR BUSY|READY T|", "ERROR FAILED|READY T|", "ERROR TIMEOUT|READY T|", "EOF |", "COMPLETE -|EOF |",
+	} {
+		must.Positive(t, outcomes[answer], must.Sprint(answer, outcomes))
+	}
+	must.MapLen(t, 7, outcomes, must.Sprint(outcomes))
+	withEffect := 0
+	for _, ran := range g.Target("t1").Ran() {
+		if ran.Text == "READ x" && ran.Settings["a"] == "b" {
+			withEffect++
+		}
+	}
+	must.Eq(t, outcomes["COMPLETE -|READY T|"]+outcomes["ERROR FAILED|READY T|"]+outcomes["ERROR TIMEOUT|READY T|"], withEffect)
+}
+
+// TestReadBehindItsPositionIsRefused checks that a target refuses what needs a position that its log lacks.
+func TestReadBehindItsPositionIsRefused(t *testing.T) {
+	g := NewGroup("ledger", "t1", "t2")
+	defer g.Close()
+	g.Lag = time.Hour
+	primary, _ := dial(t, g.Target("t1").Address, "ledger")
+	replica, _ := dial(t, g.Target("t2").Address, "ledger")
+	primary.query("w", "WRITE x 1")
+	for _, c := range []struct {
+		client *client
+		text   string
+		want   string
+	}{
+		{primary, "AFTER 1.1 READ x", "ROW 1"}, {primary, "AFTER 1.2 READ x", "ERROR LAGGING"}, {primary, "AFTER 2.0 BEGIN", "ERROR LAGGING"},
+		{replica, "AFTER 1.0 READ x", "COMPLETE"}, {replica, "AFTER 1.1 READ x", "ERROR LAGGING"}, {replica, "AFTER 0.9 READ x", "COMPLETE"},
+		{primary, "AFTER x.1 READ x", "ERROR MALFORMED"},
+	} {
+		must.StrHasPrefix(t, c.want, c.client.query("q", c.text), must.Sprint(c.text))
+	}
+}
+
+// TestIdleConnectionsAreClosed checks that only connections that wait outside a transaction are closed.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	g := NewGroup("ledger", "t1")
+	defer g.Close()
+	idle, _ := dial(t, g.Target("t1").Address, "ledger")
+	open, _ := dial(t, g.Target("t1").Address, "ledger")
+	open.query("b", "BEGIN")
+	must.Eq(t, 0, g.Target("t1").CloseIdle(func() bool { return false }))
+	must.True(t, WaitFor(10*time.Second, func() bool { return g.Target("t1").CloseIdle(func() bool { return true }) == 1 }))
+	must.Eq(t, "EOF", idle.line())
+	must.StrHasPrefix(t, "COMPLETE", open.query("c", "COMMIT"))
+}
--- a/internal/standin/hosted/statement.go
+++ b/internal/standin/hosted/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -53,10 +54,28 @@
 	return "", text
 }
 
+// logPosition is a place in a log: the number of entries in a term.
+type logPosition struct{ term, entries uint64 }
+
+// parsePosition reports false if the text is no position.
+func parsePosition(text string) (logPosition, bool) {
+	term, entries, _ := strings.Cut(text, ".")
+	t, termErr := strconv.ParseUint(term, 10, 64)
+	n, entriesErr := strconv.ParseUint(entries, 10, 64)
+	return logPosition{t, n}, termErr == nil && entriesErr == nil
+}
+
+// isBehind reports whether a log at position p lacks what one at other has.
+func (p logPosition) isBehind(other logPosition) bool {
+	return p.term < other.term || p.term == other.term && p.entries < other.entries
+}
+
 // command is a parsed statement. The last field extends to the end of the text and may have blanks.
 type command struct {
 	word   string
 	fields []string
+	// after is the position that the log must have.
+	after logPosition
 }
 
 // form is how many fields a statement has, and whether the last of them may be empty.
@@ -91,6 +110,9 @@
 	word, rest, hasFields := strings.Cut(text, " ")
 	c := command{word: word}
 	form, ok := forms[word]
+	if position != "" && ok {
+		c.after, ok = parsePosition(position)
+	}
 	if !ok || position != "" && !slices.Contains(mayFollowPosition, word) {
 		return c, false
 	}
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -39,7 +39,7 @@
 	executed       []Statement
 
 	mu             sync.Mutex
-	conns          map[net.Conn]struct{}
+	conns          map[net.Conn]*session
 	maxConnections int
 	respond        RespondFunc
 }
@@ -53,7 +53,7 @@
 
 // makeTarget returns a replica that does not listen yet.
 func makeTarget(g *Group, id string) *Target {
-	return &Target{ID: id, maxConnections: 50, group: g, term: 1, conns: make(map[net.Conn]struct{})}
+	return &Target{ID: id, maxConnections: 50, group: g, term: 1, conns: make(map[net.Conn]*session)}
 }
 
 func (t *Target) listen(address string) {
@@ -103,6 +103,24 @@
 	}
 }
 
+// CloseIdle closes the connections that wait for a statement outside a transaction, of which choose picks
+// some, and returns how many it closed. A statement may be under way on them.
+func (t *Target) CloseIdle(choose func() bool) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	closed := 0
+	for conn, s := range t.conns {
+		if s.isIdle.Load() && choose() {
+			_ = conn.Close()
+			closed++
+		}
+	}
+	return closed
+}
+
+// readPosition returns the position up to which reads see commits. The caller holds group.mu.
+func (t *Target) readPosition() logPosition { return logPosition{t.term, uint64(t.appliedEntries)} }
+
 // note records a caller's statement. The caller holds group.mu.
 func (t *Target) note(st Statement) {
 	if observe := t.group.Observe; observe != nil {
--- a/internal/standin/hosted/work.go
+++ b/internal/standin/hosted/work.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"math/rand/v2"
 	"strings"
 	"time"
 )
@@ -18,9 +17,11 @@
 	// ValueLimit is how many bytes of a value that was written are kept, all of them if it is 0.
 	ValueLimit int
 	// Of SetupRefusals statements that change a session's settings or prepared names, and that no caller
-	// sent, one on average is answered with BUSY; none if it is 0. Which ones is drawn from Seed.
-	SetupRefusals int
-	Seed          uint64
+	// sent, one on average is answered with BUSY; none if it is 0. In half of the cases a transaction stays
+	// open. Of SetupFailures such statements one takes effect and is answered with FAILED or TIMEOUT, or the
+	// connection ends before its answer or within it; none if it is 0. Which ones is drawn from Seed.
+	SetupRefusals, SetupFailures int
+	Seed                         uint64
 }
 
 // keptValue returns what is kept of a value. It does not hold on to the line that the value came in.
@@ -31,18 +32,6 @@
 	return strings.Clone(value)
 }
 
-// refusesSetup draws whether the next statement that Load.SetupRefusals concerns is refused. The caller
-// holds g.mu.
-func (g *Group) refusesSetup() bool {
-	if g.Load.SetupRefusals == 0 {
-		return false
-	}
-	if g.random == nil {
-		g.random = rand.New(rand.NewPCG(g.Load.Seed, 0))
-	}
-	return g.random.IntN(g.Load.SetupRefusals) == 0
-}
-
 // Run is one execution of a caller's statement at a target.
 type Run struct {
 	Target string
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -70,7 +70,7 @@
 		d.group.Load = hosted.Load{Slots: o.Slots, Queue: targetQueue, Handshake: handshake, Work: func() time.Duration { return drawWork(o.Work) }}
 	}
 	d.group.Load.ValueLimit = valueLimit
-	d.group.Load.SetupRefusals, d.group.Load.Seed = o.SetupRefusals, o.Seed+uint64(index)
+	d.group.Load.SetupRefusals, d.group.Load.SetupFailures, d.group.Load.Seed = o.SetupRefusals, o.SetupFailures, o.Seed+uint64(index)
 	for i, id := range ids {
 		if o.LinkDelay > 0 {
 			t := d.group.Target(id)
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -4,8 +4,9 @@
 // follows the platform's rule. Callers keep their connections until the processes are gone; many sessions
 // serve one operation. Customers share the nodes; their sessions set values and prepare statements whose
 // names are the same and whose contents differ, many with blanks, words of the protocol or bytes that are no
-// text. Targets refuse a share of what nodes set up there. Other
-// callers send lines that the protocol does not have.
+// text. Targets refuse a share of what nodes set up there, carry out
+// some of it and answer with an error, or lose the answer, and close idle connections at any moment. They refuse
+// reads of a position that their log lacks. Other callers send lines that the protocol does not have.
 //
 // What is judged comes from what callers, targets and the supervisor saw:
 //   - no request is cut around a planned stop or SIGHUP: a connection must not end without a complete
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -39,6 +39,9 @@
 	// SetupRefusals is how many statements that change a session's settings or prepared names targets get
 	// from nodes until they refuse one with BUSY, on average; none if it is 0.
 	SetupRefusals int
+	// SetupFailures is the same for those that take effect and are answered with an error, or whose answer
+	// is lost or cut.
+	SetupFailures int
 	// Lag is how far replicas are behind, PromoteAfter how long a promotion takes.
 	Lag, PromoteAfter time.Duration
 	// CallerDelay is the one-way delay between callers and nodes, LinkDelay that between nodes and targets
@@ -60,7 +63,7 @@
 	return Options{
 		Seed: 1, Length: time.Minute, Schedule: ScheduleAll,
 		Nodes: 6, Groups: 3, Sessions: 90,
-		Work: 11 * time.Millisecond, Slots: 5, SetupRefusals: 40, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
+		Work: 11 * time.Millisecond, Slots: 5, SetupRefusals: 40, SetupFailures: 80, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
 		CallerDelay: time.Millisecond, LinkDelay: 500 * time.Microsecond,
 		Dir: "run/soak",
 	}
@@ -244,6 +247,9 @@
 	})
 	rest.Go(r.watch)
 	rest.Go(r.settle)
+	if r.options.Schedule != ScheduleRecord {
+		rest.Go(r.closeIdle)
+	}
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
 	if r.options.Schedule != ScheduleRecord {
 		for i, n := range r.nodes {
