Soak: judge that a configuration is in force in time and never back

Each node is now asked all the time, in new and in open sessions, with the key that is withdrawn at times and on the route that is dropped at times. An outcome must fit a configuration that may be in force, and one no older than what the process has shown to know.

--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -84,5 +84,7 @@
 		"version": r.version.Add(1), "routes": routes, "services": services,
 		"tenants": tenants,
 	})
+	r.inForce.noteSent(c, time.Now())
 	r.store.Put("op", "config", value)
+	r.inForce.noteAck(time.Now())
 }
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -15,7 +15,8 @@
 //   - each stop ends within the grace period, whether or not the process's log is read;
 //   - no process ends by itself;
 //   - each acknowledged write is in the log of the primary in the end, and no write is there twice;
-//   - a withdrawn key is refused once the configuration has to be in force;
+//   - a withdrawn key is refused, and a dropped route, once the configuration has to be in force, and both are
+//     allowed again once they are back; a node does not return to an older configuration;
 //   - a statement runs as its caller set it up: for its customer, with the values that were acknowledged, as
 //     what the session prepared, in its own transaction or in none;
 //   - a target runs only what a caller sent, with its text unchanged;
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -19,7 +19,13 @@
 	oddEntryTime = 1200 * time.Millisecond
 	maxOddDelay  = 1200 * time.Millisecond
 	maxRouteGap  = 800 * time.Millisecond
-	unreadTime   = 3 * time.Second
+	// shareLongRouteGaps is the percentage of dropped routes that stay away until that has to be in force, and
+	// minLongRouteGap for how long after that at least.
+	shareLongRouteGaps = 30
+	minLongRouteGap    = 700 * time.Millisecond
+	// judgedTime is how much longer a key stays withdrawn than nodes may take to refuse it.
+	judgedTime = 700 * time.Millisecond
+	unreadTime = 3 * time.Second
 	// rejoinTime is how long a node that was started again may take until it is ready.
 	rejoinTime = 3 * time.Second
 )
@@ -174,7 +180,12 @@
 		return
 	}
 	r.configure(configuration{withoutJobs: true})
-	time.Sleep(upTo(randomOf(e), maxRouteGap))
+	random := randomOf(e)
+	pause := upTo(random, maxRouteGap)
+	if isOneOf(random, shareLongRouteGaps) {
+		pause += inForceWithin + minLongRouteGap
+	}
+	time.Sleep(pause)
 	r.configure(configuration{})
 }
 
@@ -224,6 +235,7 @@
 	acknowledgedAt := time.Now()
 	r.configure(configuration{withoutKey: true})
 	defer r.configure(configuration{})
+	defer time.Sleep(judgedTime)
 	time.Sleep(inForceWithin)
 	for _, n := range r.nodes {
 		askedAt := time.Now()
--- a/internal/standin/soak/node.go
+++ b/internal/standin/soak/node.go
@@ -55,6 +55,8 @@
 	isTerminating bool
 	startedAt     time.Time
 	misses        int
+	// claims counts the events that ended or paused the node's process.
+	claims int
 }
 
 // newNode returns the node with the given index, whose settings and log are in dir.
@@ -158,9 +160,20 @@
 		return false
 	}
 	n.isDown = true
+	n.claims++
 	return true
 }
 
+// boot identifies the node's process, which nothing happens to; "" if something does.
+func (n *node) boot() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isDown {
+		return ""
+	}
+	return fmt.Sprintf("%s %d", n.name, n.claims)
+}
+
 func (n *node) release() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -107,6 +107,7 @@
 	nodes      []*node
 	balancer   *balancer
 	super      *supervise.Supervisor
+	inForce    *inForce
 	lateness   lateness
 	ended      chan struct{}
 	wait       sync.WaitGroup
@@ -144,6 +145,7 @@
 	}
 	defer network.release()
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
+	r.inForce = newInForce(r.judge)
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.store = hosted.NewStore()
 	defer r.closeStandins()
@@ -247,6 +249,9 @@
 	})
 	rest.Go(r.watch)
 	rest.Go(r.settle)
+	for i, n := range r.nodes {
+		rest.Go(func() { r.probe(n, i) })
+	}
 	if r.options.Schedule != ScheduleRecord {
 		rest.Go(r.closeIdle)
 	}
