Stand-in of targets: a commit that waits for replicas

With Group.SyncReplicas a primary acknowledges a commit once so many replicas have received it, and answers TIMEOUT if none does in 3 s or if it is replaced meanwhile. Without it nothing changes.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -27,6 +27,9 @@
 	Lag          time.Duration
 	// Load is how the targets spend time. It must be set before the first call.
 	Load Load
+	// SyncReplicas is how many replicas must have received a commit before the primary acknowledges it. It must be
+	// set before the first call.
+	SyncReplicas int
 	// Observe, if it is not nil, is called with each statement of a caller that a target carried out or
 	// refused itself, in place of keeping it for Ran. It must be set before the first call, and must not
 	// call the group.
--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -47,6 +47,8 @@
 	writes      map[string]string
 	// generation is the target's when the session began.
 	generation int
+	// committed is the position of what the statement in hand has committed, zero if nothing.
+	committed logPosition
 	// fault is what the target does wrong with the statement in hand.
 	fault setupFault
 	// isIdle is true while the session waits for a statement outside a transaction.
@@ -148,6 +150,9 @@
 	failure, lost := "BUSY "+s.target.ID, false
 	run := s.noteBegin(id)
 	s.work(text, func() { rows, failure, lost = s.execute(st) })
+	if s.committed != (logPosition{}) {
+		failure, lost = s.awaitReplicas()
+	}
 	s.noteEnd(run, failure)
 	if lost || s.breaksOff() {
 		return false
@@ -342,7 +347,7 @@
 		s.writes[strings.Clone(item)] = value
 		return ""
 	}
-	t.appendEntry(map[string]string{strings.Clone(item): value})
+	s.appendEntry(map[string]string{strings.Clone(item): value})
 	return ""
 }
 
@@ -357,6 +362,6 @@
 	if !s.target.primary {
 		return "READONLY " + s.target.ID
 	}
-	s.target.appendEntry(writes)
+	s.appendEntry(writes)
 	return ""
 }
