Soak: nodes that come and go for good, changed settings files, a restored store, sync_replicas

The second group has sync_replicas 1 in every schedule: there a lost acknowledged write breaks a rule of the pages.

--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -124,6 +124,14 @@
 	s.apply([]Row{{Table: table, Key: key, Value: value}}, nil)
 }
 
+// Value returns the value of a row with an empty part.
+func (s *Store) Value(table, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[rowKey{table: table, key: key}]
+	return row.Value, ok
+}
+
 // Delete removes a row unconditionally.
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
--- a/internal/standin/soak/balancer.go
+++ b/internal/standin/soak/balancer.go
@@ -35,7 +35,7 @@
 			}
 		}
 		if len(in) == 0 {
-			return b.nodes
+			return slices.DeleteFunc(slices.Clone(b.nodes), func(n *node) bool { return !n.isMember() })
 		}
 		return in
 	}
@@ -53,7 +53,7 @@
 // zone returns the nodes of a zone, and those of them that are in rotation.
 func (b *balancer) zone(zone string) (all, in []*node) {
 	for _, n := range b.nodes {
-		if n.zone != zone {
+		if n.zone != zone || !n.isMember() {
 			continue
 		}
 		all = append(all, n)
--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -70,7 +70,7 @@
 		})
 	}
 	for _, d := range r.databases {
-		services = append(services, map[string]any{"name": d.group.Name, "max_conns": 50})
+		services = append(services, map[string]any{"name": d.group.Name, "max_conns": 50, "sync_replicas": d.group.SyncReplicas})
 		for _, kind := range kinds {
 			if kind != kindJobs || !c.withoutJobs {
 				add(d.group.Name+"-"+kind, kind, d)
@@ -84,6 +84,9 @@
 		"version": r.version.Add(1), "routes": routes, "services": services,
 		"tenants": tenants,
 	})
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	r.document = value
 	r.inForce.noteSent(c, time.Now())
 	r.store.Put("op", "config", value)
 	r.inForce.noteAck(time.Now())
--- a/internal/standin/soak/database.go
+++ b/internal/standin/soak/database.go
@@ -39,6 +39,9 @@
 // only node of that zone, and node-a-3 owns it while that node is away.
 var groupNames = []string{"proofs", "pages", "stitch"}
 
+// syncedGroup is the place of the group whose primary acknowledges a commit once a replica has received it.
+const syncedGroup = 1
+
 // database is one group of targets, and the links to them.
 type database struct {
 	group *hosted.Group
@@ -49,7 +52,10 @@
 
 	mu sync.Mutex
 	// zones holds the zone of each target that has an entry, by its ID.
-	zones    map[string]string
+	zones map[string]string
+	// states holds the state in each of these entries, removed the targets whose entry was removed.
+	states   map[string]string
+	removed  []string
 	replaced int
 	// recent holds the items that were written last.
 	recent []string
@@ -63,8 +69,11 @@
 	for i := range ids {
 		ids[i] = fmt.Sprintf("%s-%d", name, i+1)
 	}
-	d := &database{group: hosted.NewGroup(name, ids...), store: store, zones: make(map[string]string)}
+	d := &database{group: hosted.NewGroup(name, ids...), store: store, zones: make(map[string]string), states: make(map[string]string)}
 	d.group.PromoteAfter, d.group.Lag = o.PromoteAfter, o.Lag
+	if index%len(groupNames) == syncedGroup {
+		d.group.SyncReplicas = 1
+	}
 	d.group.Observe = func(ran hosted.Statement) { observe(name, ran) }
 	if o.Work > 0 {
 		d.group.Load = hosted.Load{Slots: o.Slots, Queue: targetQueue, Handshake: handshake, Work: func() time.Duration { return drawWork(o.Work) }}
@@ -108,6 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if zone, ok := d.zones[id]; ok {
+		d.states[id] = state
 		d.store.Put("servers", id, d.group.Entry(id, zone, state))
 	}
 }
@@ -147,6 +157,8 @@
 	id := fmt.Sprintf("%s+%d", base, d.replaced)
 	zone := d.zones[old.ID]
 	delete(d.zones, old.ID)
+	delete(d.states, old.ID)
+	d.removed = append(d.removed, old.ID)
 	d.store.Delete("servers", old.ID)
 	d.mu.Unlock()
 	d.group.Replace(old, id)
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -56,6 +56,14 @@
 		r.writeOddEntry(e)
 	case KindStore:
 		r.turnCallsAway(e)
+	case KindGrow:
+		r.grow()
+	case KindShrink:
+		r.shrink(e)
+	case KindSettings:
+		r.changeSettings(e)
+	case KindRestore:
+		r.restore(e)
 	}
 	if e.Kind.IsFault() {
 		r.judge.noteFault(began, time.Now())
@@ -237,7 +245,7 @@
 	defer r.configure(configuration{})
 	defer time.Sleep(judgedTime)
 	time.Sleep(inForceWithin)
-	for _, n := range r.nodes {
+	for _, n := range r.members() {
 		askedAt := time.Now()
 		c, refused, err := connect(n.front, r.routes[0], changingCustomer)
 		if c != nil {
--- a/internal/standin/soak/inforce_test.go
+++ b/internal/standin/soak/inforce_test.go
@@ -76,3 +76,25 @@
 		must.Eq(t, c.broken, j.rules[ruleNoReturn].Broken, must.Sprint(name))
 	}
 }
+
+// TestReturnAmongManyConfigurationsIsFound checks that a process that has refused a withdrawn key and then accepted it
+// again may not refuse it again.
+func TestReturnAmongManyConfigurationsIsFound(t *testing.T) {
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	j := newJudge()
+	f := newInForce(j)
+	for i, withoutKey := range []bool{false, false, true, false} {
+		f.noteSent(configuration{withoutKey: withoutKey}, at(float64(10*i)))
+		f.noteAck(at(float64(10*i) + 0.1))
+	}
+	for _, o := range []struct {
+		sentAt    float64
+		isAllowed bool
+	}{{9, true}, {20.5, false}, {20.9, true}, {22, false}, {30.2, true}, {30.4, false}, {30.6, true}, {33, false}} {
+		must.Zero(t, j.rules[ruleNoReturn].Broken, must.Sprintf("%+v", o))
+		f.observe(outcome{boot: "a 1", subject: subjectKey, isAllowed: o.isAllowed, sentAt: at(o.sentAt), endAt: at(o.sentAt + 0.01)})
+	}
+	must.Eq(t, 1, j.rules[ruleNoReturn].Broken)
+}
--- a/internal/standin/soak/node.go
+++ b/internal/standin/soak/node.go
@@ -45,6 +45,9 @@
 	callers string
 	entry   *link.Link
 	spec    supervise.Spec
+	// settingsPath is the settings file, which is replaced while settingsMu is held.
+	settingsPath string
+	settingsMu   sync.Mutex
 
 	mu sync.Mutex
 	// stops and hangups hold when the node was sent SIGTERM, the first one of each stop, and SIGHUP.
@@ -55,6 +58,8 @@
 	isTerminating bool
 	startedAt     time.Time
 	misses        int
+	// isAbsent is set until the node is added and after it was removed, wasMember once either was done.
+	isAbsent, wasMember bool
 	// claims counts the events that ended or paused the node's process.
 	claims int
 }
@@ -72,7 +77,7 @@
 	n := &node{name: fmt.Sprintf("node-%s-%d", zone, number), zone: zone, ip: fmt.Sprintf("%s.%d", prefix, host)}
 	n.front, n.ready = address(prefix, host, frontPort), address(prefix, host, readyPort)
 	n.callers = n.front
-	path := filepath.Join(dir, n.name+".toml")
+	n.settingsPath = filepath.Join(dir, n.name+".toml")
 	settings := fmt.Sprintf(`node = %q
 ip = %q
 zone = %q
@@ -92,9 +97,9 @@
 `, n.name, n.ip, n.zone, peerPort, lastPort, n.front, n.ready, int(grace.Seconds()), store, promotions)
 	n.spec = supervise.Spec{
 		Name: n.name, Path: binary, Args: []string{"serve"}, Log: filepath.Join(dir, n.name+".log"),
-		Env: []string{"CROCUSYOKE_NODE_FILE=" + path},
+		Env: []string{"CROCUSYOKE_NODE_FILE=" + n.settingsPath},
 	}
-	return n, os.WriteFile(path, []byte(settings), 0o600)
+	return n, os.WriteFile(n.settingsPath, []byte(settings), 0o600)
 }
 
 // noteStop and noteHangup record a signal, noteEnd that the process has ended.
--- a/internal/standin/soak/recovery.go
+++ b/internal/standin/soak/recovery.go
@@ -15,7 +15,7 @@
 func (r *run) judgeRecovery(lastEvent time.Time) {
 	deadline := lastEvent.Add(recoveryTime)
 	var wait sync.WaitGroup
-	for _, n := range r.nodes {
+	for _, n := range r.members() {
 		for _, d := range r.databases {
 			to := route{name: d.group.Name + "-" + kindOrders, kind: kindOrders, database: d}
 			wait.Go(func() {
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,7 +27,7 @@
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Schedule is ScheduleAll, ScheduleMixed or ScheduleRecord.
+	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide or ScheduleRecord.
 	Schedule string
 	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
 	// callers' sessions at the same time.
@@ -69,15 +69,23 @@
 	}
 }
 
+// spares returns how many nodes may be added in the course of the run.
+func (o *Options) spares() int {
+	if o.Schedule == ScheduleWide {
+		return spareNodes
+	}
+	return 0
+}
+
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
-	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord}, o.Schedule):
+	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide}, o.Schedule):
 		return Error.New("unknown schedule %q", o.Schedule)
 	case o.Groups < 1 || o.Groups > len(groupNames):
 		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
-	case o.Nodes < 1 || o.Nodes >= lockHost:
-		return Error.New("%d nodes; 1 to %d can be played", o.Nodes, lockHost-1)
+	case o.Nodes < 1 || o.Nodes+o.spares() >= lockHost:
+		return Error.New("%d nodes; 1 to %d can be played", o.Nodes, lockHost-1-o.spares())
 	case o.Work > 0 && o.Slots < 1:
 		return Error.New("%d slots", o.Slots)
 	}
@@ -114,6 +122,12 @@
 	statements *statements
 	items      atomic.Uint64
 	version    atomic.Uint64
+	copies     copies
+	// document is the newest configuration. writing is held while it, or the store as a whole, is replaced.
+	document []byte
+	writing  sync.Mutex
+	// resizing is held while a node is added or removed.
+	resizing sync.Mutex
 	// configuring is held while a key is withdrawn.
 	configuring sync.Mutex
 
@@ -139,7 +153,7 @@
 		return nil, Error.Wrap(err)
 	}
 	defer directory.Close()
-	network, err := takeNetwork(o.Nodes)
+	network, err := takeNetwork(o.Nodes + o.spares())
 	if err != nil {
 		return nil, err
 	}
@@ -207,7 +221,7 @@
 		}
 		r.storeLink, store = l, l.Address()
 	}
-	for i := range r.options.Nodes {
+	for i := range r.options.Nodes + r.options.spares() {
 		n, err := newNode(i, prefix, r.options.Dir, r.options.Binary, store, r.promotions.Address())
 		if err != nil {
 			return err
@@ -221,12 +235,16 @@
 			n.callers = n.entry.Address()
 		}
 		r.nodes = append(r.nodes, n)
+		if i >= r.options.Nodes {
+			n.isAbsent, n.isDown = true, true
+			continue
+		}
 		if err := r.super.Start(n.spec); err != nil {
 			return err
 		}
 	}
 	r.balancer = &balancer{nodes: r.nodes}
-	for _, n := range r.nodes {
+	for _, n := range r.members() {
 		if !hosted.WaitFor(readyTimeout, n.isReady) {
 			return Error.New("%s is not ready", n.name)
 		}
@@ -249,6 +267,9 @@
 	})
 	rest.Go(r.watch)
 	rest.Go(r.settle)
+	if r.options.Schedule == ScheduleWide {
+		rest.Go(r.keepCopies)
+	}
 	for i, n := range r.nodes {
 		rest.Go(func() { r.probe(n, i) })
 	}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -35,19 +35,28 @@
 	KindOddEntry Kind = "odd entry"
 	// KindStore makes the store turn calls away for a while.
 	KindStore Kind = "store"
+	// KindRestore brings the store back from a copy some seconds old.
+	KindRestore Kind = "restore"
+	// KindGrow adds a node, KindShrink removes one for good. They are planned work.
+	KindGrow   Kind = "grow"
+	KindShrink Kind = "shrink"
+	// KindSettings replaces a node's settings file, which is planned work too.
+	KindSettings Kind = "settings"
 )
 
 var (
 	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw}
 	morePlanned  = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
 	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
+	widePlanned  = append(slices.Clone(morePlanned), KindGrow, KindShrink, KindSettings, KindSettings)
+	wideFaults   = append(slices.Clone(faultKinds), KindRestore, KindRestore)
 	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
 
 // IsFault reports whether events of kind k are faults and not planned work.
 func (k Kind) IsFault() bool {
 	switch k {
-	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord:
+	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord, KindGrow, KindShrink, KindSettings:
 		return false
 	}
 	return true
@@ -81,6 +90,9 @@
 	// KindRecord.
 	ScheduleAll   = "all"
 	ScheduleMixed = "mixed"
+	// ScheduleWide has what ScheduleAll has, nodes that are added and removed for good, changed settings files, and a
+	// store that is restored from a copy.
+	ScheduleWide = "wide"
 	// ScheduleRecord has planned work only, mostly KindRecord.
 	ScheduleRecord = "record"
 )
@@ -98,8 +110,12 @@
 		switch {
 		case schedule == ScheduleRecord:
 			kinds = recordKinds
+		case (at/phaseLength)%2 == 1 && schedule == ScheduleWide:
+			kinds = wideFaults
 		case (at/phaseLength)%2 == 1:
 			kinds = faultKinds
+		case schedule == ScheduleWide:
+			kinds = widePlanned
 		case schedule == ScheduleAll:
 			kinds = morePlanned
 		}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -26,6 +26,26 @@
 	}
 }
 
+// TestWideScheduleHasAllKinds checks that the wide schedule has every kind of event, faults in the mixed phases
+// only, and that the schedules that are noted with seeds have none of the kinds that came later.
+func TestWideScheduleHasAllKinds(t *testing.T) {
+	const length = 2 * time.Minute
+	later := []Kind{KindGrow, KindShrink, KindSettings, KindRestore}
+	seen := map[Kind]bool{}
+	for seed := range uint64(5) {
+		for _, event := range Draw(ScheduleWide, seed, length) {
+			seen[event.Kind] = true
+			must.False(t, event.Kind.IsFault() && (event.At/phaseLength)%2 == 0, must.Sprintf("%+v", event))
+		}
+		for _, event := range Draw(ScheduleAll, seed, length) {
+			must.False(t, slices.Contains(later, event.Kind))
+		}
+	}
+	for _, kind := range slices.Concat(morePlanned, faultKinds, later) {
+		must.True(t, seen[kind], must.Sprint(kind))
+	}
+}
+
 // TestRecordIsPlannedWork checks that the schedule of the record has no faults, and that its events come
 // both within and after the time that one of them takes.
 func TestRecordIsPlannedWork(t *testing.T) {
