--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -47,12 +47,19 @@
 	writes      map[string]string
 	// generation is the target's when the session began.
 	generation int
+	// committed is the position of what the statement in hand has committed, zero if nothing.
+	committed logPosition
+	// fault is what the target does wrong with the statement in hand.
+	fault setupFault
+	// isIdle is true while the session waits for a statement outside a transaction.
+	isIdle atomic.Bool
 }
 
 func (t *Target) serve(conn net.Conn) {
+	s := &session{target: t, out: conn, connection: connectionCount.Add(1), txState: stateIdle, settings: map[string]string{}, prepared: map[string]Prepared{}}
 	t.mu.Lock()
 	atLimit := len(t.conns) >= t.maxConnections
-	t.conns[conn] = struct{}{}
+	t.conns[conn] = s
 	t.mu.Unlock()
 	defer func() {
 		_ = conn.Close()
@@ -65,13 +72,14 @@
 	if err != nil {
 		return
 	}
-	s := &session{target: t, out: conn, connection: connectionCount.Add(1), txState: stateIdle, settings: map[string]string{}, prepared: map[string]Prepared{}}
 	if !s.begin(line, atLimit) {
 		return
 	}
 	s.send("READY I " + s.position())
 	for {
+		s.isIdle.Store(s.txState == stateIdle)
 		line, err := readLine(in)
+		s.isIdle.Store(false)
 		if errors.Is(err, errLineTooLong) {
 			s.send("ERROR " + overlongLine)
 		}
@@ -142,11 +150,15 @@
 	failure, lost := "BUSY "+s.target.ID, false
 	run := s.noteBegin(id)
 	s.work(text, func() { rows, failure, lost = s.execute(st) })
+	if s.committed != (logPosition{}) {
+		failure, lost = s.awaitReplicas()
+	}
 	s.noteEnd(run, failure)
-	if lost {
+	if lost || s.breaksOff() {
 		return false
 	}
 	s.answer(id, rows, failure)
+	s.fault = setupOK
 	return true
 }
 
@@ -157,7 +169,7 @@
 	}
 	switch {
 	case failure != "":
-		if s.txState == stateOpen {
+		if s.failsTransaction() {
 			s.txState = stateFailed
 		}
 		s.send("ERROR " + failure)
@@ -216,11 +228,17 @@
 		return nil, malformed
 	case s.txState == stateFailed:
 		return nil, s.executeInFailedTransaction(c)
-	case id == ownID && c.isSetup() && s.target.group.refusesSetup():
-		return nil, "BUSY " + s.target.ID
 	case s.hasLostLead() && c.word != "COMMIT" && c.word != "ROLLBACK":
 		return nil, "READONLY " + s.target.ID
 	}
+	if s.target.readPosition().isBehind(c.after) {
+		return nil, "LAGGING " + s.target.ID
+	}
+	if id == ownID && c.isSetup() {
+		if fault := s.target.group.drawSetupFault(); fault != setupOK {
+			return nil, s.executeFaulty(c, fault)
+		}
+	}
 	return s.executeCommand(c)
 }
 
@@ -329,7 +347,7 @@
 		s.writes[strings.Clone(item)] = value
 		return ""
 	}
-	t.appendEntry(map[string]string{strings.Clone(item): value})
+	s.appendEntry(map[string]string{strings.Clone(item): value})
 	return ""
 }
 
@@ -344,6 +362,6 @@
 	if !s.target.primary {
 		return "READONLY " + s.target.ID
 	}
-	s.target.appendEntry(writes)
+	s.appendEntry(writes)
 	return ""
 }
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -4,8 +4,9 @@
 // follows the platform's rule. Callers keep their connections until the processes are gone; many sessions
 // serve one operation. Customers share the nodes; their sessions set values and prepare statements whose
 // names are the same and whose contents differ, many with blanks, words of the protocol or bytes that are no
-// text. Targets refuse a share of what nodes set up there. Other
-// callers send lines that the protocol does not have.
+// text. Targets refuse a share of what nodes set up there, carry out
+// some of it and answer with an error, or lose the answer, and close idle connections at any moment. They refuse
+// reads of a position that their log lacks. Other callers send lines that the protocol does not have.
 //
 // What is judged comes from what callers, targets and the supervisor saw:
 //   - no request is cut around a planned stop or SIGHUP: a connection must not end without a complete
@@ -14,7 +15,8 @@
 //   - each stop ends within the grace period, whether or not the process's log is read;
 //   - no process ends by itself;
 //   - each acknowledged write is in the log of the primary in the end, and no write is there twice;
-//   - a withdrawn key is refused once the configuration has to be in force;
+//   - a withdrawn key is refused, and a dropped route, once the configuration has to be in force, and both are
+//     allowed again once they are back; a node does not return to an older configuration;
 //   - a statement runs as its caller set it up: for its customer, with the values that were acknowledged, as
 //     what the session prepared, in its own transaction or in none;
 //   - a target runs only what a caller sent, with its text unchanged;
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,7 +27,7 @@
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Schedule is ScheduleAll, ScheduleMixed or ScheduleRecord.
+	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide or ScheduleRecord.
 	Schedule string
 	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
 	// callers' sessions at the same time.
@@ -39,6 +39,9 @@
 	// SetupRefusals is how many statements that change a session's settings or prepared names targets get
 	// from nodes until they refuse one with BUSY, on average; none if it is 0.
 	SetupRefusals int
+	// SetupFailures is the same for those that take effect and are answered with an error, or whose answer
+	// is lost or cut.
+	SetupFailures int
 	// Lag is how far replicas are behind, PromoteAfter how long a promotion takes.
 	Lag, PromoteAfter time.Duration
 	// CallerDelay is the one-way delay between callers and nodes, LinkDelay that between nodes and targets
@@ -60,21 +63,29 @@
 	return Options{
 		Seed: 1, Length: time.Minute, Schedule: ScheduleAll,
 		Nodes: 6, Groups: 3, Sessions: 90,
-		Work: 11 * time.Millisecond, Slots: 5, SetupRefusals: 40, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
+		Work: 11 * time.Millisecond, Slots: 5, SetupRefusals: 40, SetupFailures: 80, Lag: 60 * time.Millisecond, PromoteAfter: time.Second,
 		CallerDelay: time.Millisecond, LinkDelay: 500 * time.Microsecond,
 		Dir: "run/soak",
 	}
 }
 
+// spares returns how many nodes may be added in the course of the run.
+func (o *Options) spares() int {
+	if o.Schedule == ScheduleWide {
+		return spareNodes
+	}
+	return 0
+}
+
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
-	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord}, o.Schedule):
+	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide}, o.Schedule):
 		return Error.New("unknown schedule %q", o.Schedule)
 	case o.Groups < 1 || o.Groups > len(groupNames):
 		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
-	case o.Nodes < 1 || o.Nodes >= lockHost:
-		return Error.New("%d nodes; 1 to %d can be played", o.Nodes, lockHost-1)
+	case o.Nodes < 1 || o.Nodes+o.spares() >= lockHost:
+		return Error.New("%d nodes; 1 to %d can be played", o.Nodes, lockHost-1-o.spares())
 	case o.Work > 0 && o.Slots < 1:
 		return Error.New("%d slots", o.Slots)
 	}
@@ -104,12 +115,19 @@
 	nodes      []*node
 	balancer   *balancer
 	super      *supervise.Supervisor
+	inForce    *inForce
 	lateness   lateness
 	ended      chan struct{}
 	wait       sync.WaitGroup
 	statements *statements
 	items      atomic.Uint64
 	version    atomic.Uint64
+	copies     copies
+	// document is the newest configuration. writing is held while it, or the store as a whole, is replaced.
+	document []byte
+	writing  sync.Mutex
+	// resizing is held while a node is added or removed.
+	resizing sync.Mutex
 	// configuring is held while a key is withdrawn.
 	configuring sync.Mutex
 
@@ -135,12 +153,13 @@
 		return nil, Error.Wrap(err)
 	}
 	defer directory.Close()
-	network, err := takeNetwork(o.Nodes)
+	network, err := takeNetwork(o.Nodes + o.spares())
 	if err != nil {
 		return nil, err
 	}
 	defer network.release()
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
+	r.inForce = newInForce(r.judge)
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.store = hosted.NewStore()
 	defer r.closeStandins()
@@ -202,7 +221,7 @@
 		}
 		r.storeLink, store = l, l.Address()
 	}
-	for i := range r.options.Nodes {
+	for i := range r.options.Nodes + r.options.spares() {
 		n, err := newNode(i, prefix, r.options.Dir, r.options.Binary, store, r.promotions.Address())
 		if err != nil {
 			return err
@@ -216,12 +235,16 @@
 			n.callers = n.entry.Address()
 		}
 		r.nodes = append(r.nodes, n)
+		if i >= r.options.Nodes {
+			n.isAbsent, n.isDown = true, true
+			continue
+		}
 		if err := r.super.Start(n.spec); err != nil {
 			return err
 		}
 	}
 	r.balancer = &balancer{nodes: r.nodes}
-	for _, n := range r.nodes {
+	for _, n := range r.members() {
 		if !hosted.WaitFor(readyTimeout, n.isReady) {
 			return Error.New("%s is not ready", n.name)
 		}
@@ -244,6 +267,15 @@
 	})
 	rest.Go(r.watch)
 	rest.Go(r.settle)
+	if r.options.Schedule == ScheduleWide {
+		rest.Go(r.keepCopies)
+	}
+	for i, n := range r.nodes {
+		rest.Go(func() { r.probe(n, i) })
+	}
+	if r.options.Schedule != ScheduleRecord {
+		rest.Go(r.closeIdle)
+	}
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
 	if r.options.Schedule != ScheduleRecord {
 		for i, n := range r.nodes {
