A statement that was read just in time does not end a later read

A large statement whose last byte arrived just as its time to read was over was served, but the session kept the mark: the next end of a read, such as that of an idle session in a drain, was then reported to the caller as a refusal, though it had sent nothing. Found by reading; the moment is short.

The mark is now taken back when the statement has been read. TestLateStallEndsTheNextRead failed before and passes now.

--- a/internal/front/reading.go
+++ b/internal/front/reading.go
@@ -99,7 +99,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.stalled = false, false
 }
 
 // endTurn ends the session's turn, if it has one: the statement is accounted for elsewhere, or has been answered.
--- a/internal/front/reading_test.go
+++ b/internal/front/reading_test.go
@@ -144,3 +144,17 @@
 		_ = c.conn.Close()
 	}
 }
+
+// TestLateStallEndsTheNextRead guards against a session whose large statement was read just as its time to read was
+// over, and whose caller is later refused something although it has sent nothing.
+func TestLateStallEndsTheNextRead(t *testing.T) {
+	ours, theirs := net.Pipe()
+	c := &statementConn{Conn: ours, turns: make(chan struct{}, 1), stopped: t.Context()}
+	must.True(t, c.beginTurn())
+	c.endStalledRead()
+	c.endTurn()
+	must.NoError(t, ours.SetReadDeadline(time.Time{}))
+	must.NoError(t, theirs.Close())
+	_, err := c.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
