Owner: writes are not acknowledged while this node holds the replicas itself

The owner had put both replicas on hold (PAUSE, 23:48:41.913) for an attempt that it gave up at 42.047, as the primary answered again; from 42.073 to 42.086 it acknowledged three writes of that primary, which no replica received; the primary crashed at about 42.09, and a replica was promoted at 45.57 without them.

Cause: the evidence believed polls of the replicas from before their hold, for up to 400 ms (HeldReplicaPollInterval), although the node itself had ordered the hold and had its acknowledgement. A release was seen late in the same way.

Change: the runner tells the owner's evidence of a hold at once; a target that is on hold is polled every 20 ms, so that its release is seen. A status counts only if it shows a hold, so nothing is confirmed by it.

A PAUSE whose answer is lost is still noticed by the next poll only.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,6 +274,7 @@
 		Settle:      evidence.MaxObservationAge,
 		HeldTerms:   n.heldTerms,
 		Lease:       n.promotionLease(),
+		Held:        n.observeHeld,
 		Dialer:      n.dialer,
 		Peers:       n.peers,
 		Nodes:       n.otherNodes,
@@ -314,6 +315,12 @@
 	}
 }
 
+// observeHeld is promotion.Options.Held. A target that holds a higher term receives nothing of the primary, so no
+// earlier poll of it may confirm a write.
+func (n *Node) observeHeld(group string, at time.Time, status target.Status) {
+	n.owner.ObserveHeld(group, at, status)
+}
+
 // observeFailedPoll is owner.Options.Unreachable.
 func (n *Node) observeFailedPoll(group, targetName string, sentAt time.Time) {
 	n.promotion.ObserveFailedPoll(group, targetName, sentAt)
--- a/internal/owner/evidence/evidence_test.go
+++ b/internal/owner/evidence/evidence_test.go
@@ -394,4 +394,6 @@
 	must.Eq(t, sent.Add(IdlePollInterval), NextPoll(sent, Demand{Idle: true}))
 	must.Eq(t, sent.Add(ConfirmPollInterval), NextPoll(sent, Demand{Waiting: true, Since: sent}))
 	must.Eq(t, sent.Add(MinPollInterval), NextPoll(sent, Demand{Waiting: true, Since: sent.Add(1)}))
+	must.Eq(t, sent.Add(HeldReplicaPollInterval), NextPoll(sent, Demand{HeldTerms: true}))
+	must.Eq(t, sent.Add(HeldWaitingPollInterval), NextPoll(sent, Demand{HeldTerms: true, OnHold: true}))
 }
--- a/internal/owner/evidence/poll.go
+++ b/internal/owner/evidence/poll.go
@@ -17,8 +17,9 @@
 	// evidence within MaxObservationAge.
 	HeldReplicaPollInterval = 400 * time.Millisecond
 	HeldPrimaryPollInterval = 400 * time.Millisecond
-	// HeldWaitingPollInterval is used under held terms while an answer waits for confirmation, or
-	// while a request waits for a target.
+	// HeldWaitingPollInterval is used under held terms while an answer waits for confirmation, while
+	// a request waits for a target, or while the target is on hold: until its release is seen, nothing
+	// may be confirmed.
 	HeldWaitingPollInterval = 20 * time.Millisecond
 	// RetryDelay is the delay after a failed poll, and LongRetryDelay the delay after more than
 	// maxShortRetries failures in a row.
@@ -35,6 +36,8 @@
 	Waiting bool
 	// Idle is true if no request arrived recently.
 	Idle bool
+	// OnHold is true if the target was on hold when it was polled last.
+	OnHold bool
 	// HeldTerms is Options.HeldTerms of the group. Primary is true if the polled target is the
 	// primary.
 	HeldTerms bool
@@ -77,7 +80,7 @@
 
 func heldPollInterval(demand Demand) time.Duration {
 	switch {
-	case demand.Waiting:
+	case demand.Waiting, demand.OnHold:
 		return HeldWaitingPollInterval
 	case demand.Primary:
 		return HeldPrimaryPollInterval
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -72,6 +72,7 @@
 	}
 	demand := g.demand()
 	demand.HeldTerms = g.options.HeldTerms
+	demand.OnHold = m.status.Term > m.status.OwnTerm
 	demand.Primary = m.status.Role == target.RolePrimary
 	return evidence.NextPoll(m.lastPollAt, demand)
 }
--- a/internal/run/promotion/orders.go
+++ b/internal/run/promotion/orders.go
@@ -41,6 +41,9 @@
 	status, err := r.sendCommand(ctx, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
 		return c.Adopt(ctx, a.Term, r.ordererID())
 	})
+	if err == nil && status.Term > status.OwnTerm && r.options.HeldTerms && r.options.Held != nil {
+		r.options.Held(g.name, r.options.Clock.Now(), status)
+	}
 	_ = r.options.Logger.Log("event", "adopt", "group", g.name, "target", a.Target, "term", a.Term, "position", status.Last, "err", err)
 	g.update(func(c *promotion.Group) {
 		c.HandleAdoptResult(r.options.Clock.Now(), a.Target, a.Term, status, err)
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -65,7 +65,10 @@
 	HeldTerms bool
 	// Lease guards promotions where targets keep an adopted term only temporarily
 	// (HeldTerms); nil where promotions need no lease.
-	Lease  Lease
+	Lease Lease
+	// Held is told of each target that is on hold since an order of this node was answered at the given time; may be
+	// nil.
+	Held   func(group string, at time.Time, status target.Status)
 	Dialer target.Dialer
 	Peers  peer.Caller
 	// Nodes returns the other nodes, except those known to be dead.
