Soak: judge what reads see

Targets of the soak now tell which commits a read's log had. A success must see what was acknowledged before it, or its transaction, was sent: everything on primary routes, what is older than max_staleness_ms on the others, and the session's own writes where the route promises them. What a promotion undid is excused by the log in the end.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -189,6 +189,8 @@
 type logEntry struct {
 	term  uint64
 	items map[string]string
+	// number identifies the commit among those of the process.
+	number uint64
 }
 
 // formatPosition returns the position of a log of n entries in a term, as TERM.N.
--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -29,8 +29,8 @@
 	tooManyLogins = "MAXCONN too many connections"
 )
 
-// connectionCount and transactionCount number the connections and transactions of the process.
-var connectionCount, transactionCount atomic.Uint64
+// connectionCount, transactionCount and commitCount number the connections, transactions and commits of the process.
+var connectionCount, transactionCount, commitCount atomic.Uint64
 
 // session is the state of one connection to a target.
 type session struct {
@@ -208,11 +208,15 @@
 		return nil, "", true
 	}
 	st.Transaction = s.transaction
+	st.log = s.target.log[:s.target.appliedEntries:s.target.appliedEntries]
 	rows, failure = s.executeText(st.ID, st.Text)
 	if st.Transaction == 0 {
 		st.Transaction = s.transaction
 	}
 	st.Rows = rows
+	if s.committed != (logPosition{}) {
+		st.Commit = Commit{s.committed, s.target.log[s.committed.entries-1].number}
+	}
 	st.Result, _, _ = strings.Cut(failure, " ")
 	if st.ID != ownID {
 		s.target.note(st)
--- a/internal/standin/hosted/statement.go
+++ b/internal/standin/hosted/statement.go
@@ -37,6 +37,30 @@
 	Target, Result string
 	// Rows are those of its answer.
 	Rows []string
+	// Commit is what the statement committed, zero if nothing.
+	Commit Commit
+	// log is what a read of the statement saw.
+	log []logEntry
+}
+
+// Commit identifies a commit that wrote something.
+type Commit struct {
+	position logPosition
+	number   uint64
+}
+
+// IsZero reports whether c is none.
+func (c Commit) IsZero() bool { return c.number == 0 }
+
+// Less reports whether c comes before other, in an earlier term or at an earlier place of the same one.
+func (c Commit) Less(other Commit) bool { return c.position.isBehind(other.position) }
+
+// Lacks reports whether the log on which the statement ran lacks a commit.
+func (st *Statement) Lacks(c Commit) bool { return !c.isIn(st.log) }
+
+func (c Commit) isIn(log []logEntry) bool {
+	n := c.position.entries
+	return n >= 1 && n <= uint64(len(log)) && log[n-1].number == c.number
 }
 
 // CallerText returns the text without the position that a proxy may have put before it.
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -151,6 +151,13 @@
 	return writes
 }
 
+// Has reports whether the target's log has a commit.
+func (t *Target) Has(c Commit) bool {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	return c.isIn(t.log)
+}
+
 // Leads reports whether the target is the primary and runs.
 func (t *Target) Leads() bool {
 	t.group.mu.Lock()
@@ -160,7 +167,7 @@
 
 // appendEntry commits items at the primary and replicates them. The caller holds group.mu.
 func (t *Target) appendEntry(items map[string]string) {
-	t.log = append(t.log, logEntry{term: t.term, items: items})
+	t.log = append(t.log, logEntry{term: t.term, items: items, number: commitCount.Add(1)})
 	t.appliedEntries = len(t.log)
 	t.group.replicate(t)
 }
--- a/internal/standin/soak/caller.go
+++ b/internal/standin/soak/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"crocusyoke/internal/standin/hosted"
 )
 
 // answerTimeout bounds the wait for one answer.
@@ -28,6 +30,8 @@
 	setup    setup
 	// isPlain is set if the session has plain words only.
 	isPlain bool
+	// committed is the session's last commit that was acknowledged.
+	committed hosted.Commit
 }
 
 // answer is the answer to one statement. err is set if the connection ended before it was complete.
@@ -85,7 +89,7 @@
 
 // statement returns the record of a statement that the caller is about to send.
 func (c *caller) statement(id string, to route, q request) *sent {
-	return &sent{request: q, id: id, group: to.database.group.Name, customer: c.customer.name, settings: c.setup.settings, sentAt: time.Now()}
+	return &sent{request: q, id: id, group: to.database.group.Name, kind: to.kind, committed: c.committed, customer: c.customer.name, settings: c.setup.settings, sentAt: time.Now()}
 }
 
 // send sends one statement and waits for its answer.
--- a/internal/standin/soak/cut.go
+++ b/internal/standin/soak/cut.go
@@ -55,6 +55,9 @@
 	r.statements.note(st)
 	a := c.send(st.id, q.text)
 	r.statements.noteAnswer(st, a)
+	if commit := st.commitOf(a); !commit.IsZero() {
+		c.committed = commit
+	}
 	if a.err == nil && a.code == "" && q.apply != nil {
 		q.apply(&c.setup)
 	}
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -22,6 +22,8 @@
 //   - a target runs only what a caller sent, with its text unchanged;
 //   - a refusal that promises that nothing ran is true: the log has nothing of the statement;
 //   - a success is what a target answered, with its digest and rows;
+//   - a read sees what was acknowledged before it was sent, before its transaction began, or before the age that its
+//     route allows, and its session's own writes;
 //   - a customer that presses runs no more than its rate and burst allow;
 //   - each node serves every group soon after the last event.
 //
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -23,6 +23,7 @@
 	// ruleWellFormed is for SET, PREPARE, DEALLOC and EXEC. Their sessions stay far below what a session may keep.
 	ruleWellFormed = "what the protocol allows is not refused as malformed"
 	ruleNotRun     = "a refusal that promises that nothing ran is true"
+	ruleFresh      = "a read sees what it has to see"
 	ruleInForce    = "a configuration is in force in time"
 	ruleNoReturn   = "a node does not return to an older configuration"
 )
@@ -58,7 +59,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleFresh} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
--- a/internal/standin/soak/mixed.go
+++ b/internal/standin/soak/mixed.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 
 	"crocusyoke/internal/standin/hosted"
@@ -13,10 +14,19 @@
 type targetAnswer struct {
 	digest string
 	rows   []string
+	ran    hosted.Statement
 }
 
 func answerOf(ran hosted.Statement) targetAnswer {
-	return targetAnswer{digest: ran.Target + "." + ran.ID, rows: ran.Rows}
+	return targetAnswer{digest: ran.Target + "." + ran.ID, rows: ran.Rows, ran: ran}
+}
+
+func describeAnswers(answers []targetAnswer) string {
+	text := ""
+	for _, a := range answers {
+		text += fmt.Sprintf("%q %q ", a.digest, a.rows)
+	}
+	return text
 }
 
 // needsTarget reports whether only a target's answer may tell that the statement succeeded.
@@ -30,11 +40,14 @@
 	if a.err != nil || a.code != "" || !st.needsTarget() && a.digest == noDigest {
 		return
 	}
-	isOfTarget := slices.ContainsFunc(st.answers, func(t targetAnswer) bool {
+	at := slices.IndexFunc(st.answers, func(t targetAnswer) bool {
 		return t.digest == a.digest && slices.Equal(t.rows, a.rows)
 	})
-	s.judge.check(ruleAnswer, isOfTarget, "%s %s: success with %q and the rows %q, targets answered %q",
-		st.id, shorten(st.text), a.digest, a.rows, st.answers)
+	s.judge.check(ruleAnswer, at >= 0, "%s %s: success with %q and the rows %q, targets answered %q",
+		st.id, shorten(st.text), a.digest, a.rows, describeAnswers(st.answers))
+	if at >= 0 && st.needsTarget() {
+		s.fresh.observe(st, &st.answers[at].ran, a.endAt)
+	}
 }
 
 // noteRecent records items that were written, so that callers read them.
--- a/internal/standin/soak/report.go
+++ b/internal/standin/soak/report.go
@@ -30,6 +30,7 @@
 	}
 	writes := leader.Writes()
 	r.statements.judgeLog(d.group.Name, writes)
+	r.statements.fresh.judgeLog(d.group.Name, leader.Has)
 	for _, item := range slices.Sorted(maps.Keys(r.written)) {
 		if w := r.written[item]; w.database == d {
 			r.judge.check(ruleKept, writes[item] > 0, "%q, acknowledged by %s at %s, is missing at %s",
--- a/internal/standin/soak/sent.go
+++ b/internal/standin/soak/sent.go
@@ -26,6 +26,8 @@
 	running uint64
 	// hasRun is set once a statement of it ran.
 	hasRun bool
+	// sentAt is when its first statement was sent.
+	sentAt time.Time
 	// items are those that its statements write. unsettled counts the statements that are kept.
 	items     []string
 	unsettled int
@@ -38,8 +40,11 @@
 	request
 	id              string
 	group, customer string
-	settings        map[string]string
-	sentAt          time.Time
+	// kind is that of the route, committed the session's last commit that was acknowledged before.
+	kind      string
+	committed hosted.Commit
+	settings  map[string]string
+	sentAt    time.Time
 
 	// The fields below are guarded by statements.mu. hasRun is set once a target ran it with success;
 	// answers are those of such runs, code is that of the answer to the caller, and answeredAt when the answer came or the caller gave up.
@@ -54,6 +59,8 @@
 	judge *judge
 	// rate judges the operations of pressingCustomer.
 	rate rateJudge
+	// fresh judges what reads see.
+	fresh *freshness
 	// forget drops the targets' record of a statement.
 	forget func(id string)
 
@@ -71,7 +78,7 @@
 }
 
 func newStatements(j *judge, forget func(id string)) *statements {
-	return &statements{judge: j, rate: rateJudge{judge: j}, forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction), forbidden: make(map[string][]string)}
+	return &statements{judge: j, rate: rateJudge{judge: j}, fresh: newFreshness(j), forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction), forbidden: make(map[string][]string)}
 }
 
 // note records a statement that is about to be sent.
@@ -81,6 +88,9 @@
 	s.byID[st.id] = st
 	if tx := st.transaction; tx != nil {
 		tx.unsettled++
+		if tx.sentAt.IsZero() {
+			tx.sentAt = st.sentAt
+		}
 		if st.item != "" {
 			tx.items = append(tx.items, st.item)
 		}
