Soak: replicas that fall behind

The wide schedule makes the replicas of a group apply commits one to four seconds late for a while, which is more than the routes of a bounded age allow.

--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -22,7 +22,7 @@
 type Group struct {
 	Name string
 	// PromoteAfter is the delay before a promotion takes effect, and Lag the delay before a
-	// replica applies a commit. Both must be set before the first call.
+	// replica applies a commit. Both must be set before the first call; SetLag changes Lag later.
 	PromoteAfter time.Duration
 	Lag          time.Duration
 	// Load is how the targets spend time. It must be set before the first call.
@@ -113,6 +113,13 @@
 	return leader
 }
 
+// SetLag changes the delay before a replica applies later commits.
+func (g *Group) SetLag(lag time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Lag = lag
+}
+
 // Promotions returns the promotion calls accepted so far.
 func (g *Group) Promotions() []Promotion {
 	g.mu.Lock()
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -26,6 +26,10 @@
 	// judgedTime is how much longer a key stays withdrawn than nodes may take to refuse it.
 	judgedTime = 700 * time.Millisecond
 	unreadTime = 3 * time.Second
+	// minLag and maxLag bound how far replicas fall behind for lagTime.
+	minLag  = time.Second
+	maxLag  = 4 * time.Second
+	lagTime = 5 * time.Second
 	// rejoinTime is how long a node that was started again may take until it is ready.
 	rejoinTime = 3 * time.Second
 )
@@ -62,6 +66,8 @@
 		r.shrink(e)
 	case KindSettings:
 		r.changeSettings(e)
+	case KindLag:
+		r.fallBehind(e)
 	case KindRestore:
 		r.restore(e)
 	}
@@ -227,6 +233,15 @@
 	d.writeOddEntries(ids, oddEntries[e.Variant%len(oddEntries)])
 }
 
+// fallBehind makes the replicas of a group apply commits late for a while.
+func (r *run) fallBehind(e Event) {
+	d := r.databaseOf(e)
+	random := randomOf(e)
+	d.group.SetLag(minLag + upTo(random, maxLag-minLag))
+	time.Sleep(lagTime)
+	d.group.SetLag(r.options.Lag)
+}
+
 // turnCallsAway makes the store refuse calls, or not answer them, for a while.
 func (r *run) turnCallsAway(e Event) {
 	faults := []hosted.Fault{hosted.FaultBusy, hosted.FaultMany, hosted.FaultSilent, hosted.FaultLost}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -37,6 +37,8 @@
 	KindStore Kind = "store"
 	// KindRestore brings the store back from a copy some seconds old.
 	KindRestore Kind = "restore"
+	// KindLag makes the replicas of a group fall behind for a while.
+	KindLag Kind = "lag"
 	// KindGrow adds a node, KindShrink removes one for good. They are planned work.
 	KindGrow   Kind = "grow"
 	KindShrink Kind = "shrink"
@@ -49,7 +51,7 @@
 	morePlanned  = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
 	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
 	widePlanned  = append(slices.Clone(morePlanned), KindGrow, KindShrink, KindSettings, KindSettings)
-	wideFaults   = append(slices.Clone(faultKinds), KindRestore, KindRestore)
+	wideFaults   = append(slices.Clone(faultKinds), KindRestore, KindRestore, KindLag, KindLag)
 	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
 
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -30,7 +30,7 @@
 // only, and that the schedules that are noted with seeds have none of the kinds that came later.
 func TestWideScheduleHasAllKinds(t *testing.T) {
 	const length = 2 * time.Minute
-	later := []Kind{KindGrow, KindShrink, KindSettings, KindRestore}
+	later := []Kind{KindGrow, KindShrink, KindSettings, KindRestore, KindLag}
 	seen := map[Kind]bool{}
 	for seed := range uint64(5) {
 		for _, event := range Draw(ScheduleWide, seed, length) {
