--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -25,6 +25,7 @@
 //   - a read sees what was acknowledged before it was sent, before its transaction began, or before the age that its
 //     route allows, and its session's own writes;
 //   - a customer that presses runs no more than its rate and burst allow;
+//   - a node's memory and descriptors stay within its class;
 //   - each node serves every group soon after the last event.
 //
 // What was recorded of a statement is dropped some time after its answer (sent.go). What grows with a run are
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -24,6 +24,7 @@
 	ruleWellFormed = "what the protocol allows is not refused as malformed"
 	ruleNotRun     = "a refusal that promises that nothing ran is true"
 	ruleFresh      = "a read sees what it has to see"
+	ruleResources  = "a node's memory and descriptors stay within its class"
 	ruleInForce    = "a configuration is in force in time"
 	ruleNoReturn   = "a node does not return to an older configuration"
 )
@@ -59,7 +60,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleFresh} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleFresh, ruleResources} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
@@ -90,6 +91,13 @@
 	j.counts[what]++
 }
 
+// countMost keeps the highest value of what.
+func (j *judge) countMost(what string, value int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts[what] = max(j.counts[what], value)
+}
+
 // noteFault records that a fault was active.
 func (j *judge) noteFault(from, to time.Time) {
 	j.mu.Lock()
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -266,6 +266,7 @@
 		}
 	})
 	rest.Go(r.watch)
+	rest.Go(r.watchResources)
 	rest.Go(r.settle)
 	if r.options.Schedule == ScheduleWide {
 		rest.Go(r.keepCopies)
