A transaction stays with its group when its service moves to another one

A service that a new configuration gave to another group cut the transactions that were open: their next statement went to the new group, which had no such transaction, and the caller got transaction lost (ABORTED).

Cause: each request took its group from the configuration in force. Now the front of either protocol keeps the group of the open transaction. A service that is dropped still ends its transactions, as before.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -266,7 +266,7 @@
 		return
 	}
 	s.logServed(st, req, resp, began)
-	s.state.txStatus = resp.TxStatus
+	s.state.observe(req.Group, resp.TxStatus)
 	s.codec.Answer(resp.Messages, resp.TxStatus, resp.Position)
 }
 
@@ -361,7 +361,7 @@
 		ID:            request.ID{Session: s.id, Sequence: s.state.sequence},
 		Customer:      s.customer,
 		Service:       s.service,
-		Group:         service.Group,
+		Group:         s.state.groupFor(service),
 		Kind:          kind,
 		Profile:       profile,
 		Weight:        weight,
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"crocusyoke/internal/budget"
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 )
 
@@ -20,6 +21,8 @@
 	// account holds the size of settings and prepared.
 	account  *budget.Account
 	txStatus byte
+	// group is the group of the open or failed transaction.
+	group    string
 	sequence uint64
 }
 
@@ -27,6 +30,22 @@
 	return &sessionState{prepared: make(map[string]StatementTemplate), account: account, txStatus: txIdle}
 }
 
+// observe records the answer of a target to a request for group.
+func (s *sessionState) observe(group string, txStatus byte) {
+	if s.txStatus == txIdle {
+		s.group = group
+	}
+	s.txStatus = txStatus
+}
+
+// groupFor returns the group of the next request: that of the transaction, or outside one the service's.
+func (s *sessionState) groupFor(service *fleet.Service) string {
+	if s.txStatus == txIdle {
+		return service.Group
+	}
+	return s.group
+}
+
 // action is the way in which a statement is handled.
 type action uint8
 
--- a/internal/front/transaction_test.go
+++ b/internal/front/transaction_test.go
@@ -61,3 +61,27 @@
 		must.Eq(t, 1, c.dropped)
 	}
 }
+
+// TestRouteChangeCutsTransaction guards against a transaction that is lost because its service has moved to another
+// group: the change applies from the next transaction on.
+func TestRouteChangeCutsTransaction(t *testing.T) {
+	d := &fakeTarget{tx: txIdle}
+	c := &fakeChain{}
+	source := &changingConfig{testConfig()}
+	former := source.config.Service("orders").Group
+	var groups []string
+	c.answer = func(req *request.Request, call *Call) (*request.Response, error) {
+		groups = append(groups, req.Group)
+		moved := *source.config
+		moved.Services = append([]fleet.Service(nil), moved.Services...)
+		moved.Service("orders").Group = "moved"
+		source.config = &moved
+		return d.answer(req, call)
+	}
+	codec := &scriptedCodec{startup: Startup{Service: "orders", Key: "k1"}, statements: []Statement{begin, read, write, commit, write}}
+	s := newServer(c, codec)
+	s.options.Config = source
+	runCodec(s)
+	must.Eq(t, "welcome|ok T|ok T|ok T|ok I|ok I", strings.Join(codec.answers, "|"))
+	must.Eq(t, []string{former, former, former, former, "moved"}, groups)
+}
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -50,6 +50,8 @@
 	statements statement.Statements
 	// txStatus is the caller's transaction status, as the next ReadyForQuery reports it.
 	txStatus byte
+	// txGroup is the group of the open or failed transaction.
+	txGroup string
 	// txLost is true if the caller's transaction has failed and no target holds it any
 	// more, until the caller ends it.
 	txLost bool
--- a/internal/pgfront/serve.go
+++ b/internal/pgfront/serve.go
@@ -122,7 +122,11 @@
 	if err := c.fillRequest(kind, messages); err != nil {
 		return nil, err
 	}
-	return c.callChain()
+	resp, err := c.callChain()
+	if err == nil && c.txStatus == txIdle {
+		c.txGroup = c.request.Group
+	}
+	return resp, err
 }
 
 // reply writes a target's answer. If the session token has changed, that is written first.
@@ -174,12 +178,16 @@
 	if err != nil {
 		return err
 	}
+	group := service.Group
+	if c.txStatus != txIdle {
+		group = c.txGroup
+	}
 	c.sequence++
 	c.request = request.Request{
 		ID:            request.ID{Session: c.session, Sequence: c.sequence},
 		Customer:      c.identity.Customer,
 		Service:       c.service,
-		Group:         service.Group,
+		Group:         group,
 		Kind:          kind,
 		Profile:       profile,
 		Weight:        1,
