Test of declined polls: counts are compared once the polls of the instant are over

TestDecliningTargetIsPolledWithoutPause failed now and then. Cause, in the test: the request that it waits for ends at an instant at which a poll may be sent, too; the fake group had counted the poll, and the owner had not yet told of it (44 of 45).

Change: synctest.Wait before the counts are compared.

It fails if a declined poll counts as lost.

--- a/internal/owner/declined_test.go
+++ b/internal/owner/declined_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -42,6 +43,7 @@
 	withHarness(t, 5*time.Millisecond, use, func(h *harness) {
 		_, err := h.serve(h.request(request.KindWrite, "INSERT 1", time.Second))
 		must.Error(h, err)
+		synctest.Wait()
 		must.Zero(h, unreachable.Load())
 		must.Eq(h, declined.Load(), group.polls.Load())
 		must.Between(h, 3, group.polls.Load(), 3*30)
