Leases: a call from before a restore of the store is ended by it

TestWholePath failed on a busy machine, at the steps failover and odd names: for 40 s the group had no primary that a majority confirms. Cause, in the code: the renewal of the group's lease was sent while the store gave no answer, and the store was restored. The holder waited for the answer until the call's timeout (2 s) and 0.5 s more, its lease (4 s) had ended then, and what it read in the new era counted as another holder's: no lease for 13 s, the ordered terms unknown until every target has answered, and the old primary was dead.

Change: a lease's call ends once the store is known to have been restored, since its answer says nothing about the new era; the row of the new era is read at once, and the holder continues its lease.

Ruled out: the test itself.

--- a/internal/run/lease/era.go
+++ b/internal/run/lease/era.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"context"
 	"strconv"
+	"time"
 
 	"crocusyoke/internal/platform"
 )
@@ -39,22 +41,42 @@
 func isLost(row platform.Row) bool { return row.Version == 0 && row.Era > firstEra }
 
 // ObserveEra is called with the era of each response of the store, also of calls of others. In a
-// new era the row of every lease has to be read again.
+// new era the row of every lease has to be read again. Calls from before a restore are ended: their
+// answers, which may never come, say nothing about the new era.
 func (k *Keeper) ObserveEra(era uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if era <= k.era {
 		return
 	}
+	restored := !sameEra(era, k.era)
 	k.era, k.eraSince = era, k.now()
 	k.storeTime = 0
 	for _, l := range k.leases {
 		l.heldVersion = 0
 		l.observedVersion = 0
 		l.nextCallAt = k.eraSince
+		if restored && l.endCalls != nil {
+			l.endCalls()
+		}
 	}
 }
 
+// stepInEra is step, but ends with errOtherEra as soon as the store is known to have been restored.
+func (k *Keeper) stepInEra(ctx context.Context, name string, l *lease) (time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	k.mu.Lock()
+	era := k.era
+	l.endCalls = cancel
+	k.mu.Unlock()
+	next, err := k.step(ctx, name, l)
+	if err != nil && !errOtherEra.Has(err) && !sameEra(era, k.currentEra()) {
+		err = errOtherEra.Wrap(err)
+	}
+	return next, err
+}
+
 func (k *Keeper) currentEra() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -114,6 +114,8 @@
 	// inFlight is true while a call that Run started is in progress.
 	inFlight   bool
 	nextCallAt time.Time
+	// endCalls ends the calls of the step under way; nil before the first step.
+	endCalls context.CancelFunc
 	// expiresAt is the end of this node's lease; zero if it holds none.
 	expiresAt time.Time
 	fence     uint64
@@ -195,7 +197,7 @@
 	k.mu.Unlock()
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
-	_, err := k.step(ctx, name, l)
+	_, err := k.stepInEra(ctx, name, l)
 	if err != nil {
 		k.invalidate(l)
 		return err
@@ -266,7 +268,7 @@
 	defer cancel()
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
-	next, err := k.step(ctx, name, l)
+	next, err := k.stepInEra(ctx, name, l)
 	if err != nil {
 		k.invalidate(l)
 		next = retryInterval
