Soak: planned work alone, and a rate that is lowered

The schedule "planned" has the planned work of "wide" without any fault, so the bounds of configurations are judged all the time, and lowers the rate of the customer that presses: a whole window after it has to be in force, the lower rate binds. The record of the target's positions test is formatted.

--- a/internal/standin/hosted/session_test.go
+++ b/internal/standin/hosted/session_test.go
@@ -228,8 +228,12 @@
 		text   string
 		want   string
 	}{
-		{primary, "AFTER 1.1 READ x", "ROW 1"}, {primary, "AFTER 1.2 READ x", "ERROR LAGGING"}, {primary, "AFTER 2.0 BEGIN", "ERROR LAGGING"},
-		{replica, "AFTER 1.0 READ x", "COMPLETE"}, {replica, "AFTER 1.1 READ x", "ERROR LAGGING"}, {replica, "AFTER 0.9 READ x", "COMPLETE"},
+		{primary, "AFTER 1.1 READ x", "ROW 1"},
+		{primary, "AFTER 1.2 READ x", "ERROR LAGGING"},
+		{primary, "AFTER 2.0 BEGIN", "ERROR LAGGING"},
+		{replica, "AFTER 1.0 READ x", "COMPLETE"},
+		{replica, "AFTER 1.1 READ x", "ERROR LAGGING"},
+		{replica, "AFTER 0.9 READ x", "COMPLETE"},
 		{primary, "AFTER x.1 READ x", "ERROR MALFORMED"},
 	} {
 		must.StrHasPrefix(t, c.want, c.client.query("q", c.text), must.Sprint(c.text))
--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -48,12 +48,22 @@
 	withoutKey  bool // the key of changingCustomer is withdrawn
 	withoutJobs bool // the routes of kindJobs are dropped
 	extraRoutes int
+	loweredRate bool // the rate of pressingCustomer is loweredPressingRate
+}
+
+// rate returns the rate of pressingCustomer in operations per second.
+func (c configuration) rate() int {
+	if c.loweredRate {
+		return loweredPressingRate
+	}
+	return pressingRate
 }
 
 // configure writes the next version of the configuration.
 func (r *run) configure(c configuration) {
+	c.loweredRate = r.lowering > 0
 	tenants := []any{map[string]any{
-		"name": pressingCustomer.name, "api_keys": []string{pressingCustomer.key}, "rate_per_s": pressingRate, "burst": pressingBurst,
+		"name": pressingCustomer.name, "api_keys": []string{pressingCustomer.key}, "rate_per_s": c.rate(), "burst": pressingBurst,
 	}}
 	for _, customer := range customers {
 		keys := []string{customer.key}
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -30,6 +30,8 @@
 	minLag  = time.Second
 	maxLag  = 4 * time.Second
 	lagTime = 5 * time.Second
+	// maxLoweredTime is how much longer a rate may stay lowered than it takes to judge it.
+	maxLoweredTime = 3 * time.Second
 	// rejoinTime is how long a node that was started again may take until it is ready.
 	rejoinTime = 3 * time.Second
 )
@@ -66,6 +68,8 @@
 		r.shrink(e)
 	case KindSettings:
 		r.changeSettings(e)
+	case KindRate:
+		r.lowerRate(e)
 	case KindLag:
 		r.fallBehind(e)
 	case KindRestore:
@@ -233,6 +237,20 @@
 	d.writeOddEntries(ids, oddEntries[e.Variant%len(oddEntries)])
 }
 
+// lowerRate lowers the rate of pressingCustomer for a while.
+func (r *run) lowerRate(e Event) {
+	r.changeLowering(1)
+	time.Sleep(inForceWithin + 3*rateWindow + upTo(randomOf(e), maxLoweredTime))
+	r.changeLowering(-1)
+}
+
+func (r *run) changeLowering(by int) {
+	r.configuring.Lock()
+	defer r.configuring.Unlock()
+	r.lowering += by
+	r.configure(configuration{})
+}
+
 // fallBehind makes the replicas of a group apply commits late for a while.
 func (r *run) fallBehind(e Event) {
 	d := r.databaseOf(e)
--- a/internal/standin/soak/inforce.go
+++ b/internal/standin/soak/inforce.go
@@ -125,6 +125,27 @@
 	return at
 }
 
+// maxRate returns the highest rate of pressingCustomer that may be in force in a window. A lower one binds a whole
+// window after it has to be in force, unless a fault was active.
+func (f *inForce) maxRate(from, to time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	highest := 0
+	for i, a := range f.history {
+		if !a.sentAt.Before(to) {
+			break
+		}
+		isLast := i == len(f.history)-1 || f.history[i+1].ackedAt.IsZero()
+		if isLast || f.history[i+1].ackedAt.Add(inForceWithin+rateWindow).After(from) {
+			highest = max(highest, a.rate())
+		}
+	}
+	if highest < pressingRate && f.judge.isExcused(from.Add(-inForceWithin-rateWindow), to) {
+		return pressingRate
+	}
+	return highest
+}
+
 // knownAt returns the place of the oldest configuration that a process may have known at the given time. The
 // caller holds f.mu.
 func (f *inForce) knownAt(boot string, at time.Time) int {
--- a/internal/standin/soak/rate.go
+++ b/internal/standin/soak/rate.go
@@ -11,13 +11,17 @@
 const (
 	pressingRate  = 20
 	pressingBurst = 20
-	rateWindow    = 5 * time.Second
-	rateOver      = 0.1
-	rateSlack     = 20
+	// loweredPressingRate is its rate while that is lowered.
+	loweredPressingRate = 4
+	rateWindow          = 5 * time.Second
+	rateOver            = 0.1
+	rateSlack           = 20
 )
 
-// maxInWindow is the highest number of operations that may be sent and run in a window.
-var maxInWindow = int((pressingRate*rateWindow.Seconds()+pressingBurst)*(1+rateOver)) + rateSlack
+// maxInWindow returns the highest number of operations that may be sent and run in a window at a rate.
+func maxInWindow(rate int) int {
+	return int((float64(rate)*rateWindow.Seconds()+pressingBurst)*(1+rateOver)) + rateSlack
+}
 
 // admitted is an operation that a target ran: when its first statement was sent, and when that ran.
 type admitted struct{ sentAt, ranAt time.Time }
@@ -25,6 +29,8 @@
 // rateJudge judges the rate at which operations of a customer run. It is safe for concurrent use.
 type rateJudge struct {
 	judge *judge
+	// maxRate returns the highest rate that may be in force in a window.
+	maxRate func(from, to time.Time) int
 
 	mu  sync.Mutex
 	ops []admitted
@@ -45,9 +51,12 @@
 	judged := 0
 	for judged < len(r.ops) && r.ops[judged].sentAt.Before(before) {
 		from := r.ops[judged].sentAt
-		count := countInWindow(r.ops[judged:], from)
-		r.judge.check(ruleRate, count <= maxInWindow, "%d operations ran in the %s from %s, %d are allowed",
-			count, rateWindow, from.UTC().Format("15:04:05.000"), maxInWindow)
+		count, allowed := countInWindow(r.ops[judged:], from), maxInWindow(r.maxRate(from, from.Add(rateWindow)))
+		r.judge.check(ruleRate, count <= allowed, "%d operations ran in the %s from %s, %d are allowed",
+			count, rateWindow, from.UTC().Format("15:04:05.000"), allowed)
+		if allowed < maxInWindow(pressingRate) {
+			r.judge.count("windows with a lowered rate")
+		}
 		judged++
 	}
 	r.ops = slices.Clone(r.ops[judged:])
--- a/internal/standin/soak/rate_test.go
+++ b/internal/standin/soak/rate_test.go
@@ -18,12 +18,13 @@
 		last     admitted
 		isBroken bool
 	}{
-		"as many as allowed": {count: maxInWindow - 1, last: admitted{start, start.Add(rateWindow)}},
-		"one more":           {count: maxInWindow, last: admitted{start, start.Add(rateWindow)}, isBroken: true},
-		"run later":          {count: maxInWindow, last: admitted{start, start.Add(rateWindow + 1)}},
-		"sent later":         {count: maxInWindow, last: admitted{start.Add(rateWindow + 1), start.Add(rateWindow + 2)}},
+		"as many as allowed": {count: maxInWindow(pressingRate) - 1, last: admitted{start, start.Add(rateWindow)}},
+		"one more":           {count: maxInWindow(pressingRate), last: admitted{start, start.Add(rateWindow)}, isBroken: true},
+		"run later":          {count: maxInWindow(pressingRate), last: admitted{start, start.Add(rateWindow + 1)}},
+		"sent later":         {count: maxInWindow(pressingRate), last: admitted{start.Add(rateWindow + 1), start.Add(rateWindow + 2)}},
 	} {
-		r := &rateJudge{judge: newJudge()}
+		s, _ := newTestStatements()
+		r := &s.rate
 		r.note(c.last)
 		for range c.count {
 			r.note(admitted{start, start.Add(time.Second)})
@@ -56,3 +57,34 @@
 	play("5", pressingCustomer, tx, false, "")
 	must.Len(t, 2, s.rate.ops)
 }
+
+// TestLoweredRateBindsInTime checks from which window on a lower rate binds, that a fault puts that off, and that the
+// higher rate binds again as soon as it is sent.
+func TestLoweredRateBindsInTime(t *testing.T) {
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	for _, c := range []struct {
+		from  float64
+		fault bool
+		want  int
+	}{
+		{from: 0, want: pressingRate},
+		{from: 17.9, want: pressingRate},
+		{from: 18.2, want: loweredPressingRate},
+		{from: 18.2, fault: true, want: pressingRate},
+		{from: 34.9, want: loweredPressingRate},
+		{from: 35.1, want: pressingRate},
+	} {
+		j := newJudge()
+		f := newInForce(j)
+		for i, lowered := range []bool{false, true, false} {
+			f.noteSent(configuration{loweredRate: lowered}, at([]float64{0, 10, 40}[i]))
+			f.noteAck(at([]float64{0, 10, 40}[i] + 0.1))
+		}
+		if c.fault {
+			j.noteFault(at(15), at(16))
+		}
+		must.Eq(t, c.want, f.maxRate(at(c.from), at(c.from).Add(rateWindow)), must.Sprintf("%+v", c))
+	}
+}
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,7 +27,7 @@
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide or ScheduleRecord.
+	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide, SchedulePlanned or ScheduleRecord.
 	Schedule string
 	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
 	// callers' sessions at the same time.
@@ -69,9 +69,12 @@
 	}
 }
 
+// hasOddities reports whether callers send malformed lines and targets close idle connections.
+func (o *Options) hasOddities() bool { return o.Schedule != ScheduleRecord }
+
 // spares returns how many nodes may be added in the course of the run.
 func (o *Options) spares() int {
-	if o.Schedule == ScheduleWide {
+	if o.Schedule == ScheduleWide || o.Schedule == SchedulePlanned {
 		return spareNodes
 	}
 	return 0
@@ -80,7 +83,7 @@
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
-	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide}, o.Schedule):
+	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide, SchedulePlanned}, o.Schedule):
 		return Error.New("unknown schedule %q", o.Schedule)
 	case o.Groups < 1 || o.Groups > len(groupNames):
 		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
@@ -128,8 +131,10 @@
 	writing  sync.Mutex
 	// resizing is held while a node is added or removed.
 	resizing sync.Mutex
-	// configuring is held while a key is withdrawn.
+	// configuring is held while a key is withdrawn, and guards lowering, the number of events that have the rate of
+	// pressingCustomer lowered.
 	configuring sync.Mutex
+	lowering    int
 
 	mu sync.Mutex
 	// written holds the acknowledged writes by their items.
@@ -161,6 +166,7 @@
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
 	r.inForce = newInForce(r.judge)
 	r.statements = newStatements(r.judge, r.forgetRun)
+	r.statements.rate.maxRate = r.inForce.maxRate
 	r.store = hosted.NewStore()
 	defer r.closeStandins()
 	defer r.super.Close()
@@ -274,11 +280,11 @@
 	for i, n := range r.nodes {
 		rest.Go(func() { r.probe(n, i) })
 	}
-	if r.options.Schedule != ScheduleRecord {
+	if r.options.hasOddities() {
 		rest.Go(r.closeIdle)
 	}
 	rest.Go(func() { r.lateness.measure(r.hasEnded) })
-	if r.options.Schedule != ScheduleRecord {
+	if r.options.hasOddities() {
 		for i, n := range r.nodes {
 			rest.Go(func() { r.sendRefused(n) })
 			rest.Go(func() { r.sendMalformed(n, i) })
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -42,6 +42,8 @@
 	// KindGrow adds a node, KindShrink removes one for good. They are planned work.
 	KindGrow   Kind = "grow"
 	KindShrink Kind = "shrink"
+	// KindRate lowers a customer's rate for a while. It is planned work.
+	KindRate Kind = "rate"
 	// KindSettings replaces a node's settings file, which is planned work too.
 	KindSettings Kind = "settings"
 )
@@ -51,6 +53,7 @@
 	morePlanned  = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
 	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
 	widePlanned  = append(slices.Clone(morePlanned), KindGrow, KindShrink, KindSettings, KindSettings)
+	allPlanned   = append(slices.Clone(widePlanned), KindRate, KindRate)
 	wideFaults   = append(slices.Clone(faultKinds), KindRestore, KindRestore, KindLag, KindLag)
 	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
@@ -58,7 +61,7 @@
 // IsFault reports whether events of kind k are faults and not planned work.
 func (k Kind) IsFault() bool {
 	switch k {
-	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord, KindGrow, KindShrink, KindSettings:
+	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord, KindGrow, KindShrink, KindSettings, KindRate:
 		return false
 	}
 	return true
@@ -95,6 +98,8 @@
 	// ScheduleWide has what ScheduleAll has, nodes that are added and removed for good, changed settings files, and a
 	// store that is restored from a copy.
 	ScheduleWide = "wide"
+	// SchedulePlanned has the planned work of ScheduleWide, and a customer's rate that is lowered.
+	SchedulePlanned = "planned"
 	// ScheduleRecord has planned work only, mostly KindRecord.
 	ScheduleRecord = "record"
 )
@@ -112,6 +117,8 @@
 		switch {
 		case schedule == ScheduleRecord:
 			kinds = recordKinds
+		case schedule == SchedulePlanned:
+			kinds = allPlanned
 		case (at/phaseLength)%2 == 1 && schedule == ScheduleWide:
 			kinds = wideFaults
 		case (at/phaseLength)%2 == 1:
--- a/internal/standin/soak/sent.go
+++ b/internal/standin/soak/sent.go
@@ -78,7 +78,7 @@
 }
 
 func newStatements(j *judge, forget func(id string)) *statements {
-	return &statements{judge: j, rate: rateJudge{judge: j}, fresh: newFreshness(j), forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction), forbidden: make(map[string][]string)}
+	return &statements{judge: j, rate: rateJudge{judge: j, maxRate: func(time.Time, time.Time) int { return pressingRate }}, fresh: newFreshness(j), forget: forget, byID: make(map[string]*sent), owners: make(map[uint64]*transaction), forbidden: make(map[string][]string)}
 }
 
 // note records a statement that is about to be sent.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -30,7 +30,7 @@
 // only, and that the schedules that are noted with seeds have none of the kinds that came later.
 func TestWideScheduleHasAllKinds(t *testing.T) {
 	const length = 2 * time.Minute
-	later := []Kind{KindGrow, KindShrink, KindSettings, KindRestore, KindLag}
+	later := []Kind{KindRate, KindGrow, KindShrink, KindSettings, KindRestore, KindLag}
 	seen := map[Kind]bool{}
 	for seed := range uint64(5) {
 		for _, event := range Draw(ScheduleWide, seed, length) {
@@ -41,6 +41,12 @@
 			must.False(t, slices.Contains(later, event.Kind))
 		}
 	}
+	for seed := range uint64(5) {
+		for _, event := range Draw(SchedulePlanned, seed, length) {
+			seen[event.Kind] = true
+			must.False(t, event.Kind.IsFault(), must.Sprintf("%+v", event))
+		}
+	}
 	for _, kind := range slices.Concat(morePlanned, faultKinds, later) {
 		must.True(t, seen[kind], must.Sprint(kind))
 	}
