Owner: polls from before an order to hold no longer confirm writes

Between the moment at which a PAUSE takes effect and its answer, and until the next poll (up to 400 ms) if that answer is lost, the owner still acknowledged writes by polls of the replicas from before, and no replica received them.

The runner now has the owner forget the polls of a replica right before it sends the order; a poll that is under way then does not count either. What a primary told stays: it says itself that it commits nothing more.

TestOldPollConfirmsDuringHold and TestLostHoldLeavesOldEvidence failed before (a write was acknowledged). A replica that does not get the order counts again with its next poll.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,6 +274,7 @@
 		Settle:      evidence.MaxObservationAge,
 		HeldTerms:   n.heldTerms,
 		Lease:       n.promotionLease(),
+		Holding:     n.expectHold,
 		Held:        n.observeHeld,
 		Dialer:      n.dialer,
 		Peers:       n.peers,
@@ -315,6 +316,10 @@
 	}
 }
 
+// expectHold is promotion.Options.Holding. The order's answer may be lost, so earlier polls stop to count before it is
+// sent.
+func (n *Node) expectHold(group, targetName string) { n.owner.ExpectHold(group, targetName) }
+
 // observeHeld is promotion.Options.Held. A target that holds a higher term receives nothing of the primary, so no
 // earlier poll of it may confirm a write.
 func (n *Node) observeHeld(group string, at time.Time, status target.Status) {
--- a/internal/owner/evidence/evidence.go
+++ b/internal/owner/evidence/evidence.go
@@ -95,6 +95,8 @@
 	sentAt   time.Time
 	polledAt time.Time
 	status   target.Status
+	// notBefore is when the target was last forgotten: polls that were sent earlier do not count.
+	notBefore time.Time
 }
 
 // Options describe how the targets of a group adopt terms.
@@ -166,7 +168,7 @@
 		g.highestTerm = max(g.highestTerm, status.Term)
 	}
 	o := g.find(status.Target)
-	if o == nil || sentAt.Before(o.sentAt) || sentAt.After(now) {
+	if o == nil || sentAt.Before(o.sentAt) || sentAt.Before(o.notBefore) || sentAt.After(now) {
 		return
 	}
 	o.sentAt, o.polledAt = sentAt, sentAt
@@ -202,6 +204,16 @@
 	g.history = history{}
 }
 
+// ForgetReplica discards what polls of a replica told that were sent before now, as it may be on hold from now on. Nothing
+// is discarded of a primary, which tells itself that it commits nothing more.
+func (g *Group) ForgetReplica(name string, now time.Time) {
+	o := g.find(name)
+	if o == nil || o.status.Role == target.RolePrimary {
+		return
+	}
+	o.sentAt, o.notBefore = time.Time{}, now
+}
+
 // Status returns the newest status of the target called name and when it was polled. It
 // returns false if there is none.
 func (g *Group) Status(name string) (target.Status, time.Time, bool) {
--- a/internal/owner/evidence/held_test.go
+++ b/internal/owner/evidence/held_test.go
@@ -48,3 +48,34 @@
 	g.Observe(released, released, status("r2", 1))
 	must.Eq(t, Confirmed, g.Confirm(released, claim))
 }
+
+// TestOldPollConfirmsDuringHold guards against a write that is confirmed by polls from before an order that may have put
+// the replicas on hold, also by one whose answer comes later, while the order's own answer is lost.
+func TestOldPollConfirmsDuringHold(t *testing.T) {
+	at := func(millis int) time.Time { return time.Unix(1000, 0).Add(time.Duration(millis) * time.Millisecond) }
+	g := New([]string{"p", "r1", "r2"}, Options{HeldTerms: true})
+	g.SetSoleOrderer(true)
+	observe := func(sent, now int, names ...string) {
+		for _, name := range names {
+			role := target.RoleReplica
+			if name == "p" {
+				role = target.RolePrimary
+			}
+			g.Observe(at(sent), at(now), heldStatus(name, role, 1))
+		}
+	}
+	claim := Claim{Primary: "p", Term: 1, Since: at(5)}
+	observe(0, 1, "p", "r1", "r2")
+	must.Eq(t, Confirmed, g.Confirm(at(10), claim))
+	g.ForgetReplica("r1", at(10))
+	must.Eq(t, Confirmed, g.Confirm(at(10), claim), must.Sprint("the primary and r2 are a majority"))
+	g.ForgetReplica("r2", at(10))
+	g.ForgetReplica("p", at(10))
+	must.Eq(t, Wait, g.Confirm(at(10), claim))
+	_, _, ok := g.Primary(at(10))
+	must.False(t, ok)
+	observe(9, 11, "r1", "r2")
+	must.Eq(t, Wait, g.Confirm(at(11), claim), must.Sprint("polls that were under way"))
+	observe(12, 13, "r1")
+	must.Eq(t, Confirmed, g.Confirm(at(13), claim), must.Sprint("a poll from after the order"))
+}
--- a/internal/owner/held.go
+++ b/internal/owner/held.go
@@ -7,6 +7,21 @@
 	"crocusyoke/internal/target"
 )
 
+// ExpectHold records that this node is about to put a target of a group on hold. Polls of it from before no longer
+// count.
+func (m *Manager) ExpectHold(name, targetName string) {
+	m.mu.RLock()
+	g := m.groups[name]
+	m.mu.RUnlock()
+	if g == nil {
+		return
+	}
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evidence.ForgetReplica(targetName, now)
+}
+
 // ObserveHeld records that a target of a group is on hold for a higher term at the given time, as an order of this
 // node has made it. The polls from before no longer count. It is ignored for groups that this node does not serve.
 func (m *Manager) ObserveHeld(name string, at time.Time, status target.Status) {
--- a/internal/owner/held_test.go
+++ b/internal/owner/held_test.go
@@ -128,3 +128,28 @@
 	must.Zero(t, whileHeld)
 	must.LessEq(t, 2*evidence.HeldWaitingPollInterval, longest)
 }
+
+// TestLostHoldLeavesOldEvidence guards against a write that is acknowledged by polls from before an order to hold whose
+// answer is lost.
+func TestLostHoldLeavesOldEvidence(t *testing.T) {
+	group := &holdingGroup{}
+	change := func(o *Options) {
+		group.pollableGroup = o.Dialer.(pollableGroup)
+		o.Dialer, o.HeldTerms, o.FailFastWithoutPrimary = group, true, true
+		o.SoleOrderer = func(string, uint64) bool { return true }
+	}
+	withHarness(t, 5*time.Millisecond, change, func(h *harness) {
+		h.manager.ExpectHold("nowhere", "nobody")
+		for _, f := range h.group.targets {
+			h.manager.ExpectHold("ledger", f.name)
+		}
+		group.holds.Store(true)
+		for began := time.Now(); time.Since(began) < time.Second; time.Sleep(5 * time.Millisecond) {
+			write := h.request(request.KindWrite, "INSERT 1", 10*time.Millisecond)
+			write.Profile.Confirm = fleet.ConfirmTerm
+			_, err := h.serve(write)
+			mustRefuse(t, err, request.CodeNoTarget)
+		}
+		must.Zero(h, h.group.targets[0].count("INSERT 1"))
+	})
+}
--- a/internal/run/promotion/orders.go
+++ b/internal/run/promotion/orders.go
@@ -38,6 +38,9 @@
 }
 
 func (r *Runner) adopt(ctx context.Context, g *group, a promotion.Adopt) {
+	if r.options.HeldTerms && r.options.Holding != nil {
+		r.options.Holding(g.name, a.Target)
+	}
 	status, err := r.sendCommand(ctx, g, a.Target, func(ctx context.Context, c target.Control) (target.Status, error) {
 		return c.Adopt(ctx, a.Term, r.ordererID())
 	})
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -66,6 +66,8 @@
 	// Lease guards promotions where targets keep an adopted term only temporarily
 	// (HeldTerms); nil where promotions need no lease.
 	Lease Lease
+	// Holding is told of each target that is about to be sent an order that may put it on hold; may be nil.
+	Holding func(group, target string)
 	// Held is told of each target that is on hold since an order of this node was answered at the given time; may be
 	// nil.
 	Held   func(group string, at time.Time, status target.Status)
