Owner: a node that does not own a group holds a connection for each slot

Callers saw: after a cut that had split the fleet was over, groups without a primary for 1.5 to 3 s more ("group has no primary that a majority confirms").

Cause: each owner may hold half of a target's connections. After a cut each half has an owner and the whole a third one; the first two keep their connections until they release the group, 2 s after the loss.

Change: a node that does not own a group may hold one connection for each slot, and closes its idle ones above that when it loses the group. Two former owners and the next one then fit the targets of all sites (34 connections and 5 slots, 50 and 5, 90 and 6, 285 and 6).

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -39,8 +39,10 @@
 	activeRequests   int
 	lastUsed         time.Time
 	sweptAt          time.Time
-	// exclusive is true while no other owner can exist (see Manager.SetExclusive).
+	// exclusive is true while no other owner can exist (see Manager.SetExclusive), owned while this node
+	// owns the group.
 	exclusive bool
+	owned     bool
 	// releasing is set while the group refuses new work because it is handed over or closed, closing once
 	// its connections are closed.
 	releasing bool
@@ -56,7 +58,7 @@
 	endPrimary context.CancelFunc
 }
 
-func newGroup(m *Manager, name string, exclusive bool) *group {
+func newGroup(m *Manager, name string, exclusive, owned bool) *group {
 	ctx, stop := context.WithCancel(context.Background())
 	g := &group{
 		manager:      m,
@@ -72,6 +74,7 @@
 		// Suspensions before the group was created do not affect its evidence.
 		lastSuspended: m.options.Suspended(),
 		exclusive:     exclusive,
+		owned:         owned,
 	}
 	g.primaryCtx, g.endPrimary = context.WithCancel(context.Background())
 	g.mu.Lock()
@@ -173,12 +176,18 @@
 	deliver(m.schedule.Resize(g.now(), slots, maxOpenTransactions(limit, slots)))
 }
 
-// limits returns how many of t's slots and data connections this node may use.
+// limits returns how many of t's slots and data connections this node may use. A node that does not own the
+// group serves it for nodes that do not know the owner yet; it gets a connection for each slot, since there may be
+// several such nodes, and the owner needs its connections at once.
 func (g *group) limits(t *fleet.Target) (slots, connections int) {
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	return t.Slots, dataConnectionLimit(t.Connections, g.exclusive)
+	connections = dataConnectionLimit(t.Connections, g.exclusive)
+	if !g.owned {
+		connections = min(connections, max(2, t.Slots))
+	}
+	return t.Slots, connections
 }
 
 // controlConnections is the number of a target's connections that are reserved for polling:
@@ -204,6 +213,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.exclusive = exclusive
+	g.resizeAll()
+}
+
+func (g *group) setOwned(owned bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.owned = owned
+	g.resizeAll()
+}
+
+// resizeAll applies changed limits to all members. g.mu is held.
+func (g *group) resizeAll() {
 	for _, m := range g.members {
 		g.resize(m)
 	}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -202,10 +202,14 @@
 	} else {
 		delete(m.owned, name)
 	}
-	if g := m.groups[name]; g != nil && owned && !m.draining {
+	g := m.groups[name]
+	if g != nil && owned && !m.draining {
 		g.resume()
 	}
 	m.mu.Unlock()
+	if g != nil {
+		g.setOwned(owned)
+	}
 	if owned {
 		_, _ = m.groupOf(name)
 	}
@@ -313,7 +317,7 @@
 	if config.Group(name) == nil {
 		return nil, request.Refuse(request.CodeUnknownService, "owner", m.options.Self, "unknown group %q", name)
 	}
-	g = newGroup(m, name, m.exclusive[name])
+	g = newGroup(m, name, m.exclusive[name], m.owned[name])
 	m.groups[name] = g
 	return g, nil
 }
