An answer that had no room gives back what it held at once

A session whose answer had found no room kept what it had charged until its caller had read the refusal. With many callers that don't read, refused ones held most of the room: TestUnreadAnswersFillTheNode had room for 7 answers of 1 MiB in one run, of at least 8 that it asked for.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -262,6 +262,7 @@
 	began := s.server.options.Clock.Now()
 	resp, err := s.server.options.Chain.Serve(ctx, req)
 	if err != nil {
+		s.answer.Release()
 		s.handleChainError(st, request.AsRefusal(err))
 		return
 	}
--- a/internal/peer/quicpeer/serve_session.go
+++ b/internal/peer/quicpeer/serve_session.go
@@ -150,6 +150,7 @@
 func (s *session) serveHere(ctx context.Context, req *request.Request) answerFrame {
 	response, err := s.server.sessions.Serve(ctx, req)
 	if err != nil {
+		s.answer.Release()
 		return s.refuse(req, request.AsRefusal(err))
 	}
 	return newAnswerFrame(response)
