Suspicions: a node announces as many as its allowance permits

Callers saw, after all VMs had lost power, refusals and cut transactions for ten seconds and more after the processes were back.

Cause: each node that found another one unreachable told up to 32 nodes at once. Calls have connections of their own since the fleets grew, so nearly each announcement opened a connection. Nodes that start together find each other unreachable because the others have not started yet; 17 announcements for each suspicion filled links of 2 Mbit/s with handshakes, whose delay made probes fail, and so on.

Change: an allowance of 32 announcing probes, which refills with 8 a second and is empty at the start of a process. What is left out goes with the regular probes. A single suspicion is announced as before. The existing test of the bound runs the fleet for 5 s first, since a process announces nothing before; it compares with the same number.

--- a/internal/controller/membership/core.go
+++ b/internal/controller/membership/core.go
@@ -103,6 +103,10 @@
 	far          []string
 	farTurn      int
 	observations []Observation
+	// announcements is the number of announcing probes that may be sent, as of the last Tick at
+	// announcementsAt.
+	announcements   float64
+	announcementsAt time.Time
 	// maxVersion is the highest known configuration version.
 	maxVersion uint64
 }
@@ -136,8 +140,14 @@
 	return sends
 }
 
-// maxAnnouncements is the maximum number of probes that announce one event.
-const maxAnnouncements = 32
+const (
+	// maxAnnouncements is the maximum number of probes that announce one event.
+	maxAnnouncements = 32
+	// announcementsPerSecond is how many probes that announce suspicions a node may send a second,
+	// beyond maxAnnouncements at once. Most of them need a new connection, so that more would fill
+	// the links when many nodes fail together.
+	announcementsPerSecond = 8
+)
 
 // SetListed applies a platform list whose read began at readAt. It ignores a list older than
 // the last one.
@@ -189,6 +199,7 @@
 
 // Tick returns the probes due at now.
 func (c *Core) Tick(now time.Time) []OutboundProbe {
+	c.accrueAnnouncements(now)
 	c.resolveSuspects(now)
 	if now.Before(c.nextProbe) || len(c.names) == 0 {
 		return nil
@@ -323,7 +334,9 @@
 // OnUnreachable records that the node called name answered neither this node nor the nodes
 // that this node asked to probe it. The node becomes suspect if it was alive, or loses its
 // hold-down if it was in one. If it was alive, OnUnreachable returns the probes that announce
-// the suspicion at once, because other nodes have to take over what the node served.
+// the suspicion at once, because other nodes have to take over what the node served. A node that finds
+// many others unreachable announces only what its allowance permits: the rest goes out with the regular
+// probes.
 func (c *Core) OnUnreachable(name string, now time.Time) []OutboundProbe {
 	n := c.nodes[name]
 	if n == nil || n.State >= Leaving || n.State != Alive && n.holdUntil.IsZero() {
@@ -339,20 +352,31 @@
 }
 
 // announce returns probes that carry the queued updates to the nodes that appear alive, but
-// to no more than maxAnnouncements.
+// to no more than the allowance permits.
 func (c *Core) announce() []OutboundProbe {
 	var sends []OutboundProbe
 	for _, name := range c.names {
-		if len(sends) == maxAnnouncements {
+		if c.announcements < 1 {
 			break
 		}
 		if n := c.nodes[name]; n.State == Alive && n.failures == 0 {
 			sends = append(sends, c.probe(n, ""))
+			c.announcements--
 		}
 	}
 	return sends
 }
 
+// accrueAnnouncements adds to the allowance what has accrued until now. It is empty at the first call: a
+// node that has just started may find others unreachable only because they start too.
+func (c *Core) accrueAnnouncements(now time.Time) {
+	if !c.announcementsAt.IsZero() {
+		accrued := announcementsPerSecond * now.Sub(c.announcementsAt).Seconds()
+		c.announcements = min(maxAnnouncements, c.announcements+max(0, accrued))
+	}
+	c.announcementsAt = now
+}
+
 func (c *Core) setState(n *node, incarnation uint64, state State, now time.Time) {
 	if state == Suspect && n.State != Suspect {
 		n.suspectAt = now
--- a/internal/controller/membership/core_test.go
+++ b/internal/controller/membership/core_test.go
@@ -249,5 +249,6 @@
 // to a bounded number of nodes.
 func TestSuspicionAnnouncementsAreBounded(t *testing.T) {
 	s := newSimulation(200)
+	s.run(5 * time.Second)
 	must.Len(t, maxAnnouncements, s.cores[s.vms[0].Name].OnUnreachable(s.vms[3].Name, s.now))
 }
