Tables: changes that follow each other closely are collected into fewer calls

Change: the delay after a change doubles with each change that follows closely, up to 0.8 s, and is the former one again after a call that was held for as long or brought nothing. A change on its own is known at once as before, and the table of the configuration has no such delay.

--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -25,6 +25,9 @@
 	// targetsBatchDelay is the same for rows of targets, which change together when a deployment
 	// starts and after an outage of the store.
 	targetsBatchDelay = 100 * time.Millisecond
+	// maxBatchDelay bounds the delay after a change that closely follows others. A call that the store
+	// held for as long ends such a series.
+	maxBatchDelay = 800 * time.Millisecond
 	// tableReadTimeout bounds the read of a whole table.
 	tableReadTimeout = 2 * time.Second
 	// backoffMin and backoffMax bound the delay after a failed call, before jitter.
@@ -36,7 +39,7 @@
 	standInBackoffMax = 6 * time.Second
 )
 
-// batchDelays maps each table to the delay after a change of it.
+// batchDelays maps each table to the delay after a change of it, if no other one came closely before.
 var batchDelays = map[string]time.Duration{
 	platform.TableTargets: targetsBatchDelay,
 	platform.TableNodes:   nodesBatchDelay,
@@ -51,6 +54,8 @@
 	needsRead bool
 	// backoff is the last delay after a failed call, before jitter; 0 if the feed has answered since.
 	backoff time.Duration
+	// batchDelay is the last delay after a change; 0 if the last call brought none.
+	batchDelay time.Duration
 }
 
 // followTable keeps one table up to date until ctx ends, while this node has to follow it itself.
@@ -80,7 +85,7 @@
 	if reading {
 		err = r.readTable(ctx, f.name, t)
 	} else {
-		err = r.followChanges(call, f.name, t)
+		err = f.followChanges(call)
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -94,6 +99,29 @@
 	}
 }
 
+// followChanges makes one call of the feed. After changes it waits, so that the next call may get several.
+func (f *follower) followChanges(ctx context.Context) error {
+	clock := f.runner.o.Clock
+	calledAt := clock.Now()
+	count, err := f.runner.followChanges(ctx, f.name, f.table)
+	if err != nil || count == 0 {
+		f.batchDelay = 0
+		return err
+	}
+	f.batchDelay = nextBatchDelay(batchDelays[f.name], f.batchDelay, clock.Now().Sub(calledAt))
+	return clock.Sleep(ctx, f.batchDelay)
+}
+
+// nextBatchDelay returns the delay after a change for which the store held the call for the time held. It is
+// first for a change on its own, and up to maxBatchDelay, growing from the last delay, for each that follows
+// closely.
+func nextBatchDelay(first, last, held time.Duration) time.Duration {
+	if held >= maxBatchDelay {
+		return first
+	}
+	return min(max(first, 2*last), max(first, maxBatchDelay))
+}
+
 // finish prepares the call after one that ended with err, and waits if that failed. Only a call of the feed
 // that was answered resets the backoff; a read does not. The reason is a store that has lost its history
 // of changes: its reads may succeed but keep returning a table that is too old for the feed to continue
@@ -262,7 +290,8 @@
 		"known_era", known.Era, "known_version", known.Version)
 }
 
-func (r *Runner) followChanges(ctx context.Context, name string, t *table) error {
+// followChanges makes one call of the feed and returns the number of changes.
+func (r *Runner) followChanges(ctx context.Context, name string, t *table) (int, error) {
 	after := r.followed(t)
 	wait, slack := r.holdTimes(name, t)
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
@@ -270,18 +299,15 @@
 	r.Counters.Add("feed_calls", 1)
 	changes, revision, err := r.o.Feed.Follow(ctx, name, after, wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.ObserveEra(revision.Era, sourceStore)
 	if revision.Era != after.Era {
-		return platform.ErrHistoryExpired.New("table %s: followed in era %d, the store is in era %d", name, after.Era, revision.Era)
+		return 0, platform.ErrHistoryExpired.New("table %s: followed in era %d, the store is in era %d", name, after.Era, revision.Era)
 	}
 	now := r.o.Clock.Now()
 	r.confirm(name, now)
 	r.noteAnswered(t, wait, len(changes))
 	r.updateTable(name, t, sourceStore, now, func() bool { return t.apply(changes, revision) })
-	if len(changes) == 0 {
-		return nil
-	}
-	return r.o.Clock.Sleep(ctx, batchDelays[name])
+	return len(changes), nil
 }
