Test of a reset behind an answer: its forwarder delivers in order

TestResetOvertakesAnAnswer failed once (EOF instead of the answer, load average 35, front's tests with eight processors).

--- a/internal/front/linger_test.go
+++ b/internal/front/linger_test.go
@@ -148,15 +148,29 @@
 	return f.listener.Addr().String()
 }
 
-// forwardDelayed passes on what server sends until it ends. It reports false upon a reset.
+// delivery is something that reaches the caller at a time.
+type delivery struct {
+	at      time.Time
+	deliver func()
+}
+
+// forwardDelayed passes on what server sends until it ends, in order. It reports false upon a reset.
 func forwardDelayed(caller, server net.Conn) bool {
+	deliveries := make(chan delivery, 64)
+	defer close(deliveries)
+	go func() {
+		for d := range deliveries {
+			time.Sleep(time.Until(d.at))
+			d.deliver()
+		}
+	}()
 	buffer := make([]byte, 4<<10)
 	for {
 		n, err := server.Read(buffer)
 		part := string(buffer[:n])
-		time.AfterFunc(forwardDelay, func() { _, _ = io.WriteString(caller, part) })
+		deliveries <- delivery{time.Now().Add(forwardDelay), func() { _, _ = io.WriteString(caller, part) }}
 		if errors.Is(err, io.EOF) {
-			time.AfterFunc(2*forwardDelay, func() { _ = caller.(*net.TCPConn).CloseWrite() })
+			deliveries <- delivery{time.Now().Add(2 * forwardDelay), func() { _ = caller.(*net.TCPConn).CloseWrite() }}
 			return true
 		}
 		if err != nil {
