Pool: a refused login is repeated after its customer's backoff

A pool that keeps connections ready (MinIdle) dialed without a pause while the target refused its login: since such a refusal ends the pool's own backoff, and the attempts that refill the pool did not look at the customer's.

An attempt now begins when both backoffs are over.

--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -40,10 +40,18 @@
 		}
 		p.opening++
 		p.openingFor[customer]++
-		go p.openConn(customer, p.backoff.retryAt, evicted)
+		go p.openConn(customer, p.nextDialAt(customer), evicted)
 	}
 }
 
+// nextDialAt returns when the next attempt to open a connection for customer is due. p.mu is held.
+func (p *Pool) nextDialAt(customer string) time.Time {
+	if r := p.refused[customer]; r != nil && r.retryAt.After(p.backoff.retryAt) {
+		return r.retryAt
+	}
+	return p.backoff.retryAt
+}
+
 // evict removes from the pool the longest-idle connection of another customer, for the caller
 // to close before it opens a new one. It returns nil if there is none. It also returns nil if the
 // pool exceeds its limit, since closing one connection would then not make room for a new one.
--- a/internal/owner/pool/refused_test.go
+++ b/internal/owner/pool/refused_test.go
@@ -88,3 +88,18 @@
 		must.Zero(t, s.count())
 	})
 }
+
+// TestRefusedLoginIsRepeatedWithoutPause guards against a pool that keeps connections ready and whose login the target
+// refuses: it would dial again at once, for good.
+func TestRefusedLoginIsRepeatedWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &refusingServer{}
+		p := New(Options{Dial: s.dial, Clock: clock.Wall{}, Limit: 4, MinIdle: 2})
+		defer p.Close()
+		_, _, _ = timedGet(p, "")
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		must.LessEq(t, 30, s.attempts)
+	})
+}
