Owner: a refused login of one customer does not count against the target; answer_bytes is shown

A login that the target refuses for its customer raised the target's error share, so that requests of others avoided it.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -104,6 +104,7 @@
 	all.Set("refused", &s.Refused)
 	all.Set("large_reads", expvar.Func(func() any { return len(s.largeReads) }))
 	all.Set("serving_bytes", expvar.Func(func() any { return s.servingBudget.Held() }))
+	all.Set("answer_bytes", expvar.Func(func() any { return s.answerBudget.Held() }))
 	all.Set("state_bytes", expvar.Func(func() any { return s.stateBudget.Held() }))
 	return all
 }
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -209,15 +209,18 @@
 }
 
 // refuseNoConnection returns the refusal for an attempt without a connection. Unless ctx has
-// ended, it counts the failure against the target and marks the refusal as retryable, since
-// nothing was sent; the next attempt prefers another target if one will do.
+// ended, it counts the failure against the target, unless it concerns the customer only, and marks
+// the refusal as retryable, since nothing was sent; the next attempt prefers another target if one
+// will do.
 func (g *group) refuseNoConnection(ctx context.Context, r *execution, err error) *request.Refusal {
 	if ctx.Err() != nil {
 		return request.Refuse(request.CodeTimeout, "connect", r.member.name, "no connection in time").WithCause(err)
 	}
-	g.mu.Lock()
-	r.member.recordExchange(true, logpos.Position{})
-	g.mu.Unlock()
+	if !target.ErrLoginRefused.Has(err) {
+		g.mu.Lock()
+		r.member.recordExchange(true, logpos.Position{})
+		g.mu.Unlock()
+	}
 	return markRetryable(request.Refuse(request.CodeNoTarget, "connect", r.member.name, "no connection: %v", err))
 }
 
