Quota: coordinators are large nodes

Callers saw: after a power loss of all nodes, refusals as over the rate for 2 to 3 s by customers within their rate.

Cause: coordinators were chosen among all nodes. After a restart of all, each node connects to each of the eight coordinators at once and proves its key; a report that is not answered in 150 ms closes its connection, and the next one opens another. That these connections fill the 10 Mbit/s of a small node's link is inferred, not measured.

Change: where capacities differ, coordinators are chosen among the nodes with at least half of the largest capacity (ownership.LargeNodes), as owners of groups are. Nothing changes where all nodes are equal.

--- a/internal/ownership/assign.go
+++ b/internal/ownership/assign.go
@@ -41,7 +41,7 @@
 		}
 		return owners
 	}
-	isLarge := func(n Node) bool { return float64(n.Capacity) >= minCapacityShare*float64(largest) }
+	isLarge := isLargeOf(largest)
 	limit := groupLimit(len(groups), countNodes(live, isLarge))
 	load := make(map[string]int)
 	for _, g := range sortedByName(groups) {
@@ -55,6 +55,26 @@
 	return owners
 }
 
+// LargeNodes returns those of nodes that have at least half of the largest node's capacity: all of them where
+// capacities are equal. A task that all nodes call on belongs there, since a small node may lack not only
+// processor time but also the bandwidth for it.
+func LargeNodes(nodes []Node) []Node {
+	_, largest := capacityRange(nodes)
+	isLarge := isLargeOf(largest)
+	large := make([]Node, 0, len(nodes))
+	for _, n := range nodes {
+		if isLarge(n) {
+			large = append(large, n)
+		}
+	}
+	return large
+}
+
+// isLargeOf returns a predicate for nodes with at least minCapacityShare of the capacity largest.
+func isLargeOf(largest int) func(Node) bool {
+	return func(n Node) bool { return float64(n.Capacity) >= minCapacityShare*float64(largest) }
+}
+
 // leastLoaded returns the best large node for g that has fewer than limit groups, or "".
 func leastLoaded(g Group, isLarge func(Node) bool, load map[string]int, limit int) string {
 	free := make([]Node, 0, len(g.Nodes))
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -153,8 +153,11 @@
 }
 
 // start starts a node; its address is its name.
-func (f *testFleet) start(name string) *node {
-	vm := platform.VM{Name: name, Address: name, Domain: "d" + name[len(name)-1:], State: platform.VMLive}
+func (f *testFleet) start(name string) *node { return f.startWith(name, 0) }
+
+// startWith is start for a node with the given capacity.
+func (f *testFleet) startWith(name string, capacity int) *node {
+	vm := platform.VM{Name: name, Address: name, Domain: "d" + name[len(name)-1:], State: platform.VMLive, Capacity: capacity}
 	f.platform.set(func() { f.platform.vms[name] = vm })
 	n := &node{name: name, network: f.network}
 	n.membership = membership.New(membership.Options{
--- a/internal/run/quota/partition.go
+++ b/internal/run/quota/partition.go
@@ -94,7 +94,8 @@
 // shareholders. Partitions keep their times and messages in flight if their number is the same.
 func (r *Runner) assignPartitions(view *membership.View, now time.Time) {
 	listed := view.Listed()
-	live := ownershipNodes(view.Live())
+	// All nodes report to the coordinators, and connect to them at once when all have restarted.
+	candidates := ownership.LargeNodes(ownershipNodes(view.Live()))
 	count := quota.Partitions(len(listed))
 	if count != len(r.partitions) {
 		r.partitions = newPartitions(count)
@@ -102,7 +103,7 @@
 	for i, p := range r.partitions {
 		key := partitionKey(i, count)
 		p.customers = p.customers[:0]
-		p.coordinator = ownership.Owner("quota/"+key, "", live)
+		p.coordinator = ownership.Owner("quota/"+key, "", candidates)
 		p.share = quota.ShareOf(r.o.Self, quota.Shareholders(key, listed), len(listed))
 	}
 	for _, s := range *r.customers.Load() {
@@ -145,7 +146,7 @@
 func ownershipNodes(members []membership.Member) []ownership.Node {
 	nodes := make([]ownership.Node, 0, len(members))
 	for _, m := range members {
-		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain})
+		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain, Capacity: m.Capacity})
 	}
 	return nodes
 }
