--- a/internal/owner/former_test.go
+++ b/internal/owner/former_test.go
@@ -61,6 +61,7 @@
 		must.Eq(t, 0, h.fillConnections(second))
 		h.manager.SetOwned("ledger", false)
 		second.SetOwned("ledger", false)
+		time.Sleep(formerOwnerGrace + sweepInterval)
 		third := next("n3")
 		must.Eq(t, 0, h.fillConnections(third))
 		must.Positive(t, h.group.targets[0].open)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -40,9 +40,10 @@
 	lastUsed         time.Time
 	sweptAt          time.Time
 	// exclusive is true while no other owner can exist (see Manager.SetExclusive), owned while this node
-	// owns the group.
+	// owns the group. lostAt is when it last lost the group, zero if never.
 	exclusive bool
 	owned     bool
+	lostAt    time.Time
 	// releasing is set while the group refuses new work because it is handed over or closed, closing once
 	// its connections are closed.
 	releasing bool
@@ -176,15 +177,14 @@
 	deliver(m.schedule.Resize(g.now(), slots, maxOpenTransactions(limit, slots)))
 }
 
-// limits returns how many of t's slots and data connections this node may use. A node that does not own the
-// group serves it for nodes that do not know the owner yet; it gets a connection for each slot, since there may be
-// several such nodes, and the owner needs its connections at once.
+// limits returns how many of t's slots and data connections this node may use. A former owner gets a connection
+// for each slot, since there may be several, and the next owner needs its connections at once.
 func (g *group) limits(t *fleet.Target) (slots, connections int) {
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
 	connections = dataConnectionLimit(t.Connections, g.exclusive)
-	if !g.owned {
+	if g.isFormerOwner(g.now()) {
 		connections = min(connections, max(2, t.Slots))
 	}
 	return t.Slots, connections
@@ -219,10 +219,22 @@
 func (g *group) setOwned(owned bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.owned && !owned {
+		g.lostAt = g.now()
+	}
 	g.owned = owned
 	g.resizeAll()
 }
 
+// formerOwnerGrace is how long a node that has lost a group keeps its connections, since most requests still come
+// to it.
+const formerOwnerGrace = 500 * time.Millisecond
+
+// isFormerOwner reports whether this node has lost the group for long enough to give up its connections.
+func (g *group) isFormerOwner(now time.Time) bool {
+	return !g.owned && !g.lostAt.IsZero() && now.Sub(g.lostAt) >= formerOwnerGrace
+}
+
 // resizeAll applies changed limits to all members. g.mu is held.
 func (g *group) resizeAll() {
 	for _, m := range g.members {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -264,6 +264,9 @@
 	}
 	g.sweptAt = now
 	g.refresh()
+	if g.isFormerOwner(now) {
+		g.resizeAll()
+	}
 	expired := g.expiredTransactions(now)
 	unused := g.activeRequests == 0 && len(g.transactions) == 0 && now.Sub(g.lastUsed) > g.options.Times.IdleGroup
 	g.mu.Unlock()
