--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,9 @@
 	// SyncReplicas is the number of replicas that must have received a commit before the primary
 	// acknowledges it; 0 if replication is asynchronous.
 	SyncReplicas int
+	// ColdStart and ColdRate are those of fleet.Group.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Target is one entry of the platform's list of targets.
@@ -93,7 +96,13 @@
 		Groups:    make([]fleet.Group, 0, len(c.Groups)),
 	}
 	for _, g := range c.Groups {
-		config.Groups = append(config.Groups, fleet.Group{Name: g.Name, SyncReplicas: g.SyncReplicas, Targets: groupTargets(g, targets)})
+		config.Groups = append(config.Groups, fleet.Group{
+			Name:         g.Name,
+			SyncReplicas: g.SyncReplicas,
+			ColdStart:    fleet.Duration(g.ColdStart),
+			ColdRate:     g.ColdRate,
+			Targets:      groupTargets(g, targets),
+		})
 	}
 	return config
 }
--- a/internal/fleet/diff.go
+++ b/internal/fleet/diff.go
@@ -143,6 +143,8 @@
 		{name: "confirm", value: string(p.Confirm)},
 		{name: "retry_budget", value: fmt.Sprint(p.RetryBudget)},
 		{name: "timeout", value: p.Timeout.Std().String()},
+		{name: "priority", value: fmt.Sprint(p.Priority)},
+		{name: "objective", value: p.Objective.Std().String()},
 	}}
 }
 
@@ -151,6 +153,8 @@
 		{name: "rate", value: fmt.Sprint(c.Rate)},
 		{name: "burst", value: fmt.Sprint(c.Burst)},
 		{name: "weight", value: fmt.Sprint(c.Weight)},
+		{name: "priority", value: fmt.Sprint(c.Priority)},
+		{name: "home_regions", value: strings.Join(c.HomeRegions, ",")},
 	}}}
 	for _, key := range c.Keys {
 		objects = append(objects, object{"key " + c.Name + "/" + key.ID, []field{
@@ -166,11 +170,15 @@
 		{name: "profile", value: s.Profile},
 		{name: "customers", value: strings.Join(s.Customers, ",")},
 		{name: "open", value: fmt.Sprint(s.Open)},
+		{name: "home_regions", value: strings.Join(s.HomeRegions, ",")},
 	}}
 }
 
 func describeGroup(g *Group) []object {
-	objects := []object{{name: "group " + g.Name}}
+	objects := []object{{"group " + g.Name, []field{
+		{name: "cold_start", value: g.ColdStart.Std().String()},
+		{name: "cold_rate", value: fmt.Sprint(g.ColdRate)},
+	}}}
 	for _, t := range g.Targets {
 		objects = append(objects, object{"target " + g.Name + "/" + t.Name, []field{
 			{name: "address", value: t.Address},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,11 @@
 	// Timeout limits the duration of one request, counted from its arrival at the node that
 	// the caller is connected to.
 	Timeout Duration `toml:"timeout" json:"timeout"`
+	// Priority orders requests that compete for the same room, 0 first. It has an effect only where the
+	// node's settings enable priorities.
+	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+	// Objective is the time within which a caller's operation should be answered; 0 if not stated.
+	Objective Duration `toml:"objective,omitempty" json:"objective,omitempty"`
 }
 
 // Customer is a tenant of the fleet, with its quota and its keys.
@@ -77,8 +82,12 @@
 	Burst float64 `toml:"burst" json:"burst"`
 	// Weight is the customer's share of a contended target relative to other customers. It
 	// is at least 1.
-	Weight int   `toml:"weight" json:"weight"`
-	Keys   []Key `toml:"key" json:"keys"`
+	Weight int `toml:"weight" json:"weight"`
+	// Priority orders the customer's requests among those of profiles with the same Priority, 0 first.
+	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+	// HomeRegions are the regions that the customer's requests may be sent to; empty means any.
+	HomeRegions []string `toml:"home_regions,omitempty" json:"home_regions,omitempty"`
+	Keys        []Key    `toml:"key" json:"keys"`
 	// Unservable is true for a customer that no target can be told of, because its name can't be sent.
 	// Only the platform's configuration has such names.
 	Unservable bool `toml:"-" json:"unservable,omitempty"`
@@ -106,6 +115,9 @@
 	Open bool `toml:"open" json:"open"`
 	// AllCustomers lets every customer use the service.
 	AllCustomers bool `toml:"-" json:"all_customers,omitempty"`
+	// HomeRegions are the regions that the service's requests may be sent to; empty means any. Those of
+	// the customer bind as well.
+	HomeRegions []string `toml:"home_regions,omitempty" json:"home_regions,omitempty"`
 	// OpenToAll lets every caller use the service, with or without a key, for anything.
 	OpenToAll bool `toml:"-" json:"open_to_all,omitempty"`
 	// Unservable is true for a service whose group's name can't be sent to targets. Only the platform's
@@ -120,6 +132,10 @@
 	// SyncReplicas is the number of replicas that must have received a commit before the primary
 	// acknowledges it; 0 if replication is asynchronous. Only the platform's configuration states it.
 	SyncReplicas int `toml:"-" json:"sync_replicas,omitempty"`
+	// ColdStart is how long a target is cold after its start, and ColdRate the number of requests per second
+	// that a cold one takes, fleet-wide. Either is 0 if the group's targets are never cold.
+	ColdStart Duration `toml:"cold_start,omitempty" json:"cold_start,omitempty"`
+	ColdRate  float64  `toml:"cold_rate,omitempty" json:"cold_rate,omitempty"`
 }
 
 // Target is a database server of a group.
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -93,6 +93,9 @@
 	v.require(p.ReplicaWait >= 0, prefix+"replica_wait", "must not be negative")
 	v.require(p.ReplicaWait <= p.Timeout, prefix+"replica_wait", "is longer than the timeout")
 	v.require(p.RetryBudget >= 0 && p.RetryBudget <= 1, prefix+"retry_budget", "must be from 0 to 1")
+	v.require(p.Priority >= 0, prefix+"priority", "must not be negative")
+	v.require(p.Objective >= 0, prefix+"objective", "must not be negative")
+	v.require(p.Objective <= p.Timeout, prefix+"objective", "is longer than the timeout")
 }
 
 func (v *validator) checkCustomers() {
@@ -105,10 +108,19 @@
 		v.require(isPositiveFinite(customer.Rate), prefix+"rate", "must be above zero")
 		v.require(isPositiveFinite(customer.Burst) && customer.Burst >= 1, prefix+"burst", "must be at least 1")
 		v.require(customer.Weight >= 1, prefix+"weight", "must be at least 1")
+		v.require(customer.Priority >= 0, prefix+"priority", "must not be negative")
+		v.checkRegions(prefix, customer.HomeRegions)
 		v.checkKeys(prefix, customer.Keys, hashes)
 	}
 }
 
+// checkRegions checks the names of home regions.
+func (v *validator) checkRegions(prefix string, regions []string) {
+	for i, region := range regions {
+		v.require(ValidName(region), fmt.Sprintf("%shome_regions[%d]", prefix, i), "%q is not a valid name", region)
+	}
+}
+
 func isPositiveFinite(x float64) bool { return x > 0 && !math.IsInf(x, 0) }
 
 // checkKeys checks the keys of one customer. The text of an issue never contains a hash.
@@ -132,6 +144,8 @@
 		groupKey := fmt.Sprintf("group[%d]", i)
 		group := &v.config.Groups[i]
 		v.checkName(groupKey+".name", group.Name, names)
+		v.require(group.ColdStart >= 0, groupKey+".cold_start", "must not be negative")
+		v.require(group.ColdRate >= 0 && !math.IsInf(group.ColdRate, 0), groupKey+".cold_rate", "must not be negative")
 		remaining := 0
 		for j := range group.Targets {
 			target := &group.Targets[j]
@@ -162,6 +176,7 @@
 		service := &v.config.Services[i]
 		v.checkName(prefix+"name", service.Name, names)
 		v.require(v.config.Group(service.Group) != nil, prefix+"group", "there is no group %q", service.Group)
+		v.checkRegions(prefix, service.HomeRegions)
 		v.require(v.config.Profile(service.Profile) != nil, prefix+"profile", "there is no profile %q", service.Profile)
 		v.require(service.Open || len(service.Customers) > 0, prefix+"customers", "names no customer, and the service is not open")
 		for j, name := range service.Customers {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -76,6 +76,9 @@
 	// statements for the session's next exchange. It is not charged. The second of two such exchanges in a row
 	// is not marked as a preparation, and so is charged.
 	PrepareOnly bool `cbor:"14,keyasint,omitempty"`
+	// Priority orders requests that compete for the same room, the lowest first. It is 0 for all requests where
+	// the entry node's settings do not enable priorities.
+	Priority int `cbor:"15,keyasint,omitempty"`
 }
 
 // Response is the complete answer to one Request.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -49,6 +49,8 @@
 	requireNotNegative(doc, "delay.domains", s.Delay.Domains)
 	requireNotNegative(doc, "delay.callers", s.Delay.Callers)
 	validatePolicy(doc, &s.Policy)
+	validatePlaces(doc, &s.Places)
+	validateCold(doc, &s.Cold)
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
@@ -149,6 +151,20 @@
 	file.Close()
 }
 
+func validatePlaces(doc *tomlfile.Document, p *Places) {
+	for domain, region := range p.Regions {
+		requireName(doc, "places.regions", domain)
+		requireName(doc, "places.regions", region)
+	}
+	requireNotNegative(doc, "places.evacuation_bound", p.EvacuationBound)
+}
+
+func validateCold(doc *tomlfile.Document, c *Cold) {
+	if c.Over < 0 || c.Slack < 0 {
+		doc.Add("cold", "over and slack must not be negative")
+	}
+}
+
 func validatePolicy(doc *tomlfile.Document, p *Policy) {
 	if p.Scheduling != "" && p.Scheduling != "fair" && p.Scheduling != "fifo" {
 		doc.Add("policy.scheduling", "must be fair or fifo")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,8 @@
 	Ops      Ops      `toml:"ops"`
 	Delay    Delay    `toml:"delay"`
 	Policy   Policy   `toml:"policy"`
+	Places   Places   `toml:"places"`
+	Cold     Cold     `toml:"cold"`
 }
 
 // Node identifies the node.
@@ -84,12 +86,31 @@
 	Callers fleet.Duration `toml:"callers"`
 }
 
+// Places tells where failure domains are.
+type Places struct {
+	// Regions holds the region of each failure domain, by the domain's name. Without it all of them are in one.
+	Regions map[string]string `toml:"regions"`
+	// EvacuationBound is how long after an evacuation was accepted requests may still reach the failure
+	// domain; 0 if failure domains are never evacuated.
+	EvacuationBound fleet.Duration `toml:"evacuation_bound"`
+}
+
+// Cold bounds what targets get that have just started. Both are 0 if such targets are treated as all others.
+type Cold struct {
+	// Over is the factor of a group's cold rate, and Slack the number of requests beyond it, that a cold target
+	// may get in any second.
+	Over  float64 `toml:"over"`
+	Slack float64 `toml:"slack"`
+}
+
 // Policy replaces default algorithms by simpler baselines, for comparison in experiments.
 type Policy struct {
 	// Scheduling is "fair" (default) or "fifo".
 	Scheduling string `toml:"scheduling"`
 	// Reads is "replicas" (default) or "primary-only".
 	Reads string `toml:"reads"`
+	// Priorities orders requests by the priorities of profiles and customers wherever they wait or are refused.
+	Priorities bool `toml:"priorities"`
 	// Split, if not 0, is the number of nodes that each use every target with an equal part
 	// of its slots and connections. With 0 (default), one owner per group uses its targets.
 	Split int `toml:"split"`
