Urgency: requests carry an order, and new work of a target is scheduled, admitted and shed by it

Cause: priorities of profiles and customers were decoded, and nothing acted on them: urgent statements waited behind a crowd of bulk reads, each with its own customer's share.

--- a/internal/cli/edit.go
+++ b/internal/cli/edit.go
@@ -64,17 +64,17 @@
 }
 
 func (l profileList) writeTable(w io.Writer) {
-	fmt.Fprintln(w, "PROFILE\tREADS\tMAX AGE\tREPLICA WAIT\tCONFIRM\tRETRY BUDGET\tTIMEOUT")
+	fmt.Fprintln(w, "PROFILE\tREADS\tMAX AGE\tREPLICA WAIT\tCONFIRM\tRETRY BUDGET\tTIMEOUT\tPRIORITY\tOBJECTIVE")
 	for _, p := range l.Profiles {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%s\n", p.Name, p.Reads, p.MaxAge.Std(),
-			p.ReplicaWait.Std(), p.Confirm, p.RetryBudget, p.Timeout.Std())
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%s\t%d\t%s\n", p.Name, p.Reads, p.MaxAge.Std(),
+			p.ReplicaWait.Std(), p.Confirm, p.RetryBudget, p.Timeout.Std(), p.Priority, p.Objective.Std())
 	}
 }
 
 func (a *app) profileSetCommand() *cobra.Command {
 	var wait time.Duration
 	var flagValues fleet.Profile
-	var maxAge, replicaWait, timeout time.Duration
+	var maxAge, replicaWait, timeout, objective time.Duration
 	cmd := &cobra.Command{
 		Use:   "set NAME",
 		Short: "Change or add a profile; flags not given keep the value, or in a new profile the default",
@@ -84,6 +84,7 @@
 			flagValues.MaxAge = fleet.Duration(maxAge)
 			flagValues.ReplicaWait = fleet.Duration(replicaWait)
 			flagValues.Timeout = fleet.Duration(timeout)
+			flagValues.Objective = fleet.Duration(objective)
 			return a.editConfig(cmd.Context(), wait, func(c *fleet.Config) error {
 				setProfile(c, flagValues, cmd.Flags().Changed)
 				return nil
@@ -97,6 +98,8 @@
 	flags.StringVar((*string)(&flagValues.Confirm), "confirm", "", "term or majority")
 	flags.Float64Var(&flagValues.RetryBudget, "retry-budget", 0, "share of recent requests that may be retried")
 	flags.DurationVar(&timeout, "timeout", 0, "bound of a request")
+	flags.IntVar(&flagValues.Priority, "priority", 0, "order among requests that compete for room, 0 first")
+	flags.DurationVar(&objective, "objective", 0, "time within which an operation should be answered, at most the timeout")
 	addWaitFlag(cmd, &wait)
 	return cmd
 }
@@ -113,6 +116,8 @@
 	setIfGiven(isGiven("confirm"), &p.Confirm, flagValues.Confirm)
 	setIfGiven(isGiven("retry-budget"), &p.RetryBudget, flagValues.RetryBudget)
 	setIfGiven(isGiven("timeout"), &p.Timeout, flagValues.Timeout)
+	setIfGiven(isGiven("priority"), &p.Priority, flagValues.Priority)
+	setIfGiven(isGiven("objective"), &p.Objective, flagValues.Objective)
 }
 
 // setIfGiven sets a field if its flag was given.
@@ -135,9 +140,9 @@
 }
 
 func (l customerList) writeTable(w io.Writer) {
-	fmt.Fprintln(w, "CUSTOMER\tRATE/S\tBURST\tWEIGHT\tKEYS")
+	fmt.Fprintln(w, "CUSTOMER\tRATE/S\tBURST\tWEIGHT\tPRIORITY\tKEYS")
 	for _, c := range l.Customers {
-		fmt.Fprintf(w, "%s\t%g\t%g\t%d\t%d\n", c.Name, c.Rate, c.Burst, c.Weight, len(c.Keys))
+		fmt.Fprintf(w, "%s\t%g\t%g\t%d\t%d\t%d\n", c.Name, c.Rate, c.Burst, c.Weight, c.Priority, len(c.Keys))
 	}
 }
 
@@ -160,6 +165,7 @@
 	flags.Float64Var(&flagValues.Rate, "rate", 0, "requests per second, fleet-wide")
 	flags.Float64Var(&flagValues.Burst, "burst", 0, "requests that may exceed the rate at once, fleet-wide")
 	flags.IntVar(&flagValues.Weight, "weight", fleet.DefaultWeight, "share of a contended target")
+	flags.IntVar(&flagValues.Priority, "priority", 0, "order among requests of profiles with equal priority, 0 first")
 	addWaitFlag(cmd, &wait)
 	return cmd
 }
@@ -173,4 +179,5 @@
 	setIfGiven(isGiven("rate"), &customer.Rate, flagValues.Rate)
 	setIfGiven(isGiven("burst"), &customer.Burst, flagValues.Burst)
 	setIfGiven(isGiven("weight"), &customer.Weight, flagValues.Weight)
+	setIfGiven(isGiven("priority"), &customer.Priority, flagValues.Priority)
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -353,10 +353,7 @@
 	if err != nil {
 		return nil, request.Refuse(request.CodeProtocol, step, "", "encode").WithCause(err)
 	}
-	weight := 1
-	if c := config.Customer(s.customer); c != nil {
-		weight = max(1, c.Weight)
-	}
+	weight, priority := s.server.standing(&profile, config.Customer(s.customer))
 	s.state.sequence++
 	return &request.Request{
 		ID:            request.ID{Session: s.id, Sequence: s.state.sequence},
@@ -366,6 +363,7 @@
 		Kind:          kind,
 		Profile:       profile,
 		Weight:        weight,
+		Priority:      priority,
 		Deadline:      s.server.latestAnswer(s.server.options.Clock.Now().Add(timeoutOf(&profile))),
 		Messages:      messages,
 		ConfigVersion: config.Version,
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -50,6 +50,8 @@
 	// MaxConnections bounds the number of callers' connections. Connections above it are closed
 	// without an answer.
 	MaxConnections int
+	// Priorities orders requests by the priorities of their profiles and customers.
+	Priorities bool
 }
 
 // Server accepts callers' connections and runs their sessions. Its methods are safe for
--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -49,6 +49,7 @@
 		TLS:              config,
 		Plaintext:        s.Plaintext,
 		MaxConnections:   s.MaxConnections,
+		Priorities:       n.settings.Policy.Priorities,
 		MaxExchangeBytes: s.MaxMessage,
 		ForwardCancel:    n.forwardCancel,
 	})
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -288,6 +288,7 @@
 		NewCodec:       h.NewCodec,
 		Rollback:       h.Rollback,
 		MaxConnections: n.settings.Callers.MaxConnections,
+		Priorities:     n.settings.Policy.Priorities,
 	})
 }
 
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -103,7 +103,9 @@
 	// Split is 0 where groups have owners. In the baseline without owners it is the number
 	// of nodes among which each target's slots and connections are divided evenly.
 	Split int
-	Times Times
+	// Priorities orders requests by their Priority wherever they wait for a slot or a connection or are refused.
+	Priorities bool
+	Times      Times
 	// Database returns the name of the database to connect to in a group's targets. nil
 	// means the group's own name.
 	Database func(group string) string
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -63,6 +63,7 @@
 	m.schedule = schedule.New(schedule.Options{
 		Policy:              g.options.Scheduling,
 		Slots:               slots,
+		Priorities:          g.options.Priorities,
 		MaxOpenTransactions: maxOpenTransactions(limit, slots),
 	})
 	m.perCustomer = commands.PerCustomer
@@ -156,7 +157,7 @@
 		Last:         m.readablePosition,
 		Age:          now.Sub(m.coveredAt),
 		AgeKnown:     m.coveredKnown,
-		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight),
+		ExpectedWait: m.schedule.ExpectedWait(now, req.Customer, req.Weight, req.Priority),
 		ErrorShare:   m.errorShare,
 	}
 }
@@ -182,6 +183,7 @@
 	w.item = schedule.Item{
 		Customer: req.Customer,
 		Weight:   req.Weight,
+		Priority: req.Priority,
 		Class:    class,
 		Deadline: deadline,
 		Value:    w,
--- a/internal/owner/schedule/admit.go
+++ b/internal/owner/schedule/admit.go
@@ -7,21 +7,54 @@
 )
 
 // ExpectedWait estimates how long a new statement of customer would wait for a slot. It divides
-// the number of the customer's waiting statements, including the new one, by the customer's
-// share of the slots, and multiplies the result by the mean slot time. The share is by weight
-// among the customers with waiting work.
-func (s *Scheduler) ExpectedWait(customer string, weight int) time.Duration {
+// the number of the customer's waiting statements of this priority, including the new one, by the
+// customer's share of the slots, and multiplies the result by the mean slot time. The share is by
+// weight among the customers with waiting work of this priority. More urgent work goes ahead: what
+// waits of it is added, and the share of the slots that it used lately is taken off.
+func (s *Scheduler) ExpectedWait(now time.Time, customer string, weight, priority int) time.Duration {
 	if s.inFlight < s.options.Slots && s.queuedNew == 0 {
 		return 0
 	}
-	weight = max(1, weight)
+	l := s.levelOf(priority)
+	own := l.flows[s.flowKey(customer)]
 	ahead := 1
-	total := weight
-	own := s.flows[s.flowKey(customer)]
 	if own != nil {
 		ahead += own.queued
 	}
-	for _, f := range s.activeFlows {
+	return s.waitBehind(l, s.aheadOf(now, l), own, ahead, weight)
+}
+
+// ahead is what goes ahead of a level.
+type ahead struct {
+	// time is the slot time of what waits, and share the share of the slots that it uses.
+	time  time.Duration
+	share float64
+}
+
+// aheadOf returns what goes ahead of l: more urgent levels and open transactions.
+func (s *Scheduler) aheadOf(now time.Time, l *level) ahead {
+	if !s.options.Priorities {
+		return ahead{}
+	}
+	var a ahead
+	used := s.transactionUse.decayed(now)
+	for _, other := range s.levels {
+		if other == l {
+			break
+		}
+		a.time += time.Duration(other.queued) * other.meanSlotTime
+		used += other.use.decayed(now)
+	}
+	a.share = min(maxAheadShare, used/(useWindow.Seconds()*float64(max(1, s.options.Slots))))
+	return a
+}
+
+// waitBehind returns the expected wait of the item of flow own (nil if it has none yet) that is at the given
+// position among the flow's waiting items, counted from 1.
+func (s *Scheduler) waitBehind(l *level, a ahead, own *flow, position, weight int) time.Duration {
+	weight = max(1, weight)
+	total := weight
+	for _, f := range l.activeFlows {
 		if f != own {
 			total += f.weight
 		}
@@ -29,8 +62,19 @@
 	if s.options.Policy == FIFO {
 		total = weight
 	}
-	rounds := float64(ahead) * float64(total) / float64(weight*max(1, s.options.Slots))
-	return time.Duration(rounds * float64(s.meanSlotTime))
+	slots := max(1, s.options.Slots)
+	rounds := float64(position) * float64(total) / float64(weight*slots)
+	wait := rounds * float64(s.slotTime(l))
+	if s.options.Priorities {
+		wait = (wait + float64(a.time)/float64(slots)) / (1 - a.share)
+	}
+	return time.Duration(wait)
+}
+
+// isGrantedAtOnce reports whether an item of new work gets a slot as it arrives: one is free, and
+// no waiting item may use it.
+func (s *Scheduler) isGrantedAtOnce(item *Item) bool {
+	return s.inFlight < s.options.Slots && s.canRun(item.Class)
 }
 
 // admit returns the refusal of an item that can't be queued, or nil: its deadline has passed,
@@ -39,21 +83,21 @@
 	if deadlinePassed(now, item.Deadline) {
 		return request.Refuse(request.CodeTimeout, "schedule", "", "deadline passed before the statement was queued")
 	}
-	if item.Class > BeginTransaction {
+	if item.Class > BeginTransaction || s.isGrantedAtOnce(item) {
 		return nil
 	}
-	f := s.flows[s.flowKey(item.Customer)]
+	l := s.levelOf(item.Priority)
+	f := l.flows[s.flowKey(item.Customer)]
 	if f != nil && f.queued >= s.options.QueueLimit {
-		return request.Refuse(request.CodeOverloaded, "schedule", "", "customer has %d statements waiting", f.queued)
+		return s.overloaded(now, l, "customer has %d statements waiting", f.queued)
 	}
 	if item.Deadline.IsZero() {
 		return nil
 	}
-	wait := s.ExpectedWait(item.Customer, item.Weight)
+	wait := s.ExpectedWait(now, item.Customer, item.Weight, item.Priority)
 	left := item.Deadline.Sub(now)
 	if wait > left {
-		return request.Refuse(request.CodeOverloaded, "schedule", "",
-			"expected wait %v exceeds the %v left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
+		return s.overloaded(now, l, "expected wait %v exceeds the %v left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	return nil
 }
@@ -64,8 +108,9 @@
 	if item.Class <= BeginTransaction {
 		item.flow = s.flowOf(item)
 		item.flow.queued++
+		item.flow.level.queued++
 		s.queuedNew++
-		s.activate(item.flow)
+		item.flow.activate()
 	}
 	s.queueOf(item).push(item)
 }
--- a/internal/owner/schedule/flow.go
+++ b/internal/owner/schedule/flow.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// flow is the new work of one customer, or of all customers under FIFO.
+// flow is the new work of one customer at one level, or of all customers under FIFO.
 type flow struct {
 	key     string
+	level   *level
 	weight  int
 	queues  [numNewClasses]queue
 	queued  int
@@ -28,62 +29,64 @@
 }
 
 // flowOf returns the flow of item and creates it if needed. An idle flow resumes with at least
-// the virtual time of the scheduler, so that a customer gains no credit while it is idle. The
-// virtual time of the scheduler is the highest that any flow had when it was granted a slot.
+// the virtual time of its level, so that a customer gains no credit while it is idle. The
+// virtual time of a level is the highest that any of its flows had when it was granted a slot.
 func (s *Scheduler) flowOf(item *Item) *flow {
 	key := s.flowKey(item.Customer)
-	f := s.flows[key]
+	l := s.levelOf(item.Priority)
+	f := l.flows[key]
 	if f == nil {
-		f = &flow{key: key, meanSlotTime: s.meanSlotTime}
-		s.flows[key] = f
+		f = &flow{key: key, level: l, meanSlotTime: s.slotTime(l)}
+		l.flows[key] = f
 	}
 	f.weight = max(1, item.Weight)
 	if s.options.Policy == FIFO {
 		f.weight = 1
 	}
 	if f.queued == 0 && f.running == 0 {
-		f.virtualTime = max(f.virtualTime, s.virtualTime)
+		f.virtualTime = max(f.virtualTime, l.virtualTime)
 	}
 	return f
 }
 
-func (s *Scheduler) activate(f *flow) {
+func (f *flow) activate() {
 	if f.active {
 		return
 	}
 	f.active = true
-	s.activeFlows = append(s.activeFlows, f)
+	f.level.activeFlows = append(f.level.activeFlows, f)
 }
 
-// deactivate removes f from the list of flows with waiting work if f has none.
-func (s *Scheduler) deactivate(f *flow) {
+// deactivate removes f from the flows of its level with waiting work if f has none.
+func (f *flow) deactivate() {
 	if f.queued > 0 || !f.active {
 		return
 	}
 	f.active = false
-	for i, other := range s.activeFlows {
+	l := f.level
+	for i, other := range l.activeFlows {
 		if other == f {
-			last := len(s.activeFlows) - 1
-			s.activeFlows[i] = s.activeFlows[last]
-			s.activeFlows[last] = nil
-			s.activeFlows = s.activeFlows[:last]
+			last := len(l.activeFlows) - 1
+			l.activeFlows[i] = l.activeFlows[last]
+			l.activeFlows[last] = nil
+			l.activeFlows = l.activeFlows[:last]
 			return
 		}
 	}
 }
 
 // maxIdleFlows is the number of flows above which idle ones are dropped even if their
-// virtual time is ahead of the scheduler's.
+// virtual time is ahead of their level's.
 const maxIdleFlows = 1024
 
-// dropIfIdle drops f if it has no work and its virtual time is not ahead of the scheduler's.
+// dropIfIdle drops f if it has no work and its virtual time is not ahead of its level's.
 // A flow that is ahead used more than its share and is kept, so that its customer does not
 // start afresh; above maxIdleFlows it is dropped all the same.
-func (s *Scheduler) dropIfIdle(f *flow) {
+func (f *flow) dropIfIdle() {
 	idle := f.queued == 0 && f.running == 0
-	isAhead := f.virtualTime > s.virtualTime
-	if idle && (!isAhead || len(s.flows) > maxIdleFlows) {
-		delete(s.flows, f.key)
+	isAhead := f.virtualTime > f.level.virtualTime
+	if idle && (!isAhead || len(f.level.flows) > maxIdleFlows) {
+		delete(f.level.flows, f.key)
 	}
 }
 
--- a/internal/owner/schedule/schedule.go
+++ b/internal/owner/schedule/schedule.go
@@ -4,9 +4,13 @@
 // Invariant: no slot is granted while as many statements are in flight as the target has
 // slots. Free slots go first to urgent statements, then to statements that end a
 // transaction, then to other statements of open transactions, then to new work. New work
-// is ordered by weighted fair queueing over customers: the virtual time of a customer
-// grows by the slot time that it used divided by its weight, and the customer with the
-// least virtual time is served next.
+// is ordered by priority (see level), and within a priority by weighted fair queueing over
+// customers: the virtual time of a customer grows by the slot time that it used divided by
+// its weight, and the customer with the least virtual time is served next.
+//
+// New work of any priority that may run gets a slot in bounded time (see passedOver). When what
+// waits does not fit before its deadlines, the least urgent is refused (see shed). Nothing is
+// refused while a slot is free that it may use, unless its deadline has passed.
 //
 // A transaction occupies a slot only while one of its statements runs, but keeps its locks in
 // between. Statements that wait for these locks could take every slot, and the transaction
@@ -20,6 +24,7 @@
 import (
 	"time"
 
+	"crocusyoke/internal/owner/comeback"
 	"crocusyoke/internal/request"
 )
 
@@ -66,6 +71,9 @@
 	// QueueLimit is the maximum number of new statements of one customer that wait. Zero
 	// means DefaultQueueLimit.
 	QueueLimit int
+	// Priorities orders new work by Item.Priority, and says in refusals when to come back. The
+	// QueueLimit then holds for each priority of a customer.
+	Priorities bool
 }
 
 // DefaultQueueLimit is the default maximum number of new statements of one customer that
@@ -84,6 +92,8 @@
 	Customer string
 	Weight   int
 	Class    Class
+	// Priority orders new work, the lowest first, if Options.Priorities is set.
+	Priority int
 	// Deadline is when the caller stops waiting; zero means never.
 	Deadline time.Time
 	// Value is for use by the caller; the Scheduler does not read it.
@@ -112,6 +122,8 @@
 	Item *Item
 	// Refusal is nil when the item was granted a slot.
 	Refusal *request.Refusal
+	// Shed is true for an item that was refused because more urgent work came while it waited.
+	Shed bool
 }
 
 // TransactionChange is the effect of a finished statement on the number of open transactions.
@@ -134,13 +146,17 @@
 	urgent           queue
 	endTransaction   queue
 	inTransaction    queue
-	flows            map[string]*flow
-	activeFlows      []*flow
-	queuedNew        int
-	virtualTime      float64
-	meanSlotTime     time.Duration
-	lastArrivalSeq   uint64
-	decisions        []Decision
+	// levels holds new work by priority, the most urgent first.
+	levels         []*level
+	queuedNew      int
+	meanSlotTime   time.Duration
+	lastArrivalSeq uint64
+	decisions      []Decision
+	// passedOver, transactionUse, lastShed and comeback are used only with Options.Priorities.
+	passedOver     passedOver
+	transactionUse use
+	lastShed       time.Time
+	comeback       comeback.Plan
 }
 
 // New returns an empty Scheduler.
@@ -154,7 +170,9 @@
 	if options.MaxOpenTransactions == 0 {
 		options.MaxOpenTransactions = options.Slots
 	}
-	return &Scheduler{options: options, flows: make(map[string]*flow), meanSlotTime: initialSlotTime}
+	s := &Scheduler{options: options, meanSlotTime: initialSlotTime}
+	s.levelOf(0)
+	return s
 }
 
 // Resize changes the number of slots and the maximum number of open transactions.
@@ -180,6 +198,7 @@
 	}
 	s.enqueue(item)
 	s.dispatch(now)
+	s.shed(now)
 	return s.decisions
 }
 
@@ -197,6 +216,7 @@
 	s.openTransactions = max(0, s.openTransactions+int(change))
 	s.settleCharge(now, item)
 	s.dispatch(now)
+	s.shed(now)
 	return s.decisions
 }
 
@@ -220,9 +240,7 @@
 	}
 	item.state = stateNone
 	if item.flow != nil {
-		s.queuedNew--
-		item.flow.queued--
-		s.deactivate(item.flow)
+		s.leaveQueue(item.flow)
 	}
 	return true
 }
@@ -234,10 +252,12 @@
 	for _, q := range []*queue{&s.urgent, &s.endTransaction, &s.inTransaction} {
 		s.expireQueue(now, q)
 	}
-	for i := len(s.activeFlows) - 1; i >= 0; i-- {
-		f := s.activeFlows[i]
-		for class := range f.queues {
-			s.expireQueue(now, &f.queues[class])
+	for _, l := range s.levels {
+		for i := len(l.activeFlows) - 1; i >= 0; i-- {
+			f := l.activeFlows[i]
+			for class := range f.queues {
+				s.expireQueue(now, &f.queues[class])
+			}
 		}
 	}
 	return s.decisions
@@ -260,7 +280,7 @@
 // dispatch grants slots until none is free or no waiting statement may run.
 func (s *Scheduler) dispatch(now time.Time) {
 	for s.inFlight < s.options.Slots {
-		item := s.popNext()
+		item := s.popNext(now)
 		if item == nil {
 			return
 		}
@@ -274,7 +294,7 @@
 }
 
 // popNext removes the item to run next from its queue and returns it, or nil if none may run.
-func (s *Scheduler) popNext() *Item {
+func (s *Scheduler) popNext(now time.Time) *Item {
 	for _, q := range [...]*queue{&s.urgent, &s.endTransaction} {
 		if item := q.pop(); item != nil {
 			return item
@@ -283,7 +303,7 @@
 	if s.inTransaction.len() > 0 && s.canRun(InTransaction) {
 		return s.inTransaction.pop()
 	}
-	return s.popNewWork()
+	return s.popNewWork(now)
 }
 
 // canRun reports whether a statement of class may take a free slot. Writes and statements of
@@ -305,45 +325,6 @@
 	}
 }
 
-// popNewWork removes and returns the oldest runnable item of the customer with the least
-// virtual time, or nil. Customers with equal virtual times are served in order of arrival.
-func (s *Scheduler) popNewWork() *Item {
-	var best *flow
-	var bestItem *Item
-	for _, f := range s.activeFlows {
-		item := s.oldestRunnable(f)
-		if item == nil {
-			continue
-		}
-		if best == nil || f.virtualTime < best.virtualTime || (f.virtualTime == best.virtualTime && item.arrivalSeq < bestItem.arrivalSeq) {
-			best, bestItem = f, item
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	best.queues[bestItem.Class].pop()
-	best.queued--
-	s.queuedNew--
-	s.deactivate(best)
-	return bestItem
-}
-
-// oldestRunnable returns the oldest waiting item of f that may run, or nil.
-func (s *Scheduler) oldestRunnable(f *flow) *Item {
-	var oldest *Item
-	for class := range f.queues {
-		item := f.queues[class].peek()
-		if item == nil || !s.canRun(Class(class)) {
-			continue
-		}
-		if oldest == nil || item.arrivalSeq < oldest.arrivalSeq {
-			oldest = item
-		}
-	}
-	return oldest
-}
-
 func (s *Scheduler) grant(now time.Time, item *Item) {
 	item.state = stateRunning
 	item.startedAt = now
@@ -351,7 +332,7 @@
 	s.running[item.Class]++
 	if f := item.flow; f != nil {
 		f.running++
-		s.virtualTime = max(s.virtualTime, f.virtualTime)
+		f.level.virtualTime = max(f.level.virtualTime, f.virtualTime)
 		item.chargedTime = f.meanSlotTime
 		f.virtualTime += f.cost(item.chargedTime)
 	}
@@ -362,6 +343,7 @@
 func (s *Scheduler) settleCharge(now time.Time, item *Item) {
 	used := max(0, now.Sub(item.startedAt))
 	s.meanSlotTime = movingAverage(s.meanSlotTime, used)
+	s.recordUse(now, item, used)
 	f := item.flow
 	if f == nil {
 		return
@@ -369,7 +351,7 @@
 	f.running--
 	f.virtualTime += f.cost(used - item.chargedTime)
 	f.meanSlotTime = movingAverage(f.meanSlotTime, used)
-	s.dropIfIdle(f)
+	f.dropIfIdle()
 }
 
 func (s *Scheduler) refuseExpired(item *Item) {
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -67,6 +67,7 @@
 	Profile       fleet.Profile `cbor:"5,keyasint"`
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
+	Priority      int           `cbor:"8,keyasint,omitempty"`
 }
 
 func newSessionContext(req *request.Request) sessionContext {
@@ -77,6 +78,7 @@
 		Group:         req.Group,
 		Profile:       req.Profile,
 		Weight:        req.Weight,
+		Priority:      req.Priority,
 		ConfigVersion: req.ConfigVersion,
 	}
 }
@@ -126,6 +128,7 @@
 		MinPositionKnown: f.MinPositionKnown,
 		IdempotencyKey:   f.IdempotencyKey,
 		Weight:           c.Weight,
+		Priority:         c.Priority,
 		Deadline:         now.Add(f.Remaining),
 		Remaining:        f.Remaining,
 		Messages:         f.Messages,
--- a/internal/pgfront/serve.go
+++ b/internal/pgfront/serve.go
@@ -196,9 +196,13 @@
 		ConfigVersion: cfg.Version,
 		PrepareOnly:   c.unchargedPreparation,
 	}
-	if customer := cfg.Customer(c.identity.Customer); customer != nil {
+	customer := cfg.Customer(c.identity.Customer)
+	if customer != nil {
 		c.request.Weight = max(customer.Weight, 1)
 	}
+	if c.options.Priorities {
+		c.request.Priority = request.PriorityOf(&profile, customer)
+	}
 	if kind == request.KindWrite || kind == request.KindBegin {
 		c.request.IdempotencyKey = c.variables.requestID
 		c.variables.requestID = ""
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -71,6 +71,8 @@
 	// MaxConnections is the number of connection slots. A connection needs a slot from the
 	// check of the caller's key on, until it is closed or refused.
 	MaxConnections int
+	// Priorities orders requests by the priorities of their profiles and customers.
+	Priorities bool
 	// MaxExchangeBytes is the size limit of one exchange in bytes.
 	MaxExchangeBytes int
 	// ForwardCancel passes on a cancel request that matches no session of this node. It may
