--- a/internal/owner/schedule/simulation_test.go
+++ b/internal/owner/schedule/simulation_test.go
@@ -20,6 +20,9 @@
 	customer int
 	node     int
 	service  time.Duration
+	// priority is that of the item, and timeout how long its caller waits; 0 is the simulation's.
+	priority int
+	timeout  time.Duration
 }
 
 // load describes random arrivals from customers with equal rates, in statements per second.
@@ -56,7 +59,7 @@
 				node = random.IntN(l.nodes)
 			}
 			service := time.Duration(random.ExpFloat64() * float64(l.service))
-			all = append(all, arrival{at, customer, node, service})
+			all = append(all, arrival{at: at, customer: customer, node: node, service: service})
 		}
 	}
 	slices.SortFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
@@ -91,6 +94,8 @@
 	slots      int
 	// hopLatency is added to the latency of every statement.
 	hopLatency time.Duration
+	// priorities is Options.Priorities.
+	priorities bool
 }
 
 // tally counts the outcomes of one customer's statements.
@@ -122,6 +127,11 @@
 	backlog     []*job
 	tallies     []tally
 	maxInFlight int
+	// busy is the slot time used until horizon, which is the last arrival.
+	busy    time.Duration
+	horizon time.Duration
+	// retryAfters are those of the refusals, by customer.
+	retryAfters map[int][]time.Duration
 }
 
 type job struct {
@@ -137,18 +147,27 @@
 }
 
 func simulate(l load, p plan, timeout time.Duration) *simulation {
-	s := &simulation{plan: p, timeout: timeout, tallies: make([]tally, l.customers)}
+	return simulateArrivals(l.arrivals(), l.customers, p, timeout)
+}
+
+func simulateArrivals(arrivals []arrival, customers int, p plan, timeout time.Duration) *simulation {
+	s := &simulation{plan: p, timeout: timeout, tallies: make([]tally, customers), retryAfters: make(map[int][]time.Duration)}
 	for range p.schedulers {
-		s.schedulers = append(s.schedulers, New(Options{Policy: p.policy, Slots: p.slots, QueueLimit: 1000}))
+		s.schedulers = append(s.schedulers, New(Options{Policy: p.policy, Slots: p.slots, QueueLimit: 1000, Priorities: p.priorities}))
 	}
-	for _, a := range l.arrivals() {
+	for _, a := range arrivals {
+		s.horizon = max(s.horizon, a.at)
 		s.scheduleAt(a.at, func(now time.Duration) { s.submit(now, a) })
 	}
+	s.run()
+	return s
+}
+
+func (s *simulation) run() {
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
 		e.run(e.at)
 	}
-	return s
 }
 
 func (s *simulation) submit(now time.Duration, a arrival) {
@@ -156,18 +175,22 @@
 	j.item = Item{
 		Customer: fmt.Sprint(a.customer),
 		Class:    Read,
-		Deadline: epoch.Add(now + s.timeout),
+		Priority: a.priority,
+		Deadline: epoch.Add(now + s.timeoutOf(a)),
 		Value:    j,
 	}
 	s.tallies[a.customer].sent++
 	s.decide(now, j.scheduler.Submit(epoch.Add(now), &j.item))
 }
 
+func (s *simulation) timeoutOf(a arrival) time.Duration { return cmp.Or(a.timeout, s.timeout) }
+
 func (s *simulation) decide(now time.Duration, decisions []Decision) {
 	for _, d := range decisions {
 		j := d.Item.Value.(*job)
 		if d.Refusal != nil {
 			s.tallies[j.customer].refused++
+			s.retryAfters[j.customer] = append(s.retryAfters[j.customer], d.Refusal.RetryAfter)
 			continue
 		}
 		s.backlog = append(s.backlog, j)
@@ -176,10 +199,11 @@
 }
 
 func (s *simulation) start(now time.Duration) {
-	for s.running < simulatedSlots && len(s.backlog) > 0 {
+	for s.running < s.plan.slots*s.plan.schedulers && s.running < simulatedSlots && len(s.backlog) > 0 {
 		j := s.backlog[0]
 		s.backlog = s.backlog[1:]
 		s.running++
+		s.busy += max(0, min(j.service, s.horizon-now))
 		s.scheduleAt(now+j.service, func(now time.Duration) { s.done(now, j) })
 	}
 	s.maxInFlight = max(s.maxInFlight, s.running+len(s.backlog))
@@ -189,7 +213,7 @@
 	s.running--
 	t := &s.tallies[j.customer]
 	latency := now + s.plan.hopLatency - j.at
-	if latency > s.timeout {
+	if latency > s.timeoutOf(j.arrival) {
 		t.late++
 	} else {
 		t.latencies = append(t.latencies, latency)
@@ -243,8 +267,8 @@
 func TestStormFairAgainstFIFO(t *testing.T) {
 	t.Log(tableHead)
 	for seed := uint64(1); seed <= 2; seed++ {
-		fifo := simulate(stormLoad(seed), plan{"one owner, FIFO", FIFO, 1, 5, 2 * time.Millisecond}, simulatedTimeout)
-		fair := simulate(stormLoad(seed), plan{"one owner, fair", Fair, 1, 5, 2 * time.Millisecond}, simulatedTimeout)
+		fifo := simulate(stormLoad(seed), plan{"one owner, FIFO", FIFO, 1, 5, 2 * time.Millisecond, false}, simulatedTimeout)
+		fair := simulate(stormLoad(seed), plan{"one owner, fair", Fair, 1, 5, 2 * time.Millisecond, false}, simulatedTimeout)
 		t.Log(fifo)
 		t.Log(fair)
 		fairShare, fairP99, fairMedian := fair.worst()
@@ -260,9 +284,9 @@
 func TestStormOwnerAgainstSplitConnections(t *testing.T) {
 	t.Log(tableHead)
 	for seed := uint64(1); seed <= 2; seed++ {
-		owner := simulate(stormLoad(seed), plan{"one owner, fair", Fair, 1, 5, 2 * time.Millisecond}, simulatedTimeout)
-		split := simulate(stormLoad(seed), plan{"6 nodes, 5 connections each", Fair, 6, 5, 0}, simulatedTimeout)
-		single := simulate(stormLoad(seed), plan{"6 nodes, 1 connection each", Fair, 6, 1, 0}, simulatedTimeout)
+		owner := simulate(stormLoad(seed), plan{"one owner, fair", Fair, 1, 5, 2 * time.Millisecond, false}, simulatedTimeout)
+		split := simulate(stormLoad(seed), plan{"6 nodes, 5 connections each", Fair, 6, 5, 0, false}, simulatedTimeout)
+		single := simulate(stormLoad(seed), plan{"6 nodes, 1 connection each", Fair, 6, 1, 0, false}, simulatedTimeout)
 		t.Log(owner)
 		t.Log(split)
 		t.Log(single)
