Connections at their cap: waiters in order of priority, and the one used least lately is closed, not the longest-idle one

Cause: with 56 connections a target and 71 customers, one request in four opened a connection; a customer that sends often lost its only connection to one that sends rarely, and bulk before urgent. Change: package pool/keep remembers what customers used by rank, weighted by urgency; pool waiters are in order of priority.

--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -247,15 +247,16 @@
 // placed again, possibly on another target.
 const connectTimeout = 300 * time.Millisecond
 
-// connection gets a connection that may serve customer from m's pool, within connectTimeout.
-func (m *member) connection(ctx context.Context, customer string) (*pool.Conn, error) {
+// connection gets a connection that may serve req from m's pool, within connectTimeout.
+func (m *member) connection(ctx context.Context, req *request.Request) (*pool.Conn, error) {
+	use := pool.Use{Customer: req.Customer, Priority: req.Priority, Weight: 1 / float64(1+request.Rank(req.Priority))}
 	if !m.perCustomer {
-		customer = ""
+		use.Customer = ""
 	}
-	if conn := m.pool.TryGet(customer); conn != nil {
+	if conn := m.pool.TryGetFor(use); conn != nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	return m.pool.Get(ctx, customer)
+	return m.pool.GetFor(ctx, use)
 }
--- a/internal/owner/pool/open.go
+++ b/internal/owner/pool/open.go
@@ -52,13 +52,16 @@
 	return p.backoff.retryAt
 }
 
-// evict removes from the pool the longest-idle connection of another customer, for the caller
+// evict removes from the pool an idle connection of another customer (see victim), for the caller
 // to close before it opens a new one. It returns nil if there is none. It also returns nil if the
 // pool exceeds its limit, since closing one connection would then not make room for a new one.
 // p.mu is held.
 func (p *Pool) evict(customer string) *Conn {
-	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.customer != customer })
-	if i < 0 || p.open+p.opening > p.options.Limit {
+	if p.open+p.opening > p.options.Limit {
+		return nil
+	}
+	i := p.victim(customer)
+	if i < 0 {
 		return nil
 	}
 	oldest := p.idle[i]
@@ -96,6 +99,7 @@
 	p.backoff = backoff{}
 	delete(p.refused, customer)
 	p.open++
+	p.countBusy(customer, 1)
 	conn.opened = now
 	conn.lastUsed = now
 	p.release(conn)
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -5,8 +5,9 @@
 // whose state is uncertain is closed, never reused. A connection that serves a single
 // customer is never used for another.
 //
-// Idle connections are opened in the background, ahead of demand. At the limit, the
-// longest-idle connection is closed to make room for another customer's connection.
+// Idle connections are opened in the background, ahead of demand. At the limit, the idle connection that was
+// used least lately (package keep) is closed to make room for another customer's connection. Requests that wait
+// for a connection get one in order of priority, those of one priority in order of arrival.
 //
 // A failed attempt to open a connection delays the next one. The target's refusal of a customer's login
 // (target.ErrLoginRefused) concerns that customer only: its requests are refused until its next attempt is due.
@@ -22,6 +23,7 @@
 	"github.com/zeebo/errs"
 
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/owner/pool/keep"
 	"crocusyoke/internal/target"
 )
 
@@ -63,12 +65,6 @@
 	MinIdle int
 }
 
-// waiter is a request that waits for a connection on behalf of customer.
-type waiter struct {
-	customer string
-	conn     chan *Conn
-}
-
 // Stats counts a Pool's connections. Silent is the number of connections that were closed so
 // far because they did not answer, Failed the number of failed attempts to open one.
 type Stats struct {
@@ -92,8 +88,12 @@
 	opening int
 	// openingFor counts the connections being opened, by customer.
 	openingFor map[string]int
-	waiting    []waiter
-	closed     bool
+	// busy counts the connections in use, by customer, and history what they used lately.
+	busy    map[string]int
+	history *keep.History
+	// waiting holds waiting requests in the order in which they get connections.
+	waiting []waiter
+	closed  bool
 	// probeBefore is when a connection was last found silent, that is, did not answer. Idle
 	// connections last used before that time are probed before use.
 	probeBefore time.Time
@@ -111,7 +111,10 @@
 		options.Logger = log.NewNopLogger()
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{options: options, ctx: ctx, stop: stop, openingFor: make(map[string]int), refused: make(map[string]*refusedLogin)}
+	p := &Pool{
+		options: options, ctx: ctx, stop: stop, history: keep.New(), busy: make(map[string]int),
+		openingFor: make(map[string]int), refused: make(map[string]*refusedLogin),
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill()
@@ -119,7 +122,11 @@
 }
 
 // TryGet returns an idle connection that needs no probe, or nil. It does not block.
-func (p *Pool) TryGet(customer string) *Conn {
+func (p *Pool) TryGet(customer string) *Conn { return p.TryGetFor(Use{Customer: customer}) }
+
+// TryGetFor is TryGet for use.
+func (p *Pool) TryGetFor(use Use) *Conn {
+	customer := use.Customer
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -127,6 +134,7 @@
 	if i < 0 || p.needsProbeLocked(p.idle[i], now) {
 		return nil
 	}
+	p.recordUse(now, use)
 	return p.takeIdle(i)
 }
 
@@ -144,8 +152,13 @@
 // Get returns a connection, which it probes if it was idle for too long. It waits until ctx
 // ends for one to be opened or returned to the pool.
 func (p *Pool) Get(ctx context.Context, customer string) (*Conn, error) {
+	return p.GetFor(ctx, Use{Customer: customer})
+}
+
+// GetFor is Get for use.
+func (p *Pool) GetFor(ctx context.Context, use Use) (*Conn, error) {
 	for {
-		conn, err := p.acquire(ctx, customer)
+		conn, err := p.acquire(ctx, use)
 		if err != nil {
 			return nil, err
 		}
@@ -195,6 +208,7 @@
 	_ = conn.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countBusy(conn.customer, -1)
 	if silent {
 		p.silentConns++
 		p.probeBefore = now
@@ -258,12 +272,15 @@
 
 // acquire returns customer's most recently used idle connection, or waits for one. The
 // connection may need a probe.
-func (p *Pool) acquire(ctx context.Context, customer string) (*Conn, error) {
+func (p *Pool) acquire(ctx context.Context, use Use) (*Conn, error) {
+	customer := use.Customer
+	now := p.options.Clock.Now()
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	p.recordUse(now, use)
 	if i := p.newestIdle(customer); i >= 0 {
 		conn := p.takeIdle(i)
 		p.mu.Unlock()
@@ -274,7 +291,7 @@
 		return nil, err
 	}
 	wait := make(chan *Conn, 1)
-	p.waiting = append(p.waiting, waiter{customer, wait})
+	p.enqueue(waiter{customer, use.Priority, wait})
 	p.fill()
 	p.mu.Unlock()
 	select {
@@ -293,27 +310,11 @@
 func (p *Pool) takeIdle(i int) *Conn {
 	conn := p.idle[i]
 	p.idle = slices.Delete(p.idle, i, i+1)
+	p.countBusy(conn.customer, 1)
 	p.fill()
 	return conn
 }
 
-// stopWaiting removes wait from the queue. If wait was already handed a connection, it returns
-// that connection to the pool.
-func (p *Pool) stopWaiting(wait chan *Conn) {
-	p.mu.Lock()
-	for i, w := range p.waiting {
-		if w.conn == wait {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
-	}
-	p.mu.Unlock()
-	if conn := <-wait; conn != nil {
-		p.Put(conn)
-	}
-}
-
 // release hands conn to the first waiting request of its customer, or makes it idle. p.mu is
 // held.
 func (p *Pool) release(conn *Conn) {
@@ -327,6 +328,7 @@
 			}
 		}
 	}
+	p.countBusy(conn.customer, -1)
 	p.idle = append(p.idle, conn)
 }
 
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -157,7 +157,7 @@
 	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
 		return nil, refusal
 	}
-	conn, err := r.member.connection(ctx, r.req.Customer)
+	conn, err := r.member.connection(ctx, r.req)
 	if err != nil {
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, g.refuseNoConnection(ctx, r, err)
--- a/internal/request/priority.go
+++ b/internal/request/priority.go
@@ -18,3 +18,6 @@
 	}
 	return priority
 }
+
+// Rank returns the priority of the profile of a request with the given Priority.
+func Rank(priority int) int { return priority / PriorityStep }
