Connections at their cap: a connection that becomes free goes to a more urgent customer's request first

Cause: the first waiter of the same customer got it, bulk as well, while urgent work of another customer waited at the cap. Change: it is closed for the more urgent one, unless a connection is being opened for that already.

--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -315,13 +315,13 @@
 	return conn
 }
 
-// release hands conn to the first waiting request of its customer, or makes it idle. p.mu is
-// held.
+// release hands conn to the first waiting request of its customer, or makes it idle, also if a more
+// urgent request needs its place. p.mu is held.
 func (p *Pool) release(conn *Conn) {
 	over := p.closed || p.open > p.options.Limit
 	if !over {
 		for i, w := range p.waiting {
-			if w.customer == conn.customer {
+			if w.customer == conn.customer && !p.hasMoreUrgent(w) {
 				p.waiting = slices.Delete(p.waiting, i, i+1)
 				w.conn <- conn
 				return
--- a/internal/owner/pool/waiting.go
+++ b/internal/owner/pool/waiting.go
@@ -34,3 +34,22 @@
 		p.Put(conn)
 	}
 }
+
+// hasMoreUrgent reports whether a more urgent request than w waits for which no connection is being
+// opened, because the pool is at its limit. p.mu is held.
+func (p *Pool) hasMoreUrgent(w waiter) bool {
+	if p.waiting[0].priority >= w.priority || p.open+p.opening < p.options.Limit {
+		return false
+	}
+	wanted := make(map[string]int)
+	for _, other := range p.waiting {
+		if other.priority >= w.priority {
+			return false
+		}
+		wanted[other.customer]++
+		if wanted[other.customer] > p.openingFor[other.customer] {
+			return true
+		}
+	}
+	return false
+}
