Urgency: counters by priority, a log line for what is shed, callers' return in order also from a gap

Change: served, refused, waited and shed by priority; one line a second for shed requests; refusals of a gap spread the callers' return; the retry filter keeps the time that a refusal for lack of room gives.

--- a/internal/filter/retry/retry.go
+++ b/internal/filter/retry/retry.go
@@ -89,7 +89,7 @@
 		}
 		refusal := request.AsRefusal(err)
 		mayHaveRun = mayHaveRun || refusal.Code.Fate == request.Unknown
-		if !isRetryable(kind, refusal) || refusal.RetryAfter > MaxBackoff || !f.waitForRetry(ctx, req, backoff) {
+		if !isRetryable(kind, refusal) || refusal.RetryAfter > MaxBackoff || !f.waitForRetry(ctx, req, f.delay(refusal, backoff)) {
 			return nil, refusal.WithPriorAttempts(mayHaveRun)
 		}
 		if refusal.Code == request.CodeReplicaWrite {
@@ -125,10 +125,19 @@
 	}
 }
 
-// waitForRetry takes one retry from the budget and sleeps for the backoff. It returns false if
-// the budget is used up, the deadline would pass first, or ctx is done.
-func (f *Filter) waitForRetry(ctx context.Context, req *request.Request, backoff time.Duration) bool {
+// delay returns how long to wait before a retry. Where there was no room, the time that was given for the return is
+// kept, since it orders those that return.
+func (f *Filter) delay(refusal *request.Refusal, backoff time.Duration) time.Duration {
 	delay := f.withJitter(backoff)
+	if refusal.Code == request.CodeOverloaded {
+		return max(delay, refusal.RetryAfter)
+	}
+	return delay
+}
+
+// waitForRetry takes one retry from the budget and sleeps for delay. It returns false if
+// the budget is used up, the deadline would pass first, or ctx is done.
+func (f *Filter) waitForRetry(ctx context.Context, req *request.Request, delay time.Duration) bool {
 	if !req.Deadline.IsZero() && f.clock.Now().Add(delay).After(req.Deadline) {
 		return false
 	}
--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -18,7 +18,7 @@
 // whether it was to a statement or to the set-up before it, and that the lines and the codes are bounded.
 func TestErrorAnswersAreToldApart(t *testing.T) {
 	var out bytes.Buffer
-	g := &group{name: "ledger", options: &Options{Logger: log.NewLogfmtLogger(&out)}, manager: &Manager{counts: newCounters()}}
+	g := &group{name: "ledger", options: &Options{Logger: log.NewLogfmtLogger(&out)}, manager: &Manager{counts: newCounters(false)}}
 	req := &request.Request{ID: request.ID{Session: "n1.7"}, Customer: "maker", Kind: request.KindRead}
 	answered := &exchangeResult{reply: target.Reply{Code: "MALFORMED"}, answeredAt: time.Unix(1, 0)}
 	refused := &exchangeResult{err: Error.Wrap(&target.SetUpRefused{Code: "BUSY"}), answeredAt: time.Unix(1, 0)}
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -79,6 +79,13 @@
 	return o
 }
 
+// primaryContext returns a context that ends when the current primary is replaced.
+func (g *group) primaryContext() context.Context {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primaryCtx
+}
+
 // cancelAbandoned asks the target to cancel a statement that was abandoned after its timeout.
 // The statement may still be running, so the target is asked before the statement's slot is
 // reused.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -7,6 +7,7 @@
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/comeback"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/gap"
 	"crocusyoke/internal/request"
@@ -28,6 +29,7 @@
 	candidates []choose.Candidate
 	evidence   *evidence.Group
 	gap        *gap.Tracker
+	comeback   comeback.Plan
 	// lastSuspended is the reading of Options.Suspended when the group was created or when
 	// its evidence was last invalidated by a suspension.
 	lastSuspended time.Duration
@@ -84,13 +86,6 @@
 	return g
 }
 
-// primaryContext returns a context that ends when the current primary is replaced.
-func (g *group) primaryContext() context.Context {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.primaryCtx
-}
-
 // suspensionTolerance is the longest measured suspension that leaves evidence valid. A
 // suspension is measured as the difference of two clocks, which are read one after the other.
 // The readings may be this far apart without any suspension.
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -160,7 +160,7 @@
 	options.IdempotentBegin = options.IdempotentBegin.contained()
 	return &Manager{
 		options:   options,
-		counts:    newCounters(),
+		counts:    newCounters(options.Priorities),
 		groups:    make(map[string]*group),
 		owned:     make(map[string]bool),
 		exclusive: make(map[string]bool),
@@ -181,7 +181,7 @@
 			return response, nil
 		}
 	}
-	m.counts.countRefusal(refusal)
+	m.recordRefusal(req, refusal)
 	return nil, refusal
 }
 
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -207,6 +207,8 @@
 		return withPeer(refusal, m)
 	default:
 	}
+	u := &g.manager.counts.urgency
+	u.count(&u.waited, w.item.Priority)
 	select {
 	case refusal := <-w.decided:
 		return withPeer(refusal, m)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -22,13 +22,16 @@
 	statementsCancelled *expvar.Int
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
+	urgency             urgencyCounts
 }
 
-func newCounters() *counters {
+// newCounters returns counters. priorities says whether requests are counted by priority.
+func newCounters(priorities bool) *counters {
 	c := &counters{vars: new(expvar.Map), refusals: new(expvar.Map), errorAnswers: newErrorAnswers()}
 	c.vars.Set("refusals", c.refusals)
 	c.vars.Set("error_answers", c.errorAnswers.refused)
 	c.vars.Set("set_ups_refused", c.errorAnswers.setUp)
+	c.urgency.enabled = priorities
 	c.servedByPrimary = c.add("served_by_primary")
 	c.servedByReplica = c.add("served_by_replica")
 	c.reads = c.add("reads")
@@ -40,6 +43,10 @@
 	c.silentConnections = c.add("silent_connections")
 	c.statementsCancelled = c.add("statements_cancelled")
 	c.transactionsLost = c.add("transactions_lost")
+	c.vars.Set("served_by_priority", &c.urgency.served)
+	c.vars.Set("refused_by_priority", &c.urgency.refused)
+	c.vars.Set("waited_by_priority", &c.urgency.waited)
+	c.vars.Set("shed_by_priority", &c.urgency.shed)
 	return c
 }
 
@@ -57,6 +64,7 @@
 			c.readsByReplica.Add(1)
 		}
 	}
+	c.urgency.count(&c.urgency.served, req.Priority)
 	if response.Repeated {
 		c.repeatedAnswers.Add(1)
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -40,7 +40,7 @@
 		wait, retryAfter = g.primaryWait(ctx, now, r)
 	}
 	if refusal := g.checkWait(ctx, wait); refusal != nil {
-		return nil, 0, refusal.WithRetryAfter(retryAfter)
+		return nil, 0, refusal.WithRetryAfter(g.returnAfter(now, r.req, retryAfter))
 	}
 	g.waitingForTarget++
 	g.wakePollers()
--- a/internal/owner/schedule/schedule.go
+++ b/internal/owner/schedule/schedule.go
@@ -122,8 +122,6 @@
 	Item *Item
 	// Refusal is nil when the item was granted a slot.
 	Refusal *request.Refusal
-	// Shed is true for an item that was refused because more urgent work came while it waited.
-	Shed bool
 }
 
 // TransactionChange is the effect of a finished statement on the number of open transactions.
@@ -271,6 +269,9 @@
 	return s.queuedNew + s.urgent.len() + s.endTransaction.len() + s.inTransaction.len()
 }
 
+// Pace returns the mean time between two statements that get a slot while work waits.
+func (s *Scheduler) Pace() time.Duration { return s.meanSlotTime / time.Duration(max(1, s.options.Slots)) }
+
 // MeanSlotTime returns the moving average of the time for which a statement holds a slot.
 func (s *Scheduler) MeanSlotTime() time.Duration { return s.meanSlotTime }
 
--- a/internal/owner/schedule/shed.go
+++ b/internal/owner/schedule/shed.go
@@ -6,6 +6,9 @@
 	"crocusyoke/internal/request"
 )
 
+// StepShed is the step of the refusal of an item that waited until more urgent work came.
+const StepShed = "shed"
+
 // shedInterval is the shortest time between two searches for work to shed.
 const shedInterval = 5 * time.Millisecond
 
@@ -42,7 +45,8 @@
 	for _, item := range hopeless {
 		if s.Cancel(item) {
 			refusal := s.overloaded(now, l, "more urgent work came, and this would not run before its deadline")
-			s.decisions = append(s.decisions, Decision{Item: item, Refusal: refusal, Shed: true})
+			refusal.Step = StepShed
+			s.decisions = append(s.decisions, Decision{Item: item, Refusal: refusal})
 		}
 	}
 }
--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -225,7 +225,7 @@
 	for range 16 {
 		now = now.Add(shedInterval / 16)
 		for _, d := range s.Submit(now, &Item{Customer: "a", Class: Read}) {
-			must.True(t, d.Shed)
+			must.Eq(t, StepShed, d.Refusal.Step)
 			must.Eq(t, request.CodeOverloaded.Name, d.Refusal.Code.Name)
 			must.Positive(t, d.Refusal.RetryAfter)
 			delete(waiting, d.Item)
