Lease: the wait behind a restore counts across processes

Cause: behind a restore of the store each process waited 13 s for a lease from when it first saw the era. Change: a process that has to wait writes a row for the lease with the store's time, from which later processes count. The time is no earlier than the start of the era, as for renewals; a holder from before the restore still continues its lease. Result: TestWaitOfARestoreIsCountedAcrossProcesses, which fails without the row's time (no process took the lease in 32 s of four-second lives) and with a time before the era; TestOneHolderAcrossRestores holds unchanged.

--- a/internal/run/lease/era.go
+++ b/internal/run/lease/era.go
@@ -40,6 +40,27 @@
 // have lost a row.
 func isLost(row platform.Row) bool { return row.Version == 0 && row.Era > firstEra }
 
+// isUnclaimed reports whether nobody has held the lease since a restore that may have lost its row.
+func isUnclaimed(row platform.Row, current record) bool { return isLost(row) || current.EraSeenAt > 0 }
+
+// hasEraLasted reports whether the era of a row that was read at now has lasted for RestoreWait. The caller
+// holds k.mu.
+func (k *Keeper) hasEraLasted(row platform.Row, current record, now time.Time) bool {
+	byStore := current.EraSeenAt > 0 && row.StoreTime-current.EraSeenAt >= k.o.RestoreWait
+	return byStore || now.Sub(k.eraSince) >= k.o.RestoreWait
+}
+
+// markEra writes a row for a lease that has none in the current era, so that processes that start later need
+// not wait for as long as this one. Without the row they wait for themselves, so a failure is only logged.
+func (k *Keeper) markEra(ctx context.Context, name string, row platform.Row) {
+	seenAt := k.latestStoreTime(k.now())
+	if seenAt == 0 {
+		return
+	}
+	_, err := k.write(ctx, name, row, record{EraSeenAt: seenAt, TermUnknown: true})
+	_ = k.o.Logger.Log("event", "lease unclaimed", "name", name, "era", row.Era, "err", err)
+}
+
 // ObserveEra is called with the era of each response of the store, also of calls of others. In a
 // new era the row of every lease has to be read again. Calls from before a restore are ended: their
 // answers, which may never come, say nothing about the new era.
--- a/internal/run/lease/lease.go
+++ b/internal/run/lease/lease.go
@@ -11,8 +11,9 @@
 //
 // A restore of the store from a copy loses rows and brings old ones back. The rows of a lease are
 // therefore different ones in each era of the store, and fences grow with the era. A holder whose
-// lease is still valid continues it in the new era. Another node takes over a lease without a row
-// in the new era only after it has known that era for RestoreWait.
+// lease is still valid continues it in the new era. Another node takes over a lease that nobody has held
+// in the new era only after that era has lasted for RestoreWait: since the node first knew of it, or, by the
+// store's clock, since a node that waited as well has written so to the row.
 package lease
 
 import (
@@ -71,6 +72,9 @@
 	OrderedTerm uint64 `cbor:"5,keyasint,omitempty"`
 	// TermUnknown is true if a restore of the store may have lost a higher OrderedTerm.
 	TermUnknown bool `cbor:"6,keyasint,omitempty"`
+	// EraSeenAt is set in a row of a lease that nobody has held in the row's era yet. It is a time on the
+	// store's clock, no earlier than the start of that era.
+	EraSeenAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Options configures a Keeper.
@@ -83,7 +87,7 @@
 	// Suspended returns the total time for which the VM has been suspended since some fixed
 	// moment. Clock does not count that time.
 	Suspended func() time.Duration
-	// RestoreWait is how long a node has to know a new era of the store before it takes over a
+	// RestoreWait is how long a new era of the store has to last before a node takes over a
 	// lease that may have been held in the former one. It is more than TTL plus the time for which
 	// what a holder began may go on.
 	RestoreWait time.Duration
--- a/internal/run/lease/restore_test.go
+++ b/internal/run/lease/restore_test.go
@@ -223,3 +223,34 @@
 		}
 	})
 }
+
+// TestWaitOfARestoreIsCountedAcrossProcesses guards against a lease that nobody takes while the processes that
+// want it are stopped one after the other: each of them knows the new era only since its own start.
+func TestWaitOfARestoreIsCountedAcrossProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		began := time.Now()
+		store.SetClock(func() time.Duration { return time.Hour + time.Since(began) })
+		former := newKeeper(store, "n0", "a", &suspension{})
+		stopFormer := start(former)
+		former.SetWanted("g", true)
+		time.Sleep(time.Second)
+		stopFormer()
+		store.Restore(store.Copy())
+		restored := time.Now()
+		for i := range 8 {
+			k := newKeeper(store, fmt.Sprint("n", i+1), fmt.Sprint(i), &suspension{})
+			stop := start(k)
+			k.SetWanted("g", true)
+			time.Sleep(TTL)
+			held := heldFence(k) > 0
+			stop()
+			if held {
+				must.GreaterEq(t, 3*TTL, time.Since(restored))
+				must.LessEq(t, 5*TTL, time.Since(restored))
+				return
+			}
+		}
+		t.Fatal("no process has taken the lease")
+	})
+}
--- a/internal/run/lease/step.go
+++ b/internal/run/lease/step.go
@@ -70,6 +70,9 @@
 		k.clearHeld(l)
 		return renewInterval, nil
 	case held == heldElsewhere:
+		if isLost(row) {
+			k.markEra(ctx, name, row)
+		}
 		return k.untilNextPoll(l, readAt), nil
 	case held == heldHere:
 		return renewInterval, k.claim(ctx, name, l, row, current.Fence)
@@ -88,7 +91,7 @@
 // new one tells what the lost one told.
 func (k *Keeper) release(ctx context.Context, name string, l *lease, row platform.Row, current record) error {
 	next := record{Fence: current.Fence, OrderedTerm: current.OrderedTerm, TermUnknown: current.TermUnknown}
-	if isLost(row) {
+	if isUnclaimed(row, current) {
 		k.mu.Lock()
 		next = record{Fence: nextFence(row.Era, l.fence), OrderedTerm: l.orderedTerm, TermUnknown: l.orderedUnknown}
 		k.mu.Unlock()
@@ -116,9 +119,9 @@
 // holding returns who holds the lease whose row was read at now. The caller holds k.mu.
 func (k *Keeper) holding(l *lease, row platform.Row, current record, now time.Time) holding {
 	switch {
-	case isLost(row) && now.Before(l.expiresAt):
+	case isUnclaimed(row, current) && now.Before(l.expiresAt):
 		return heldBeforeRestore
-	case isLost(row) && now.Sub(k.eraSince) < k.o.RestoreWait:
+	case isUnclaimed(row, current) && !k.hasEraLasted(row, current, now):
 		return heldElsewhere
 	case current.Holder == k.o.Self && current.Incarnation == k.o.Incarnation:
 		return heldHere
