--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -37,6 +37,8 @@
 	// own writes.
 	OwnWritesOnly bool
 	Owners        route.Owners
+	// Readers are the nodes that serve reads from the replicas of this node's failure domain; nil if there are none.
+	Readers route.Readers
 }
 
 // Chain is the filter chain of an entry node. Its Handler is the first filter.
@@ -54,6 +56,7 @@
 func New(o Options) *Chain {
 	c := &Chain{}
 	c.Route = route.New(o.Local, o.Sessions, o.Owners)
+	c.Route.Readers = o.Readers
 	c.Retry = retry.New(c.Route, o.Clock, o.Random)
 	c.Session = session.New(c.Retry, o.Config)
 	if o.OwnWritesOnly {
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -1,4 +1,5 @@
-// Package route is the filter that sends a request to its group's owner.
+// Package route is the filter that sends a request to its group's owner, or a read that a replica may serve
+// to the group's reader in the node's own failure domain.
 //
 // Invariant: a session in a transaction stays with the owner that holds the transaction, and a request
 // that belongs to no transaction never gets to an owner that has one open for its session. If that
@@ -40,12 +41,15 @@
 	local    request.Handler
 	sessions peer.Sessions
 	owners   Owners
-	// Counts counts requests served by this node ("local") and by other nodes ("remote"), and
-	// lost transactions ("lost").
+	// Readers looks up the readers; nil means that there are none. It must be set before the first request.
+	Readers Readers
+	// Counts counts requests served by this node ("local") and by other nodes ("remote"), lost
+	// transactions ("lost"), and reads that a reader served ("by_reader") or refused ("declined_by_reader").
 	Counts expvar.Map
 
-	// links maps a session to its *ownerLink.
-	links sync.Map
+	// links maps a session to its *ownerLink, and readerLinks to that of its group's reader.
+	links       sync.Map
+	readerLinks sync.Map
 }
 
 // New returns a Filter that passes requests for groups owned by this node to local, and all
@@ -56,6 +60,16 @@
 
 // Serve implements request.Handler.
 func (f *Filter) Serve(ctx context.Context, req *request.Request) (*request.Response, error) {
+	if link := f.linkToReader(req); link != nil {
+		resp, err := f.serveAtReader(ctx, req, link)
+		if err == nil || !canGoToOwner(ctx, req, err) {
+			return resp, err
+		}
+	}
+	return f.serveAtOwner(ctx, req)
+}
+
+func (f *Filter) serveAtOwner(ctx context.Context, req *request.Request) (*request.Response, error) {
 	link, err := f.linkTo(req)
 	if err != nil {
 		return nil, err
@@ -99,17 +113,24 @@
 }
 
 func (f *Filter) openLink(session, address string, self bool) *ownerLink {
+	link := f.newLink(address, self)
+	f.links.Store(session, link)
+	return link
+}
+
+func (f *Filter) newLink(address string, self bool) *ownerLink {
 	link := &ownerLink{handler: f.local, address: address, self: self}
 	if !self {
 		link.handler = f.sessions.Open(address)
 	}
-	f.links.Store(session, link)
 	return link
 }
 
-// currentLink returns the session's link, or nil.
-func (f *Filter) currentLink(session string) *ownerLink {
-	link, ok := f.links.Load(session)
+// currentLink returns the session's link to the owner, or nil.
+func (f *Filter) currentLink(session string) *ownerLink { return loadLink(&f.links, session) }
+
+func loadLink(links *sync.Map, session string) *ownerLink {
+	link, ok := links.Load(session)
 	if !ok {
 		return nil
 	}
@@ -120,6 +141,9 @@
 // "" if there is none.
 func (f *Filter) OwnerOf(session string) string {
 	link := f.currentLink(session)
+	if link == nil {
+		link = loadLink(&f.readerLinks, session)
+	}
 	switch {
 	case link == nil:
 		return ""
@@ -130,11 +154,13 @@
 	}
 }
 
-func (f *Filter) dropLink(session string, link *ownerLink) {
+func (f *Filter) dropLink(session string, link *ownerLink) { dropLink(&f.links, session, link) }
+
+func dropLink(links *sync.Map, session string, link *ownerLink) {
 	if link == nil {
 		return
 	}
-	f.links.CompareAndDelete(session, link)
+	links.CompareAndDelete(session, link)
 	link.handler.End(session)
 }
 
@@ -152,12 +178,17 @@
 	if !wasInTransaction && !isBegin(kind) {
 		return err
 	}
+	return f.lostTransaction(link, kind, refusal)
+}
+
+// lostTransaction returns the error to report for a statement of a transaction after which the link was dropped.
+func (f *Filter) lostTransaction(link *ownerLink, kind request.Kind, refusal *request.Refusal) error {
 	if !isOwnerLost(refusal) || kind == request.KindCommit && refusal.Code.Fate == request.Unknown {
-		return err
+		return refusal
 	}
 	f.Counts.Add("lost", 1)
 	return request.Refuse(request.CodeTransactionLost, step, link.address,
-		"the transaction was lost and rolled back").WithCause(err)
+		"the transaction was lost and rolled back").WithCause(refusal)
 }
 
 // isOwnerLost reports whether a refusal means that the owner lost the transaction's state
@@ -181,6 +212,7 @@
 // End implements request.Handler.
 func (f *Filter) End(session string) {
 	f.dropLink(session, f.currentLink(session))
+	dropLink(&f.readerLinks, session, loadLink(&f.readerLinks, session))
 }
 
 func (f *Filter) countRequest(link *ownerLink) {
--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -23,6 +23,7 @@
 		Local:    n.owner,
 		Sessions: n.peers,
 		Owners:   n.owners,
+		Readers:  n.owners.readers,
 	})
 }
 
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -275,6 +275,7 @@
 		Sessions:      n.peers,
 		OwnWritesOnly: true,
 		Owners:        n.owners,
+		Readers:       n.owners.readers,
 	})
 	n.front = front.New(front.Options{
 		Node:           n.settings.Node.Name + "." + n.incarnation,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -304,6 +304,7 @@
 		Declined:               n.observeDeclinedPoll,
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
+		HasReader:              func(group, domain string) bool { return n.owners.readers.hasReader(group, domain) },
 	})
 	n.owners = newOwnerTracker(n)
 }
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -47,12 +47,14 @@
 	unfitRevision uint64
 	// unfit records which nodes are passed over as owners of which groups.
 	unfit *unfitSet
+	// readers holds the readers of this node's failure domain.
+	readers *readerTracker
 	// doubtedAt maps addresses to when Doubt last had them probed.
 	doubtedAt sync.Map
 }
 
 func newOwnerTracker(n *Node) *ownerTracker {
-	o := &ownerTracker{node: n, lostAt: make(map[string]time.Time), unfit: newUnfitSet(n.clock)}
+	o := &ownerTracker{node: n, lostAt: make(map[string]time.Time), unfit: newUnfitSet(n.clock), readers: newReaderTracker(n)}
 	o.table.Store(&ownerTable{})
 	return o
 }
@@ -142,12 +144,14 @@
 		groups[i] = ownership.Group{Name: g.Name, Domain: homeDomain(g), Nodes: o.unfit.fitNodes(g.Name, nodes)}
 	}
 	table := make(ownerTable, len(groups))
-	for group, name := range ownership.Assign(groups, nodes) {
+	owners := ownership.Assign(groups, nodes)
+	for group, name := range owners {
 		member, _ := view.Member(name)
 		table[group] = ownerLocation{name: name, address: member.Address}
 	}
 	previous := *o.table.Swap(&table)
 	o.applyOwnership(previous, table)
+	o.readers.rebuild(config, owners, nodes, view)
 }
 
 // applyOwnership notifies the node's components of the groups that the node owns in only one
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -41,6 +41,8 @@
 	// primaryPenalty keeps the primary's slots free for writes: a read goes to the primary
 	// only when the best replica is slower by more than this.
 	primaryPenalty = 20 * time.Millisecond
+	// readerPenalty is the cost of a replica to which the reader of its failure domain sends reads too.
+	readerPenalty = 10 * time.Millisecond
 	// errorPenalty is added for a candidate whose recent exchanges all failed. For others it is
 	// multiplied by their share of recent errors.
 	errorPenalty = 500 * time.Millisecond
@@ -54,6 +56,8 @@
 	Name    string
 	Domain  string
 	Leaving bool
+	// HasReader is true if another node is the reader of the target's failure domain.
+	HasReader bool
 	// StatusKnown is true while the newest status of the target is recent enough to be used.
 	StatusKnown bool
 	Role        target.Role
@@ -78,6 +82,8 @@
 	MinPositionKnown bool
 	// Domain is the failure domain of the node that owns the group.
 	Domain string
+	// Nearby restricts the choice to replicas in Domain.
+	Nearby bool
 	// Primary is the index of the current primary in the candidates, or -1.
 	Primary int
 	// Term is the highest term seen in the group.
@@ -110,6 +116,9 @@
 // within q.ReplicaWaitLeft, it returns how long to wait.
 func Choose(q *Criteria, candidates []Candidate) Choice {
 	best := noTarget
+	if q.Nearby {
+		return chooseNearby(q, candidates)
+	}
 	if CanUseReplica(q) {
 		best = chooseReplica(q, candidates)
 		if best.Target < 0 && q.ReplicaWaitLeft > 0 && canCatchUp(q, candidates) {
@@ -125,6 +134,14 @@
 	return best
 }
 
+// chooseNearby returns the best replica in q.Domain, or noTarget.
+func chooseNearby(q *Criteria, candidates []Candidate) Choice {
+	if !CanUseReplica(q) {
+		return noTarget
+	}
+	return chooseReplica(q, candidates)
+}
+
 // CanUseReplica reports whether a replica may serve the request at all.
 func CanUseReplica(q *Criteria) bool {
 	return q.Read && q.Policy != PrimaryOnly && q.MinPositionKnown && q.Profile.Reads != fleet.ReadsPrimary
@@ -152,7 +169,7 @@
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		if !isEligible(q, c) || !Accepts(q, c.Last, c.Age, c.AgeKnown) {
+		if q.Nearby && c.Domain != q.Domain || !isEligible(q, c) || !Accepts(q, c.Last, c.Age, c.AgeKnown) {
 			continue
 		}
 		cost := expectedCost(q, c)
@@ -206,5 +223,8 @@
 	if c.Domain != q.Domain {
 		cost += crossDomainCost
 	}
+	if c.HasReader {
+		cost += readerPenalty
+	}
 	return cost
 }
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -40,10 +40,12 @@
 	lastUsed         time.Time
 	sweptAt          time.Time
 	// exclusive is true while no other owner can exist (see Manager.SetExclusive), owned while this node
-	// owns the group. lostAt is when it last lost the group, zero if never.
+	// owns the group. lostAt is when it last stopped to own or to read the group, zero if never.
 	exclusive bool
 	owned     bool
-	lostAt    time.Time
+	// reads is true while this node is the reader of a failure domain of the group.
+	reads  bool
+	lostAt time.Time
 	// releasing is set while the group refuses new work because it is handed over or closed, closing once
 	// its connections are closed.
 	releasing bool
@@ -59,7 +61,7 @@
 	endPrimary context.CancelFunc
 }
 
-func newGroup(m *Manager, name string, exclusive, owned bool) *group {
+func newGroup(m *Manager, name string, exclusive, owned, reads bool) *group {
 	ctx, stop := context.WithCancel(context.Background())
 	g := &group{
 		manager:      m,
@@ -76,6 +78,7 @@
 		lastSuspended: m.options.Suspended(),
 		exclusive:     exclusive,
 		owned:         owned,
+		reads:         reads,
 	}
 	g.primaryCtx, g.endPrimary = context.WithCancel(context.Background())
 	g.mu.Lock()
@@ -232,7 +235,7 @@
 
 // isFormerOwner reports whether this node has lost the group for long enough to give up its connections.
 func (g *group) isFormerOwner(now time.Time) bool {
-	return !g.owned && !g.lostAt.IsZero() && now.Sub(g.lostAt) >= formerOwnerGrace
+	return !g.owned && !g.reads && !g.lostAt.IsZero() && now.Sub(g.lostAt) >= formerOwnerGrace
 }
 
 // resizeAll applies changed limits to all members. g.mu is held.
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -117,6 +117,8 @@
 	Observe     func(group string, sentAt time.Time, status target.Status)
 	Declined    func(group, targetName string, sentAt time.Time)
 	Unreachable func(group, targetName string, sentAt time.Time)
+	// HasReader reports whether another node is the reader of a group's replicas in a failure domain. nil means never.
+	HasReader func(group, domain string) bool
 	// SoleOrderer reports whether both of these hold: this node is the only one that may order
 	// promotions of the group at present, and no promotion to a term above highest has been
 	// requested (see evidence.Group.SetSoleOrderer). nil means never.
@@ -132,6 +134,7 @@
 	mu        sync.RWMutex
 	groups    map[string]*group
 	owned     map[string]bool
+	reads     map[string]bool
 	exclusive map[string]bool
 	released  map[string]bool
 	draining  bool
@@ -161,6 +164,7 @@
 		counts:    newCounters(),
 		groups:    make(map[string]*group),
 		owned:     make(map[string]bool),
+		reads:     make(map[string]bool),
 		exclusive: make(map[string]bool),
 		released:  make(map[string]bool),
 	}
@@ -317,7 +321,7 @@
 	if config.Group(name) == nil {
 		return nil, request.Refuse(request.CodeUnknownService, "owner", m.options.Self, "unknown group %q", name)
 	}
-	g = newGroup(m, name, m.exclusive[name], m.owned[name])
+	g = newGroup(m, name, m.exclusive[name], m.owned[name], m.reads[name])
 	m.groups[name] = g
 	return g, nil
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -35,6 +35,9 @@
 		g.submit(ctx, now, r)
 		return nil, 0, nil
 	}
+	if r.req.Nearby {
+		return nil, 0, g.refuseNoReplica()
+	}
 	wait, retryAfter := choice.Wait, time.Duration(0)
 	if wait <= 0 {
 		wait, retryAfter = g.primaryWait(ctx, now, r)
@@ -80,6 +83,7 @@
 		MinPosition:      r.req.MinPosition,
 		MinPositionKnown: r.req.MinPositionKnown,
 		Domain:           g.options.Domain,
+		Nearby:           r.req.Nearby,
 		Primary:          -1,
 		HeldTerms:        g.options.HeldTerms,
 		Term:             g.evidence.HighestTerm(),
@@ -87,6 +91,7 @@
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
+		g.candidates[i].HasReader = g.options.HasReader != nil && g.options.HasReader(g.name, m.target.Domain)
 		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -280,6 +280,11 @@
 	}
 }
 
+// refuseNoReplica returns the refusal for a read that no replica in this node's failure domain may serve.
+func (g *group) refuseNoReplica() *request.Refusal {
+	return request.Refuse(request.CodeNoTarget, "choose", g.options.Self, "group %s has no replica here that may serve the read", g.name)
+}
+
 // refuseNoPrimary returns the refusal for a group without a confirmed primary.
 func (g *group) refuseNoPrimary() *request.Refusal {
 	return request.Refuse(request.CodeNoTarget, "choose", "", "group %s has no primary that a majority confirms", g.name)
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -67,6 +67,7 @@
 	Profile       fleet.Profile `cbor:"5,keyasint"`
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
+	Nearby        bool          `cbor:"9,keyasint,omitempty"`
 }
 
 func newSessionContext(req *request.Request) sessionContext {
@@ -78,6 +79,7 @@
 		Profile:       req.Profile,
 		Weight:        req.Weight,
 		ConfigVersion: req.ConfigVersion,
+		Nearby:        req.Nearby,
 	}
 }
 
@@ -130,6 +132,7 @@
 		Remaining:        f.Remaining,
 		Messages:         f.Messages,
 		ConfigVersion:    c.ConfigVersion,
+		Nearby:           c.Nearby,
 		PrepareOnly:      f.PrepareOnly,
 	}
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -79,6 +79,8 @@
 	// Priority orders requests that compete for the same room, the lowest first. It is 0 for all requests where
 	// the entry node's settings do not enable priorities.
 	Priority int `cbor:"15,keyasint,omitempty"`
+	// Nearby restricts a read to replicas in the failure domain of the node that serves it.
+	Nearby bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Response is the complete answer to one Request.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,6 +111,9 @@
 	Reads string `toml:"reads"`
 	// Priorities orders requests by the priorities of profiles and customers wherever they wait or are refused.
 	Priorities bool `toml:"priorities"`
+	// NearbyReads serves reads from the replicas in the failure domain of the node that the caller is connected
+	// to, where that has any.
+	NearbyReads bool `toml:"nearby_reads"`
 	// Split, if not 0, is the number of nodes that each use every target with an equal part
 	// of its slots and connections. With 0 (default), one owner per group uses its targets.
 	Split int `toml:"split"`
