--- a/internal/controller/membership/spread.go
+++ b/internal/controller/membership/spread.go
@@ -29,9 +29,9 @@
 	// Every shuffledPeriod-th probe goes to the next node of a shuffled round, which probes each
 	// node of the cell once in random order.
 	shuffledPeriod = 8
-	// shuffledPeriodCells replaces shuffledPeriod in a fleet of several cells, where each probe of
-	// another node costs a new connection.
-	shuffledPeriodCells = 32
+	// shuffledPeriodLarge replaces shuffledPeriod from CellSize nodes on, where each probe of another node
+	// costs a new connection.
+	shuffledPeriodLarge = 32
 	// Every farPeriod-th probe in a fleet of several cells goes to one of farPeers nodes, chosen
 	// among all, instead of one of the same cell. After farRotation such probes one of them is
 	// replaced.
@@ -105,8 +105,8 @@
 		return c.nextFarNode()
 	}
 	period := shuffledPeriod
-	if c.cellCount > 1 {
-		period = shuffledPeriodCells
+	if len(c.names) >= CellSize {
+		period = shuffledPeriodLarge
 	}
 	if c.probeTurn%period != 1 {
 		if n := c.nextByStride(); n.failures == 0 {
@@ -181,6 +181,9 @@
 // Gossip returns the gossip that a reply carries.
 func (c *Core) Gossip(now time.Time) Gossip {
 	g := c.baseGossip()
+	if c.omitsHeartbeats {
+		return g
+	}
 	g.Heartbeats = c.heartbeats(now)
 	g.Cells = uint16(c.cellCount)
 	g.Digests = c.digestsToSend(now)
--- a/internal/run/membership/runner.go
+++ b/internal/run/membership/runner.go
@@ -58,7 +58,7 @@
 	// that was sent at sentAt; may be nil.
 	OnAttachment func(node string, attached []byte, sentAt time.Time)
 	// OnObservation is called for each sign of life of a node, seen by this node itself or
-	// relayed by a peer: at time sentAt, node ran with configuration version; may be nil.
+	// relayed by a peer: at time sentAt, node ran with configuration version. If it is nil, nodes relay none.
 	OnObservation func(node string, version uint64, sentAt time.Time)
 }
 
@@ -82,6 +82,9 @@
 	now := o.Clock.Now()
 	seed := uint64(now.UnixNano())
 	r := &Runner{o: o, lostLinks: make(chan string, maxLostLinks), controller: membership.New(o.Self, seed, rand.New(rand.NewPCG(seed, seed>>7)))}
+	if o.OnObservation == nil {
+		r.controller.OmitHeartbeats()
+	}
 	r.view.Store(r.controller.View())
 	return r
 }
