--- a/internal/filter/route/reader.go
+++ b/internal/filter/route/reader.go
@@ -82,12 +82,18 @@
 		return nil, f.lostTransaction(link, req.Kind, refusal)
 	}
 	f.Counts.Add("declined_by_reader", 1)
-	if refusal.Code == request.CodeNoTarget || refusal.Code == request.CodeNoOwner {
+	if hasNoReplica(req, refusal) {
 		f.Readers.Declined(req.Group)
 	}
 	return nil, err
 }
 
+// hasNoReplica reports whether the refusal of a read means that the reader has no replica that may serve reads. That
+// none covers what the session has written says nothing about other sessions' reads.
+func hasNoReplica(req *request.Request, refusal *request.Refusal) bool {
+	return refusal.Code == request.CodeNoOwner || refusal.Code == request.CodeNoTarget && req.MinPosition.IsZero()
+}
+
 // canGoToOwner reports whether a read that the reader has not served may be sent to the owner. A read changes
 // nothing, and the reader ends a transaction whose beginning was not answered.
 func canGoToOwner(ctx context.Context, req *request.Request, err error) bool {
