--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -194,7 +194,9 @@
 	for group, since := range o.lostAt {
 		if now.Sub(since) >= releaseDelay {
 			delete(o.lostAt, group)
-			go o.releaseGroup(ctx, group)
+			if !o.readers.reads(group) {
+				go o.releaseGroup(ctx, group)
+			}
 		}
 	}
 }
--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -59,6 +59,11 @@
 	return name != "" && name != r.node.settings.Node.Name
 }
 
+// reads reports whether this node is the reader of its failure domain for group.
+func (r *readerTracker) reads(group string) bool {
+	return r.table.Load().local[group].name == r.node.settings.Node.Name
+}
+
 // rebuild builds and publishes the readers for a table of owners.
 func (r *readerTracker) rebuild(config *fleet.Config, owners map[string]string, nodes []ownership.Node, view *membership.View) {
 	if !r.node.settings.Policy.NearbyReads {
