--- a/internal/node/readers.go
+++ b/internal/node/readers.go
@@ -12,7 +12,7 @@
 
 // declinedFor is how long reads of a group go to its owner after the reader had no replica for one. Its replica
 // may be the primary, or behind.
-const declinedFor = 500 * time.Millisecond
+const declinedFor = 2 * time.Second
 
 // readerTable is the readers of all failure domains. It is immutable once published.
 type readerTable struct {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -186,8 +186,8 @@
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	connections = dataConnectionLimit(t.Connections, g.exclusive)
-	if g.isFormerOwner(g.now()) {
+	connections = dataConnectionLimit(t.Connections-g.readerControlConnections(), g.exclusive)
+	if g.isFormerOwner(g.now()) || g.leavesToReader(t) {
 		connections = min(connections, max(2, t.Slots))
 	}
 	return t.Slots, connections
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -91,7 +91,7 @@
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
-		g.candidates[i].HasReader = g.options.HasReader != nil && g.options.HasReader(g.name, m.target.Domain)
+		g.candidates[i].HasReader = g.hasReader(m.target.Domain)
 		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -265,7 +265,7 @@
 	}
 	g.sweptAt = now
 	g.refresh()
-	if g.isFormerOwner(now) {
+	if g.isFormerOwner(now) || g.options.HasReader != nil {
 		g.resizeAll()
 	}
 	expired := g.expiredTransactions(now)
--- a/internal/owner/reader.go
+++ b/internal/owner/reader.go
@@ -1,5 +1,7 @@
 package owner
 
+import "crocusyoke/internal/fleet"
+
 // SetReads sets whether this node is the reader of a failure domain of the group: nodes there send it the reads
 // that a replica in its own failure domain may serve. A reader that does not own the group places nothing
 // on other targets, gathers evidence of its own, and holds connections as an owner does. A release of the group
@@ -31,3 +33,29 @@
 	g.reads = reads
 	g.resizeAll()
 }
+
+// leavesToReader reports whether others use t's connections: the reader of its failure domain, or, where this node is
+// only a reader, all nodes that serve other domains. g.mu is held.
+func (g *group) leavesToReader(t *fleet.Target) bool {
+	return g.hasReader(t.Domain) || g.reads && !g.owned && t.Domain != g.options.Domain
+}
+
+func (g *group) hasReader(domain string) bool {
+	return g.options.HasReader != nil && g.options.HasReader(g.name, domain)
+}
+
+// readerControlConnections returns the number of a target's connections that other readers of the group use for
+// polling. g.mu is held.
+func (g *group) readerControlConnections() int {
+	count := 0
+	for i, m := range g.members {
+		isFirst := true
+		for _, earlier := range g.members[:i] {
+			isFirst = isFirst && earlier.target.Domain != m.target.Domain
+		}
+		if isFirst && g.hasReader(m.target.Domain) {
+			count++
+		}
+	}
+	return count
+}
