--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -41,8 +41,9 @@
 	// primaryPenalty keeps the primary's slots free for writes: a read goes to the primary
 	// only when the best replica is slower by more than this.
 	primaryPenalty = 20 * time.Millisecond
-	// readerPenalty is the cost of a replica to which the reader of its failure domain sends reads too.
-	readerPenalty = 10 * time.Millisecond
+	// readerPenalty is the cost of a replica to which the reader of its failure domain sends reads too. It is more
+	// than primaryPenalty, so that the owner uses such a replica only while the primary is busy.
+	readerPenalty = 2 * primaryPenalty
 	// errorPenalty is added for a candidate whose recent exchanges all failed. For others it is
 	// multiplied by their share of recent errors.
 	errorPenalty = 500 * time.Millisecond
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -187,7 +187,7 @@
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
 	connections = dataConnectionLimit(t.Connections-g.readerControlConnections(), g.exclusive)
-	if g.isFormerOwner(g.now()) || g.leavesToReader(t) {
+	if g.isFormerOwner(g.now()) || g.leavesToOthers(t) {
 		connections = min(connections, max(2, t.Slots))
 	}
 	return t.Slots, connections
--- a/internal/owner/reader.go
+++ b/internal/owner/reader.go
@@ -34,10 +34,10 @@
 	g.resizeAll()
 }
 
-// leavesToReader reports whether others use t's connections: the reader of its failure domain, or, where this node is
-// only a reader, all nodes that serve other domains. g.mu is held.
-func (g *group) leavesToReader(t *fleet.Target) bool {
-	return g.hasReader(t.Domain) || g.reads && !g.owned && t.Domain != g.options.Domain
+// leavesToOthers reports whether this node, as a reader only, leaves t to the nodes that serve other failure domains.
+// g.mu is held.
+func (g *group) leavesToOthers(t *fleet.Target) bool {
+	return g.reads && !g.owned && t.Domain != g.options.Domain
 }
 
 func (g *group) hasReader(domain string) bool {
