--- a/internal/owner/reader.go
+++ b/internal/owner/reader.go
@@ -44,8 +44,8 @@
 	return g.options.HasReader != nil && g.options.HasReader(g.name, domain)
 }
 
-// readerControlConnections returns the number of a target's connections that other readers of the group use for
-// polling. g.mu is held.
+// readerControlConnections returns the number of a target's connections that are reserved for the polls of other
+// readers of the group and of those that they may have replaced. g.mu is held.
 func (g *group) readerControlConnections() int {
 	count := 0
 	for i, m := range g.members {
@@ -54,7 +54,7 @@
 			isFirst = isFirst && earlier.target.Domain != m.target.Domain
 		}
 		if isFirst && g.hasReader(m.target.Domain) {
-			count++
+			count += controlConnections
 		}
 	}
 	return count
