--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -13,6 +13,8 @@
 type fakeNode struct {
 	served, ended int
 	err           error
+	// opens is true if a read-only transaction is opened here too.
+	opens bool
 }
 
 func (n *fakeNode) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
@@ -21,7 +23,7 @@
 		return nil, n.err
 	}
 	tx := byte('I')
-	if req.Kind == request.KindBegin || req.Kind == request.KindInTransaction {
+	if req.Kind == request.KindBegin || n.opens && req.Kind == request.KindBeginRead || req.Kind == request.KindInTransaction {
 		tx = 'T'
 	}
 	return &request.Response{ID: req.ID, TxStatus: tx}, nil
--- /dev/null
+++ b/internal/owner/reader_test.go
@@ -0,0 +1,77 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/request"
+)
+
+// TestReaderServesFromItsOwnDomain checks that a nearby read is served by the replica of the node's failure domain,
+// and refused at once as not run where there is none.
+func TestReaderServesFromItsOwnDomain(t *testing.T) {
+	for _, domain := range []string{"a", "b"} {
+		withHarness(t, time.Millisecond, func(o *Options) { o.Domain = domain }, func(h *harness) {
+			began := time.Now()
+			req := h.request(request.KindRead, "select 1", time.Second)
+			req.Nearby = true
+			response, err := h.serve(req)
+			if err != nil {
+				mustRefuse(t, err, request.CodeNoTarget)
+				must.Less(t, 10*time.Millisecond, time.Since(began))
+				return
+			}
+			must.True(t, response.Replica)
+			target := h.group.Current().Group("ledger").Targets
+			for i := range target {
+				if target[i].Name == response.Target {
+					must.Eq(t, domain, target[i].Domain)
+				}
+			}
+		})
+	}
+}
+
+// TestReaderServesAgainWhatItReleased guards against a node that owned a group, released it and refuses its reads ever
+// after, although it has become the reader of its failure domain.
+func TestReaderServesAgainWhatItReleased(t *testing.T) {
+	withHarness(t, time.Millisecond, nil, func(h *harness) {
+		h.manager.SetOwned("ledger", false)
+		must.NoError(t, h.manager.Release(context.Background(), "ledger"))
+		_, err := h.serve(h.request(request.KindRead, "select 1", time.Second))
+		mustRefuse(t, err, request.CodeNoOwner)
+		h.manager.SetReads("ledger", true)
+		_, err = h.serve(h.request(request.KindRead, "select 1", time.Second))
+		must.NoError(t, err)
+	})
+}
+
+// TestReadersStayWithinConnections checks that the owner, the readers of all other failure domains and those that they
+// have just replaced hold no more connections to any target than it allows.
+func TestReadersStayWithinConnections(t *testing.T) {
+	for _, connections := range []int{23, 34, 56, 117, 285} {
+		for _, domains := range []int{3, 6} {
+			withHarness(t, time.Millisecond, func(o *Options) {
+				o.HasReader = func(_, domain string) bool { return domain != o.Domain }
+			}, func(h *harness) {
+				g := h.manager.groups["ledger"]
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				members := g.members
+				defer func() { g.members = members }()
+				g.members = nil
+				for i := range domains {
+					g.members = append(g.members, &member{group: g, target: fleet.Target{Domain: fmt.Sprint(i), Slots: 4, Connections: connections}})
+				}
+				g.members[0].target.Domain = "a"
+				_, data := g.limits(&g.members[0].target)
+				must.LessEq(t, connections, 2*data+2*domains)
+			})
+		}
+	}
+}
