--- a/internal/owner/schedule/schedule.go
+++ b/internal/owner/schedule/schedule.go
@@ -270,7 +270,9 @@
 }
 
 // Pace returns the mean time between two statements that get a slot while work waits.
-func (s *Scheduler) Pace() time.Duration { return s.meanSlotTime / time.Duration(max(1, s.options.Slots)) }
+func (s *Scheduler) Pace() time.Duration {
+	return s.meanSlotTime / time.Duration(max(1, s.options.Slots))
+}
 
 // MeanSlotTime returns the moving average of the time for which a statement holds a slot.
 func (s *Scheduler) MeanSlotTime() time.Duration { return s.meanSlotTime }
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -68,6 +68,7 @@
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
 	Priority      int           `cbor:"8,keyasint,omitempty"`
+	Nearby        bool          `cbor:"9,keyasint,omitempty"`
 }
 
 func newSessionContext(req *request.Request) sessionContext {
@@ -80,6 +81,7 @@
 		Weight:        req.Weight,
 		Priority:      req.Priority,
 		ConfigVersion: req.ConfigVersion,
+		Nearby:        req.Nearby,
 	}
 }
 
@@ -133,6 +135,7 @@
 		Remaining:        f.Remaining,
 		Messages:         f.Messages,
 		ConfigVersion:    c.ConfigVersion,
+		Nearby:           c.Nearby,
 		PrepareOnly:      f.PrepareOnly,
 	}
 }
