--- /dev/null
+++ b/internal/owner/urgency_test.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/request"
+)
+
+// TestUrgentBeforeCrowd: bulk writes of many customers that would take 4 times their timeout wait for a primary. Urgent
+// ones that come meanwhile are answered after one statement; the bulk that does not fit is refused as not run and shed,
+// with times to come back of their own, which the counters and one log line show.
+func TestUrgentBeforeCrowd(t *testing.T) {
+	const bulk, urgent, service, timeout = 400, 20, 10 * time.Millisecond, 200 * time.Millisecond
+	var out bytes.Buffer
+	options := func(o *Options) { o.Priorities, o.Logger = true, log.NewLogfmtLogger(log.NewSyncWriter(&out)) }
+	withHarness(t, time.Millisecond, options, func(h *harness) {
+		for _, f := range h.group.targets {
+			f.update(func(f *fakeTarget) { f.serviceTime = service })
+		}
+		var mu sync.Mutex
+		var returns []time.Duration
+		var slowest time.Duration
+		var callers sync.WaitGroup
+		for i := range bulk {
+			req := h.request(request.KindWrite, "INSERT bulk", timeout)
+			req.Customer, req.Priority = fmt.Sprint("c", i%7), 2*request.PriorityStep
+			callers.Go(func() {
+				if _, err := h.serve(req); err != nil {
+					refusal := request.AsRefusal(err)
+					if refusal.Code != request.CodeOverloaded {
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					returns = append(returns, refusal.RetryAfter)
+				}
+			})
+		}
+		for range urgent {
+			time.Sleep(2 * time.Millisecond)
+			req := h.request(request.KindWrite, "INSERT urgent", timeout)
+			callers.Go(func() {
+				began := time.Now()
+				_, err := h.serve(req)
+				must.NoError(t, err)
+				mu.Lock()
+				defer mu.Unlock()
+				slowest = max(slowest, time.Since(began))
+			})
+		}
+		callers.Wait()
+		must.LessEq(t, 5*service, slowest)
+		must.Greater(t, bulk/2, len(returns))
+		slices.Sort(returns)
+		must.Positive(t, returns[0])
+		must.Greater(t, len(returns)/2, len(slices.Compact(returns)), must.Sprint("callers come back together"))
+		must.Eq(t, fmt.Sprint(urgent), h.manager.counts.urgency.served.Get("0").String())
+		must.Positive(t, len(h.manager.counts.urgency.shed.String())-len("{}"))
+		must.Eq(t, 1, bytes.Count(out.Bytes(), []byte("event=shed ")))
+	})
+}
+
+// TestReturnFromGapInOrder: requests that are refused while there is no primary come back each at a time of its own, the
+// urgent ones first.
+func TestReturnFromGapInOrder(t *testing.T) {
+	withHarness(t, time.Millisecond, func(o *Options) { o.Priorities = true }, func(h *harness) {
+		g := h.manager.groups["ledger"]
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		now := g.now()
+		last := time.Duration(0)
+		for _, priority := range []int{0, 0, 0, 1000, 1000, 2000} {
+			req := h.request(request.KindWrite, "INSERT", time.Second)
+			req.Priority = priority
+			wait := g.returnAfter(now, req, 100*time.Millisecond)
+			must.Greater(t, last, wait)
+			last = wait
+		}
+		must.Eq(t, 0, g.returnAfter(now, h.request(request.KindWrite, "INSERT", time.Second), 0))
+	})
+}
