--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -321,3 +321,18 @@
 	must.Len(t, 1, decisions)
 	must.Nil(t, decisions[0].Refusal)
 }
+
+// TestNothingShedBesideFreeSlot: urgent writes that wait for a lock, not for a slot, shed nothing.
+func TestNothingShedBesideFreeSlot(t *testing.T) {
+	s := New(Options{Slots: 2, Priorities: true})
+	now := epoch
+	begin := &Item{Customer: "a", Class: BeginTransaction}
+	s.Submit(now, begin)
+	s.Done(now, begin, TransactionOpened)
+	s.Submit(now, &Item{Customer: "a", Class: Write})
+	must.SliceEmpty(t, s.Submit(now, &Item{Customer: "b", Class: Write, Priority: 1, Deadline: now.Add(50 * time.Millisecond)}))
+	for range 50 {
+		now = now.Add(time.Millisecond / 2)
+		must.SliceEmpty(t, s.Submit(now, &Item{Customer: "a", Class: Write}))
+	}
+}
