Urgency: a slot is given back while its statement's connection opens

Change: with priorities the slot is given back, at most as many at once as there are slots; the statement goes first of its priority once it has its connection.

--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -244,21 +244,3 @@
 	}
 	return refusal
 }
-
-// connectTimeout is how long a request waits for a connection to one target before it is
-// placed again, possibly on another target.
-const connectTimeout = 300 * time.Millisecond
-
-// connection gets a connection that may serve req from m's pool, within connectTimeout.
-func (m *member) connection(ctx context.Context, req *request.Request) (*pool.Conn, error) {
-	use := pool.Use{Customer: req.Customer, Priority: req.Priority, Weight: 1 / float64(1+request.Rank(req.Priority))}
-	if !m.perCustomer {
-		use.Customer = ""
-	}
-	if conn := m.pool.TryGetFor(use); conn != nil {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	return m.pool.GetFor(ctx, use)
-}
--- a/internal/owner/schedule/admit.go
+++ b/internal/owner/schedule/admit.go
@@ -83,7 +83,7 @@
 	if deadlinePassed(now, item.Deadline) {
 		return request.Refuse(request.CodeTimeout, "schedule", "", "deadline passed before the statement was queued")
 	}
-	if item.Class > BeginTransaction || s.isGrantedAtOnce(item) {
+	if item.Class > BeginTransaction || item.isReady || s.isGrantedAtOnce(item) {
 		return nil
 	}
 	l := s.levelOf(item.Priority)
@@ -123,6 +123,10 @@
 		return &s.endTransaction
 	case InTransaction:
 		return &s.inTransaction
+	}
+	switch {
+	case item.isReady:
+		return &item.flow.level.ready
 	default:
 		return &item.flow.queues[item.Class]
 	}
--- a/internal/owner/schedule/level.go
+++ b/internal/owner/schedule/level.go
@@ -11,7 +11,9 @@
 	priority    int
 	flows       map[string]*flow
 	activeFlows []*flow
-	queued      int
+	// ready holds the items that gave back their slots. They go first.
+	ready  queue
+	queued int
 	// virtualTime is the highest virtual time that any of its flows had when it was granted a slot.
 	virtualTime  float64
 	meanSlotTime time.Duration
@@ -90,27 +92,31 @@
 		if l.queued == 0 {
 			continue
 		}
-		f, item := s.nextOf(l)
+		item := s.nextOf(l)
 		if item == nil {
 			continue
 		}
 		if s.passedOver.isDue(now) {
-			if lower, oldest := s.oldestBelow(i); oldest != nil {
-				f, item = lower, oldest
+			if oldest := s.oldestBelow(i); oldest != nil {
+				item = oldest
 				s.passedOver = passedOver{}
 			}
 		}
-		f.queues[item.Class].pop()
-		s.leaveQueue(f)
-		s.passedOver.record(now, s.waitsBelow(f.level))
+		s.take(item)
+		s.passedOver.record(now, s.waitsBelow(item.flow.level))
 		return item
 	}
 	return nil
 }
 
-// nextOf returns the oldest runnable item of the customer of l with the least virtual time, and
-// its flow, or nil. Customers with equal virtual times are served in order of arrival.
-func (s *Scheduler) nextOf(l *level) (best *flow, bestItem *Item) {
+// nextOf returns the oldest runnable item of the customer of l with the least virtual time, or nil.
+// Customers with equal virtual times are served in order of arrival.
+func (s *Scheduler) nextOf(l *level) *Item {
+	if item := s.nextReady(l); item != nil {
+		return item
+	}
+	var best *flow
+	var bestItem *Item
 	for _, f := range l.activeFlows {
 		item := s.oldestRunnable(f)
 		if item == nil {
@@ -120,20 +126,23 @@
 			best, bestItem = f, item
 		}
 	}
-	return best, bestItem
+	return bestItem
 }
 
 // oldestBelow returns the oldest runnable item of the levels that are less urgent than the one at
-// index i, and its flow, or nil.
-func (s *Scheduler) oldestBelow(i int) (flow *flow, oldest *Item) {
+// index i, or nil.
+func (s *Scheduler) oldestBelow(i int) (oldest *Item) {
 	for _, l := range s.levels[i+1:] {
+		if item := s.nextReady(l); item != nil && (oldest == nil || item.arrivalSeq < oldest.arrivalSeq) {
+			oldest = item
+		}
 		for _, f := range l.activeFlows {
 			if item := s.oldestRunnable(f); item != nil && (oldest == nil || item.arrivalSeq < oldest.arrivalSeq) {
-				flow, oldest = f, item
+				oldest = item
 			}
 		}
 	}
-	return flow, oldest
+	return oldest
 }
 
 // waitsBelow reports whether work waits that is less urgent than l.
--- a/internal/owner/schedule/schedule.go
+++ b/internal/owner/schedule/schedule.go
@@ -104,6 +104,8 @@
 	startedAt   time.Time
 	chargedTime time.Duration
 	state       itemState
+	// isReady is true once the item has given back a slot.
+	isReady bool
 }
 
 type itemState uint8
@@ -112,6 +114,7 @@
 	stateNone itemState = iota
 	stateQueued
 	stateRunning
+	stateGaveBack
 )
 
 // Running reports whether the item holds a slot.
@@ -155,6 +158,8 @@
 	transactionUse use
 	lastShed       time.Time
 	comeback       comeback.Plan
+	// gaveBack is the number of items that gave back their slots and were not submitted again yet.
+	gaveBack int
 }
 
 // New returns an empty Scheduler.
@@ -188,6 +193,7 @@
 // If there is no decision on item, item waits for a slot.
 func (s *Scheduler) Submit(now time.Time, item *Item) []Decision {
 	s.decisions = s.decisions[:0]
+	s.Abandon(item)
 	s.lastArrivalSeq++
 	item.arrivalSeq = s.lastArrivalSeq
 	if refusal := s.admit(now, item); refusal != nil {
@@ -251,6 +257,7 @@
 		s.expireQueue(now, q)
 	}
 	for _, l := range s.levels {
+		s.expireQueue(now, &l.ready)
 		for i := len(l.activeFlows) - 1; i >= 0; i-- {
 			f := l.activeFlows[i]
 			for class := range f.queues {
--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -271,8 +271,35 @@
 			}
 			must.Eq(t, len(waiting), s.Waiting())
 			must.Eq(t, len(running), s.InFlight())
+			must.Eq(t, len(running), s.running[Read])
 		}
+		var gaveBack []*Item
 		t.Repeat(map[string]func(*rapid.T){
+			"give back": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				item := running[0]
+				decisions, ok := s.GiveBack(now, item)
+				must.Eq(t, len(gaveBack) < slots, ok)
+				if ok {
+					gaveBack, running = append(gaveBack, item), running[1:]
+					apply(decisions)
+				}
+			},
+			"come back": func(t *rapid.T) {
+				if len(gaveBack) == 0 {
+					return
+				}
+				item := gaveBack[0]
+				gaveBack = gaveBack[1:]
+				if rapid.Bool().Draw(t, "abandon") {
+					s.Abandon(item)
+					return
+				}
+				waiting[item] = true
+				apply(s.Submit(now, item))
+			},
 			"submit": func(t *rapid.T) {
 				item := &Item{
 					Customer: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "customer"),
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"crocusyoke/internal/fleet"
-	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
@@ -157,10 +156,9 @@
 	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
 		return nil, refusal
 	}
-	conn, err := r.member.connection(ctx, r.req)
-	if err != nil {
-		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
-		return nil, g.refuseNoConnection(ctx, r, err)
+	conn, refusal := g.connect(ctx, r)
+	if refusal != nil {
+		return nil, refusal
 	}
 	if g.now().Sub(r.placedAt) > recheckAfter && !g.isPlacementValid(r) {
 		r.member.pool.Put(conn)
@@ -208,22 +206,6 @@
 	return min(maxReadAttempt, max(time.Millisecond, deadline.Sub(now)/2))
 }
 
-// refuseNoConnection returns the refusal for an attempt without a connection. Unless ctx has
-// ended, it counts the failure against the target, unless it concerns the customer only, and marks
-// the refusal as retryable, since nothing was sent; the next attempt prefers another target if one
-// will do.
-func (g *group) refuseNoConnection(ctx context.Context, r *execution, err error) *request.Refusal {
-	if ctx.Err() != nil {
-		return request.Refuse(request.CodeTimeout, "connect", r.member.name, "no connection in time").WithCause(err)
-	}
-	if !target.ErrLoginRefused.Has(err) {
-		g.mu.Lock()
-		r.member.recordExchange(true, logpos.Position{})
-		g.mu.Unlock()
-	}
-	return markRetryable(request.Refuse(request.CodeNoTarget, "connect", r.member.name, "no connection: %v", err))
-}
-
 // finishExchange frees the slot and returns the connection. If the exchange left a transaction
 // open, it pins the connection to the session instead and returns the transaction.
 func (g *group) finishExchange(ctx context.Context, r *execution, conn *pool.Conn, o *exchangeResult) *transaction {
--- a/internal/owner/urgency_test.go
+++ b/internal/owner/urgency_test.go
@@ -87,3 +87,58 @@
 		must.Eq(t, 0, g.returnAfter(now, h.request(request.KindWrite, "INSERT", time.Second), 0))
 	})
 }
+
+// TestSlotIsFreeWhileConnectionOpens: requests of as many customers as there are slots wait until their connections are
+// open. Another request runs meanwhile, and they run as soon as they can.
+func TestSlotIsFreeWhileConnectionOpens(t *testing.T) {
+	const opening = 12 * time.Millisecond // of fakeGroup
+	perCustomer := func(o *Options) { o.Priorities, o.Dialer = true, customersDialer{o.Dialer.(pollableGroup)} }
+	withHarness(t, time.Millisecond, perCustomer, func(h *harness) {
+		primary := h.group.targets[0]
+		primary.update(func(f *fakeTarget) { f.serviceTime = time.Millisecond })
+		_, err := h.serve(h.request(request.KindWrite, "INSERT first", time.Second))
+		must.NoError(t, err)
+		var callers sync.WaitGroup
+		began := time.Now()
+		for i := range fakeSlots {
+			req := h.request(request.KindWrite, "INSERT new", time.Second)
+			req.Customer = fmt.Sprint("new", i)
+			callers.Go(func() {
+				_, err := h.serve(req)
+				must.NoError(t, err)
+			})
+		}
+		time.Sleep(time.Millisecond)
+		_, err = h.serve(h.request(request.KindWrite, "INSERT meanwhile", time.Second))
+		must.NoError(t, err)
+		must.Less(t, opening/2, time.Since(began))
+		callers.Wait()
+		must.Less(t, 2*opening, time.Since(began))
+	})
+}
+
+// TestOpenedConnectionIsKept: a request whose time runs out while it waits for its slot again returns the connection
+// that was opened for it.
+func TestOpenedConnectionIsKept(t *testing.T) {
+	perCustomer := func(o *Options) { o.Priorities, o.Dialer = true, customersDialer{o.Dialer.(pollableGroup)} }
+	withHarness(t, time.Millisecond, perCustomer, func(h *harness) {
+		h.group.targets[0].update(func(f *fakeTarget) { f.serviceTime = 100 * time.Millisecond })
+		var callers sync.WaitGroup
+		serve := func(n int, customer string, timeout time.Duration) {
+			for range n {
+				req := h.request(request.KindWrite, "INSERT", timeout)
+				req.Customer = customer
+				callers.Go(func() { _, _ = h.serve(req) })
+			}
+		}
+		serve(fakeSlots, "ravi", time.Second)
+		callers.Wait()
+		serve(1, "new", 50*time.Millisecond)
+		time.Sleep(time.Millisecond)
+		serve(fakeSlots, "ravi", time.Second)
+		callers.Wait()
+		m := h.manager.groups["ledger"].members[0]
+		must.Eq(t, m.pool.Stats().Open, m.pool.Stats().Idle)
+		must.Eq(t, fakeSlots+1, m.pool.Stats().Open)
+	})
+}
