--- a/internal/filter/retry/retry_test.go
+++ b/internal/filter/retry/retry_test.go
@@ -127,3 +127,12 @@
 		must.Eq(t, want, request.AsRefusal(err).Code.Fate)
 	}
 }
+
+// TestRetryKeepsTimeToComeBack: a retry after a refusal for lack of room comes no earlier than the refusal says, since that
+// orders those that return.
+func TestRetryKeepsTimeToComeBack(t *testing.T) {
+	f, _ := newFilter(&scriptedHandler{})
+	wait := MaxBackoff / 2
+	must.GreaterEq(t, wait, f.delay(request.Refuse(request.CodeOverloaded, "schedule", "", "").WithRetryAfter(wait), InitialBackoff))
+	must.Less(t, wait, f.delay(request.Refuse(request.CodeNoOwner, "owner", "", "").WithRetryAfter(wait), InitialBackoff))
+}
