--- a/internal/owner/pool/waiting_test.go
+++ b/internal/owner/pool/waiting_test.go
@@ -22,8 +22,11 @@
 		must.NoError(t, err)
 		var order []int
 		for i, use := range []Use{
-			{Customer: "a", Priority: 2000}, {Customer: "b", Priority: 1000}, {Customer: "c", Priority: 0},
-			{Customer: "b", Priority: 0}, {Customer: "a", Priority: 1000},
+			{Customer: "a", Priority: 2000},
+			{Customer: "b", Priority: 1000},
+			{Customer: "c", Priority: 0},
+			{Customer: "b", Priority: 0},
+			{Customer: "a", Priority: 1000},
 		} {
 			go func() {
 				conn, err := p.GetFor(context.Background(), use)
