Urgency: one statement without an answer counts for its own slot only

Change: use counts with decay over its own length; a sample of a level's mean is at most 4 times the mean. Result: TestOneLongStatementShedsNothing fails without either.

--- a/internal/owner/schedule/level.go
+++ b/internal/owner/schedule/level.go
@@ -36,7 +36,7 @@
 	if len(s.levels) >= maxLevels {
 		return s.levels[min(i, len(s.levels)-1)]
 	}
-	l := &level{priority: priority, flows: make(map[string]*flow), meanSlotTime: s.meanSlotTime}
+	l := &level{priority: priority, flows: make(map[string]*flow), meanSlotTime: initialSlotTime}
 	s.levels = slices.Insert(s.levels, i, l)
 	return l
 }
@@ -59,6 +59,10 @@
 	return l.meanSlotTime
 }
 
+// maxSample bounds a sample of a level's mean slot time, as a multiple of the mean, so that a statement without an
+// answer does not make all others look long.
+const maxSample = 4
+
 // recordUse records the slot time that item used up to now.
 func (s *Scheduler) recordUse(now time.Time, item *Item, used time.Duration) {
 	if !s.options.Priorities {
@@ -69,7 +73,7 @@
 		return
 	}
 	l := item.flow.level
-	l.meanSlotTime = movingAverage(l.meanSlotTime, used)
+	l.meanSlotTime = movingAverage(l.meanSlotTime, min(used, maxSample*l.meanSlotTime))
 	l.use.add(now, used)
 }
 
--- a/internal/owner/schedule/schedule_test.go
+++ b/internal/owner/schedule/schedule_test.go
@@ -144,6 +144,20 @@
 	}
 }
 
+func BenchmarkSubmitDonePriorities(b *testing.B) {
+	s := New(Options{Slots: 5, Priorities: true})
+	now := epoch
+	items := [3]*Item{}
+	for i := range items {
+		items[i] = &Item{Customer: "a", Class: Read, Priority: i}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Submit(now, items[i%3])
+		s.Done(now, items[i%3], TransactionUnchanged)
+	}
+}
+
 func BenchmarkSubmitDone(b *testing.B) {
 	s := New(Options{Slots: 5})
 	now := epoch
--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -239,6 +239,22 @@
 	must.Eq(t, 16+len(waiting), s.Waiting())
 }
 
+// TestOneLongStatementShedsNothing: an urgent statement that held its slot for long, as one without an answer does, does
+// not count for the other slots.
+func TestOneLongStatementShedsNothing(t *testing.T) {
+	s := New(Options{Slots: targetSlots, Priorities: true})
+	now := epoch
+	long := &Item{Customer: "a", Class: Read}
+	s.Submit(now, long)
+	now = now.Add(10 * time.Second)
+	s.Done(now, long, TransactionUnchanged)
+	must.LessEq(t, 1.0/targetSlots, s.aheadOf(now, s.levelOf(1)).share)
+	for range targetSlots {
+		s.Submit(now, &Item{Customer: "a", Class: Read})
+	}
+	must.SliceEmpty(t, s.Submit(now, &Item{Customer: "b", Class: Read, Priority: 1, Deadline: now.Add(10 * time.Millisecond)}))
+}
+
 // TestUrgencyHistories runs random sequences of calls with priorities. No statement is refused while a slot is free
 // that it may use, and reads are granted slots in order of priority but for those that had been passed over.
 func TestUrgencyHistories(t *testing.T) {
--- a/internal/owner/schedule/use.go
+++ b/internal/owner/schedule/use.go
@@ -15,9 +15,10 @@
 	time float64
 }
 
-// add records that slot time was used up to now.
+// add records that a slot was used up to now. Of a long use the older part counts less, so that one statement never
+// counts for more than its slot.
 func (u *use) add(now time.Time, used time.Duration) {
-	u.time = u.decayed(now) + used.Seconds()
+	u.time = u.decayed(now) + (1-decay(used))*useWindow.Seconds()
 	u.at = now
 }
 
@@ -26,6 +27,11 @@
 	if u.time == 0 {
 		return 0
 	}
-	x := max(0, now.Sub(u.at)).Seconds() / useWindow.Seconds()
-	return u.time / (1 + x + x*x/2)
+	return u.time * decay(now.Sub(u.at))
+}
+
+// decay returns the factor by which use counts less after a time, which is close to that of exponential decay.
+func decay(after time.Duration) float64 {
+	x := max(0, after).Seconds() / useWindow.Seconds()
+	return 1 / (1 + x + x*x/2)
 }
