--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -249,7 +249,7 @@
 	now = now.Add(10 * time.Second)
 	s.Done(now, long, TransactionUnchanged)
 	must.LessEq(t, 1.0/targetSlots, s.aheadOf(now, s.levelOf(1)).share)
-	for range targetSlots {
+	for range targetSlots + 1 {
 		s.Submit(now, &Item{Customer: "a", Class: Read})
 	}
 	must.SliceEmpty(t, s.Submit(now, &Item{Customer: "b", Class: Read, Priority: 1, Deadline: now.Add(10 * time.Millisecond)}))
