Home regions: bound at the entry, carried to the owner, obeyed by node and target choice

Cause: the rule of home regions was decoded and nothing acted on it. Change: filter/home binds each request to the regions that its service and customer have in common; the entry sends it only to nodes inside of them, or serves it itself; no target outside is a candidate; refusals outside_home are not run.

--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -11,6 +11,7 @@
 
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
+	"crocusyoke/internal/filter/home"
 	"crocusyoke/internal/filter/latency"
 	"crocusyoke/internal/filter/limit"
 	"crocusyoke/internal/filter/retry"
@@ -43,6 +44,7 @@
 type Chain struct {
 	request.Handler
 	Auth    *auth.Filter
+	Home    *home.Filter
 	Limit   *limit.Filter
 	Session *session.Filter
 	Retry   *retry.Filter
@@ -60,7 +62,8 @@
 		c.Session = session.NewOwnWritesOnly(c.Retry, o.Config)
 	}
 	c.Limit = limit.New(c.Session, o.Quota)
-	c.Auth = auth.New(c.Limit, o.Config, o.Fresh)
+	c.Home = home.New(c.Limit, o.Config)
+	c.Auth = auth.New(c.Home, o.Config, o.Fresh)
 	c.Latency = latency.New(c.Auth, o.Clock)
 	c.Handler = c.Latency
 	return c
@@ -70,6 +73,8 @@
 func (c *Chain) Vars() *expvar.Map {
 	all := new(expvar.Map)
 	all.Set("auth_refused", &c.Auth.Refused)
+	all.Set("home_bound", &c.Home.Bound)
+	all.Set("home_refused", &c.Home.Refused)
 	all.Set("limit_refused", &c.Limit.Refused)
 	all.Set("retry_retried", &c.Retry.Retried)
 	all.Set("retry_exhausted", &c.Retry.Exhausted)
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -15,6 +15,7 @@
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -35,8 +36,10 @@
 	err  error
 }
 
-func (env *testEnv) Current() *fleet.Config            { return env.config }
-func (env *testEnv) Owner(string) (string, bool, bool) { return "", true, true }
+func (env *testEnv) Current() *fleet.Config                        { return env.config }
+func (env *testEnv) Owner(string, region.Set) (string, bool, bool) { return "", true, true }
+
+func (env *testEnv) Allows(string, region.Set) bool { return true }
 
 func (env *testEnv) Doubt(string)                {}
 func (env *testEnv) Open(string) request.Handler { return env }
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -3,7 +3,7 @@
 // Invariant: a session in a transaction stays with the owner that holds the transaction, and a request
 // that belongs to no transaction never gets to an owner that has one open for its session. If that
 // owner is lost, the session gets CodeTransactionLost, except for a commit that may have taken
-// effect, whose outcome is reported as unknown.
+// effect, whose outcome is reported as unknown. No request is sent to a node outside of its home regions.
 package route
 
 import (
@@ -12,6 +12,7 @@
 	"sync"
 
 	"crocusyoke/internal/peer"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -19,9 +20,11 @@
 
 // Owners looks up the node that owns a group.
 type Owners interface {
-	// Owner returns the owner's address. self is true if this node is the owner; ok is false if
-	// no owner is known.
-	Owner(group string) (address string, self bool, ok bool)
+	// Owner returns the address of the node that serves the group's requests with the given homes: its owner, or
+	// one in these regions. self is true if that is this node; ok is false if no owner is known.
+	Owner(group string, homes region.Set) (address string, self bool, ok bool)
+	// Allows reports whether requests with the given homes may be sent to the node at address.
+	Allows(address string, homes region.Set) bool
 	// Doubt reports that the node at address has refused a group because it does not own it any more.
 	Doubt(address string)
 }
@@ -33,6 +36,8 @@
 	self    bool
 	// inTransaction is true while the owner holds an open transaction of the session.
 	inTransaction bool
+	// homes are the home regions of the newest request.
+	homes region.Set
 }
 
 // Filter is the last filter of the entry node's chain.
@@ -79,6 +84,12 @@
 		f.dropLink(session, link)
 		link = nil
 	}
+	if link != nil && link.inTransaction && !f.isAllowed(link, req.HomeRegions) {
+		f.dropLink(session, link)
+		f.Counts.Add("lost", 1)
+		return nil, request.Refuse(request.CodeTransactionLost, step, link.address,
+			"the transaction's owner is no longer in a home region of the request; rolled back")
+	}
 	if link != nil && link.inTransaction {
 		f.countRequest(link)
 		return link, nil
@@ -86,7 +97,7 @@
 	if isInTransaction(req.Kind) {
 		return nil, request.Refuse(request.CodeTransactionLost, step, "", "the owner that held the transaction was lost")
 	}
-	address, self, ok := f.owners.Owner(req.Group)
+	address, self, ok := f.owners.Owner(req.Group, req.HomeRegions)
 	if !ok {
 		return nil, request.Refuse(request.CodeNoOwner, step, "", "no owner of group %s is known", req.Group)
 	}
@@ -94,10 +105,17 @@
 		f.dropLink(session, link)
 		link = f.openLink(session, address, self)
 	}
+	link.homes = req.HomeRegions
 	f.countRequest(link)
 	return link, nil
 }
 
+// isAllowed reports whether a request with the given homes may be sent on link, which was chosen for a request
+// with link.homes.
+func (f *Filter) isAllowed(link *ownerLink, homes region.Set) bool {
+	return link.self || homes == link.homes || f.owners.Allows(link.address, homes)
+}
+
 func (f *Filter) openLink(session, address string, self bool) *ownerLink {
 	link := &ownerLink{handler: f.local, address: address, self: self}
 	if !self {
--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -38,10 +39,15 @@
 
 func (f *fakeFleet) Open(address string) request.Handler { return f.nodes[address] }
 
-func (f *fakeFleet) Owner(string) (string, bool, bool) {
+func (f *fakeFleet) Owner(string, region.Set) (string, bool, bool) {
 	return f.owner, f.owner == "self", f.owner != ""
 }
 
+// Allows implements Owners: the regions have the nodes' names.
+func (f *fakeFleet) Allows(address string, homes region.Set) bool {
+	return region.Map{address: address}.Allows(homes, address)
+}
+
 func (f *fakeFleet) Doubt(address string) { f.doubted = append(f.doubted, address) }
 
 func newFakeFleet() (*Filter, *fakeFleet) {
--- /dev/null
+++ b/internal/node/homes_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"crocusyoke/internal/clock"
+	"crocusyoke/internal/controller/membership"
+	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/ownership"
+	"crocusyoke/internal/region"
+)
+
+var testRegions = region.Map{"e1": "east", "e2": "east", "w1": "west", "n1": "north"}
+
+// TestNodeOutsideOfTheHomesServes guards against a request that is sent to a node outside of its homes: one inside is
+// chosen, the same one by all nodes, and without any, the caller's own node serves.
+func TestNodeOutsideOfTheHomesServes(t *testing.T) {
+	view := &membership.View{Self: "own"}
+	var nodes []ownership.Node
+	for i, domain := range []string{"e1", "e2", "w1", "w1", "unlisted"} {
+		name := fmt.Sprintf("node-%d", i)
+		view.Members = append(view.Members, membership.Member{Name: name, Address: "at " + name, Domain: domain})
+		nodes = append(nodes, ownership.Node{Name: name, Domain: domain})
+	}
+	own := &homeNodes{self: "own", nodes: nodes, view: view, unfit: newUnfitSet(clock.Wall{}), regions: testRegions}
+	other := &homeNodes{self: "other", nodes: nodes, view: view, unfit: newUnfitSet(clock.Wall{}), regions: testRegions}
+	for _, homes := range []string{"east", "west"} {
+		set := region.NewSet([]string{homes})
+		for g := range 20 {
+			chosen := own.choose(fmt.Sprint(g), set)
+			must.Eq(t, homes, testRegions[chosen.domain])
+			must.Eq(t, "at "+chosen.name, chosen.address)
+			must.Eq(t, chosen, other.choose(fmt.Sprint(g), set))
+		}
+	}
+	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.NewSet([]string{"north"})))
+	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.None))
+}
+
+func TestOwnersAreWhereTheirServicesAreAtHome(t *testing.T) {
+	targets := []fleet.Target{{Domain: "e1"}, {Domain: "w1"}, {Domain: "n1", Unlisted: true}}
+	config := &fleet.Config{
+		Groups: []fleet.Group{{Name: "free", Targets: targets}, {Name: "west", Targets: targets}, {Name: "both", Targets: targets}},
+		Services: []fleet.Service{{Group: "west", HomeRegions: []string{"north", "west"}},
+			{Group: "both", HomeRegions: []string{"east"}}, {Group: "both", HomeRegions: []string{"west"}}, {Group: "both"}},
+	}
+	sets := ownerRegions(testRegions, config)
+	must.Eq(t, "east,west", sets["free"].String())
+	must.Eq(t, "west", sets["west"].String())
+	must.Eq(t, "east", sets["both"].String())
+	must.Nil(t, ownerRegions(region.Map{"e1": "east", "w1": "east"}, config))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -304,6 +304,7 @@
 		Declined:               n.observeDeclinedPoll,
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
+		Regions:                s.Places.Regions,
 	})
 	n.owners = newOwnerTracker(n)
 }
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -9,6 +9,7 @@
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/ownership"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/run/membership"
 )
 
@@ -27,6 +28,7 @@
 type ownerLocation struct {
 	name    string
 	address string
+	domain  string
 }
 
 // ownerTable maps the names of groups to their owners. It is immutable once published.
@@ -38,6 +40,8 @@
 type ownerTracker struct {
 	node  *Node
 	table atomic.Pointer[ownerTable]
+	// homes chooses nodes for requests whose homes an owner is not in.
+	homes atomic.Pointer[homeNodes]
 	// lostAt holds the groups that this node has lost but not released yet, with the time of the
 	// loss.
 	lostAt map[string]time.Time
@@ -54,18 +58,23 @@
 func newOwnerTracker(n *Node) *ownerTracker {
 	o := &ownerTracker{node: n, lostAt: make(map[string]time.Time), unfit: newUnfitSet(n.clock)}
 	o.table.Store(&ownerTable{})
+	o.homes.Store(&homeNodes{self: n.settings.Node.Name, unfit: o.unfit})
 	return o
 }
 
 // Owner implements route.Owners. Under the split policy, a baseline for experiments in which
 // several nodes each use a part of every target's capacity, every node acts as the owner of each
 // group.
-func (o *ownerTracker) Owner(group string) (address string, self, ok bool) {
+func (o *ownerTracker) Owner(group string, homes region.Set) (address string, self, ok bool) {
 	p, ok := (*o.table.Load())[group]
 	if ok && o.node.settings.Policy.Split > 0 {
 		return "", true, true
 	}
-	return p.address, p.name == o.node.settings.Node.Name, ok && p.name != ""
+	own := o.node.settings.Node.Name
+	if ok && p.name != own && !o.regions().Allows(homes, p.domain) {
+		p = o.homes.Load().choose(group, homes)
+	}
+	return p.address, p.name == own, ok && p.name != ""
 }
 
 // doubtInterval is the shortest interval between two probes of a node because of Doubt.
@@ -138,14 +147,19 @@
 		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain, Capacity: m.Capacity})
 	}
 	groups := make([]ownership.Group, len(config.Groups))
+	preferred := ownerRegions(o.regions(), config)
 	for i, g := range config.Groups {
-		groups[i] = ownership.Group{Name: g.Name, Domain: homeDomain(g), Nodes: o.unfit.fitNodes(g.Name, nodes)}
+		fit := o.unfit.fitNodes(g.Name, nodes)
+		if near := nodesIn(o.regions(), preferred[g.Name], fit); len(near) > 0 {
+			fit = near
+		}
+		groups[i] = ownership.Group{Name: g.Name, Domain: homeDomain(g), Nodes: fit}
 	}
 	table := make(ownerTable, len(groups))
 	for group, name := range ownership.Assign(groups, nodes) {
-		member, _ := view.Member(name)
-		table[group] = ownerLocation{name: name, address: member.Address}
+		table[group] = locate(view, name)
 	}
+	o.homes.Store(&homeNodes{self: view.Self, nodes: nodes, view: view, unfit: o.unfit, regions: o.regions()})
 	previous := *o.table.Swap(&table)
 	o.applyOwnership(previous, table)
 }
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -1,14 +1,14 @@
 // Package choose selects the target of a group that serves a request.
 //
 // Invariant: a replica is chosen for a read only if all of these hold:
-//   - it is not leaving the group;
+//   - it is not leaving the group and not outside of the request's home regions;
 //   - while a primary is known, the replica's term is the highest term seen and its last
 //     log entry was written in that term (under held terms the last entry may be older);
 //   - its term is not below that of the session token, and its log covers the token, which is
 //     the log position that reflects what the session has written or read before;
 //   - its data is no older than the profile's maximum age.
 //
-// Every other request goes to the primary. The status of a replica may be out of date by
+// Every other request goes to the primary, unless that is leaving or outside of the request's home regions. The status of a replica may be out of date by
 // the time it answers, so the caller checks the position of the answer with Accepts.
 //
 // The package starts no goroutines, takes no locks and reads no clock.
@@ -54,6 +54,8 @@
 	Name    string
 	Domain  string
 	Leaving bool
+	// OutsideHome is true for a target outside of the request's home regions.
+	OutsideHome bool
 	// StatusKnown is true while the newest status of the target is recent enough to be used.
 	StatusKnown bool
 	Role        target.Role
@@ -167,7 +169,7 @@
 // isEligible reports whether c may serve reads as a replica, without regard to its log
 // position and the age of its data.
 func isEligible(q *Criteria, c *Candidate) bool {
-	if c.Leaving || !c.StatusKnown || c.Role != target.RoleReplica || c.Term < q.MinPosition.Term {
+	if c.Leaving || c.OutsideHome || !c.StatusKnown || c.Role != target.RoleReplica || c.Term < q.MinPosition.Term {
 		return false
 	}
 	if q.Primary < 0 {
@@ -190,7 +192,7 @@
 }
 
 func hasUsablePrimary(q *Criteria, candidates []Candidate) bool {
-	return q.Primary >= 0 && !candidates[q.Primary].Leaving
+	return q.Primary >= 0 && !candidates[q.Primary].Leaving && !candidates[q.Primary].OutsideHome
 }
 
 func isSlowerThanPrimary(q *Criteria, candidates []Candidate, replica int) bool {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -232,6 +232,10 @@
 
 // isFormerOwner reports whether this node has lost the group for long enough to give up its connections.
 func (g *group) isFormerOwner(now time.Time) bool {
+	if g.options.Regions.IsDivided() && !g.owned {
+		// There may be one such node for each set of homes.
+		return now.Sub(g.lostAt) >= formerOwnerGrace
+	}
 	return !g.owned && !g.lostAt.IsZero() && now.Sub(g.lostAt) >= formerOwnerGrace
 }
 
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -25,6 +25,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/schedule"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
 
@@ -121,6 +122,8 @@
 	// promotions of the group at present, and no promotion to a term above highest has been
 	// requested (see evidence.Group.SetSoleOrderer). nil means never.
 	SoleOrderer func(group string, highest uint64) bool
+	// Regions holds the region of each failure domain (package region).
+	Regions region.Map
 }
 
 // Manager serves the requests of every group. It is safe for concurrent use.
@@ -282,6 +285,9 @@
 // which the request was admitted lacks the group does not show that the service is unknown.
 func (m *Manager) groupFor(req *request.Request) (*group, *request.Refusal) {
 	g, refusal := m.groupOf(req.Group)
+	if refusal != nil && m.isReopened(req) {
+		g, refusal = m.groupOf(req.Group)
+	}
 	if refusal == nil || refusal.Code != request.CodeUnknownService {
 		return g, refusal
 	}
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -150,6 +150,7 @@
 		Name:         m.name,
 		Domain:       m.target.Domain,
 		Leaving:      m.target.Leaving,
+		OutsideHome:  !m.allows(req),
 		StatusKnown:  !m.statusAt.IsZero() && now.Sub(m.statusAt) <= evidence.MaxObservationAge,
 		Role:         m.status.Role,
 		Term:         m.status.Term,
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -22,6 +22,7 @@
 	statementsCancelled *expvar.Int
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
+	outsideHome         *expvar.Int
 }
 
 func newCounters() *counters {
@@ -40,6 +41,7 @@
 	c.silentConnections = c.add("silent_connections")
 	c.statementsCancelled = c.add("statements_cancelled")
 	c.transactionsLost = c.add("transactions_lost")
+	c.outsideHome = c.add("outside_home")
 	return c
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -35,6 +35,9 @@
 		g.submit(ctx, now, r)
 		return nil, 0, nil
 	}
+	if refusal := g.refuseOutsideHome(r); refusal != nil {
+		return nil, 0, refusal
+	}
 	wait, retryAfter := choice.Wait, time.Duration(0)
 	if wait <= 0 {
 		wait, retryAfter = g.primaryWait(ctx, now, r)
@@ -148,7 +151,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
-	if !g.hasMember(r.member) || r.member.target.Leaving {
+	if !g.hasMember(r.member) || r.member.target.Leaving || !r.member.allows(r.req) {
 		return false
 	}
 	if r.replica {
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -47,6 +47,9 @@
 
 // serveInTransaction runs one statement of an open transaction. A panic ends the transaction.
 func (g *group) serveInTransaction(ctx context.Context, req *request.Request, tx *transaction) (*request.Response, *request.Refusal) {
+	if refusal := g.endOutsideHome(req, tx); refusal != nil {
+		return nil, refusal
+	}
 	class := schedule.InTransaction
 	if req.Kind == request.KindCommit || req.Kind == request.KindRollback {
 		class = schedule.EndTransaction
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -16,6 +16,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/peer"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -67,6 +68,7 @@
 	Profile       fleet.Profile `cbor:"5,keyasint"`
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
+	HomeRegions   region.Set    `cbor:"8,keyasint,omitempty"`
 }
 
 func newSessionContext(req *request.Request) sessionContext {
@@ -78,6 +80,7 @@
 		Profile:       req.Profile,
 		Weight:        req.Weight,
 		ConfigVersion: req.ConfigVersion,
+		HomeRegions:   req.HomeRegions,
 	}
 }
 
@@ -130,6 +133,7 @@
 		Remaining:        f.Remaining,
 		Messages:         f.Messages,
 		ConfigVersion:    c.ConfigVersion,
+		HomeRegions:      c.HomeRegions,
 		PrepareOnly:      f.PrepareOnly,
 	}
 }
--- a/internal/peer/quicpeer/sequence_test.go
+++ b/internal/peer/quicpeer/sequence_test.go
@@ -1,6 +1,7 @@
 package quicpeer
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -69,3 +71,18 @@
 	must.NoError(t, serveRequest(newTestClient(t, a, "a", RoleNode).Open(address), 1))
 	must.NoError(t, serveRequest(newTestClient(t, a, "a", RoleNode).Open(address), 2))
 }
+
+// TestHomesCrossTheLink guards against an owner that does not know the homes of a request, or those of an earlier one.
+func TestHomesCrossTheLink(t *testing.T) {
+	first := newRequest("s", 1, "x")
+	moved := *first
+	moved.HomeRegions = region.NewSet([]string{"east"})
+	must.NotEq(t, newSessionContext(first), newSessionContext(&moved))
+	var wire bytes.Buffer
+	frame, context := newRequestFrame(&moved), newSessionContext(&moved)
+	frame.Context = &context
+	must.NoError(t, writeFrame(&wire, &frame))
+	var got requestFrame
+	must.NoError(t, newFrameReader(&wire).read(&got))
+	must.Eq(t, moved.HomeRegions, got.toRequest(got.Context, time.Now()).HomeRegions)
+}
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -15,6 +15,7 @@
 
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -28,8 +29,10 @@
 	return &response, nil
 }
 
-func (i *instantOwner) End(string)                        {}
-func (i *instantOwner) Owner(string) (string, bool, bool) { return "", true, true }
+func (i *instantOwner) End(string)                                    {}
+func (i *instantOwner) Owner(string, region.Set) (string, bool, bool) { return "", true, true }
+
+func (i *instantOwner) Allows(string, region.Set) bool { return true }
 
 func (i *instantOwner) Doubt(string)                                        {}
 func (i *instantOwner) Open(string) request.Handler                         { return i }
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -60,6 +60,7 @@
 	CodeTransactionLost  = Code{"40001", "transaction_lost", NotRun, false}
 	CodeReplicaWrite     = Code{"25006", "read_only_target", NotRun, true}
 	CodeUnprepared       = Code{"26000", "unprepared", NotRun, false}
+	CodeOutsideHome      = Code{"57P06", "outside_home", NotRun, false}
 	CodeOutcomeUnknown   = Code{"08007", "outcome_unknown", Unknown, false}
 )
 
@@ -68,7 +69,8 @@
 	CodeBadKey, CodeForbidden, CodeUnknownService, CodeUnknownProfile, CodeInvalidParameter,
 	CodeBadToken, CodeProtocol, CodeUnsupported, CodeTooLarge, CodeOverRate, CodeOverloaded,
 	CodeTimeout, CodeNoTarget, CodeNoOwner, CodeShutdown, CodeStaleConfig, CodeKeyReused,
-	CodeAlreadyRun, CodeTransactionLost, CodeReplicaWrite, CodeUnprepared, CodeOutcomeUnknown,
+	CodeAlreadyRun, CodeTransactionLost, CodeReplicaWrite, CodeUnprepared, CodeOutsideHome,
+	CodeOutcomeUnknown,
 }
 
 // Refusal is the error of a request that has no answer from a target.
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -13,6 +13,7 @@
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/region"
 )
 
 // ID identifies one request on its way to a target and back.
@@ -79,6 +80,8 @@
 	// Priority orders requests that compete for the same room, the lowest first. It is 0 for all requests where
 	// the entry node's settings do not enable priorities.
 	Priority int `cbor:"15,keyasint,omitempty"`
+	// HomeRegions are the regions that the request may be sent to. The caller's node alone may be elsewhere.
+	HomeRegions region.Set `cbor:"16,keyasint,omitempty"`
 }
 
 // Response is the complete answer to one Request.
@@ -121,6 +124,11 @@
 	End(session string)
 }
 
+// IsInTransaction reports whether a request of this kind belongs to the session's open transaction.
+func (k Kind) IsInTransaction() bool {
+	return k == KindInTransaction || k == KindCommit || k == KindRollback
+}
+
 func (k Kind) String() string {
 	return [...]string{"write", "read", "begin", "begin read", "in transaction", "commit", "rollback"}[k]
 }
