--- a/internal/node/homes_test.go
+++ b/internal/node/homes_test.go
@@ -11,6 +11,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/ownership"
 	"crocusyoke/internal/region"
+	"crocusyoke/internal/settings"
 )
 
 var testRegions = region.Map{"e1": "east", "e2": "east", "w1": "west", "n1": "north"}
@@ -53,3 +54,28 @@
 	must.Eq(t, "east", sets["both"].String())
 	must.Nil(t, ownerRegions(region.Map{"e1": "east", "w1": "east"}, config))
 }
+
+// TestOwnerOutsideOfTheHomesIsPassedOver guards against a request that is sent to an owner outside of its homes. The
+// caller's own node keeps it wherever it is.
+func TestOwnerOutsideOfTheHomesIsPassedOver(t *testing.T) {
+	s := &settings.Settings{Node: settings.Node{Name: "own"}, Places: settings.Places{Regions: testRegions}}
+	o := newOwnerTracker(&Node{settings: s, clock: clock.Wall{}})
+	o.table.Store(&ownerTable{"g": {name: "far", address: "at far", domain: "e1"}, "mine": {name: "own", domain: "e1"}})
+	view := &membership.View{Self: "own", Members: []membership.Member{{Name: "near", Address: "at near", Domain: "w1"}}}
+	o.homes.Store(&homeNodes{self: "own", nodes: []ownership.Node{{Name: "near", Domain: "w1"}}, view: view,
+		unfit: o.unfit, regions: testRegions})
+	for homes, want := range map[string]string{"east": "at far", "west": "at near", "north": "self", "": "at far"} {
+		set := region.Any
+		if homes != "" {
+			set = region.NewSet([]string{homes})
+		}
+		address, self, ok := o.Owner("g", set)
+		must.True(t, ok)
+		if self {
+			address = "self"
+		}
+		must.Eq(t, want, address)
+		_, self, _ = o.Owner("mine", set)
+		must.True(t, self)
+	}
+}
