--- a/internal/filter/home/home_test.go
+++ b/internal/filter/home/home_test.go
@@ -31,8 +31,11 @@
 func TestRequestHasTheHomesOfBoth(t *testing.T) {
 	next := &last{config: fleet.Config{
 		Services: []fleet.Service{{Name: "free"}, {Name: "ledger", HomeRegions: []string{"east", "west"}}},
-		Customers: []fleet.Customer{{Name: "any"}, {Name: "west", HomeRegions: []string{"west", "north"}},
-			{Name: "north", HomeRegions: []string{"north"}}},
+		Customers: []fleet.Customer{
+			{Name: "any"},
+			{Name: "west", HomeRegions: []string{"west", "north"}},
+			{Name: "north", HomeRegions: []string{"north"}},
+		},
 	}}
 	f := New(next, next)
 	serve := func(service, customer string, kind request.Kind) (region.Set, error) {
@@ -44,7 +47,10 @@
 		return next.req.HomeRegions, err
 	}
 	for _, c := range []struct{ service, customer, want string }{
-		{"free", "any", "any"}, {"ledger", "any", "east,west"}, {"free", "west", "north,west"}, {"ledger", "west", "west"},
+		{"free", "any", "any"},
+		{"ledger", "any", "east,west"},
+		{"free", "west", "north,west"},
+		{"ledger", "west", "west"},
 		{"ledger", "", "east,west"},
 	} {
 		homes, err := serve(c.service, c.customer, request.KindWrite)
--- a/internal/node/homes_test.go
+++ b/internal/node/homes_test.go
@@ -45,8 +45,12 @@
 	targets := []fleet.Target{{Domain: "e1"}, {Domain: "w1"}, {Domain: "n1", Unlisted: true}}
 	config := &fleet.Config{
 		Groups: []fleet.Group{{Name: "free", Targets: targets}, {Name: "west", Targets: targets}, {Name: "both", Targets: targets}},
-		Services: []fleet.Service{{Group: "west", HomeRegions: []string{"north", "west"}},
-			{Group: "both", HomeRegions: []string{"east"}}, {Group: "both", HomeRegions: []string{"west"}}, {Group: "both"}},
+		Services: []fleet.Service{
+			{Group: "west", HomeRegions: []string{"north", "west"}},
+			{Group: "both", HomeRegions: []string{"east"}},
+			{Group: "both", HomeRegions: []string{"west"}},
+			{Group: "both"},
+		},
 	}
 	sets := ownerRegions(testRegions, config)
 	must.Eq(t, "east,west", sets["free"].String())
@@ -62,8 +66,10 @@
 	o := newOwnerTracker(&Node{settings: s, clock: clock.Wall{}})
 	o.table.Store(&ownerTable{"g": {name: "far", address: "at far", domain: "e1"}, "mine": {name: "own", domain: "e1"}})
 	view := &membership.View{Self: "own", Members: []membership.Member{{Name: "near", Address: "at near", Domain: "w1"}}}
-	o.homes.Store(&homeNodes{self: "own", nodes: []ownership.Node{{Name: "near", Domain: "w1"}}, view: view,
-		unfit: o.unfit, regions: testRegions})
+	o.homes.Store(&homeNodes{
+		self: "own", nodes: []ownership.Node{{Name: "near", Domain: "w1"}}, view: view,
+		unfit: o.unfit, regions: testRegions,
+	})
 	for homes, want := range map[string]string{"east": "at far", "west": "at near", "north": "self", "": "at far"} {
 		set := region.Any
 		if homes != "" {
--- /dev/null
+++ b/internal/owner/coldstart/link.go
@@ -0,0 +1,57 @@
+package coldstart
+
+import "time"
+
+// minRestart is the least time between the end of a target's process and the first connection that the next one takes.
+// It is more than the interval of a target's entries. A control connection that this node closed itself is as good as
+// one that stands if it was replaced within that time, and an entry that is no older than that shows which process a
+// connection leads to. Once this node has seen a connection break, only entries that came later do.
+const minRestart = 1300 * time.Millisecond
+
+// Link is the control connection to a target. As long as it stands, one process is at its other end.
+type Link struct {
+	// connectedAt is when the connection was open, zero if there is none.
+	connectedAt time.Time
+	// answeredAt is when the last question was sent that was answered.
+	answeredAt time.Time
+	// broken is true if an earlier connection broke, so that the target may have started again.
+	broken bool
+}
+
+// Connect records a new connection, which was open at now. A former one, if there was one, was closed by this node.
+func (l *Link) Connect(now time.Time) {
+	if !l.answeredAt.IsZero() && now.Sub(l.answeredAt) <= minRestart {
+		return
+	}
+	l.connectedAt, l.answeredAt = now, time.Time{}
+}
+
+// Answer records an answer on the connection to a question sent at sentAt.
+func (l *Link) Answer(sentAt time.Time) { l.answeredAt = sentAt }
+
+// Break records that the connection broke or that none could be opened.
+func (l *Link) Break() {
+	*l = Link{broken: true}
+}
+
+// IsWarm reports whether the process at the other end of the link is proven to be warm: it has been there for
+// coldStart, or the target's entries are of that process and say so.
+func (l *Link) IsWarm(now time.Time, life Life, coldStart time.Duration) bool {
+	if l.connectedAt.IsZero() || l.answeredAt.IsZero() {
+		return false
+	}
+	if now.Sub(l.connectedAt) >= coldStart {
+		return true
+	}
+	earliest := l.connectedAt
+	if !l.broken {
+		earliest = earliest.Add(-minRestart)
+	}
+	return !life.timelyAt.Before(earliest) && !life.timelyAt.IsZero() && !now.Before(life.coldUntil(coldStart))
+}
+
+// LeadsToWarm reports whether a data connection that was opened before openedAt is proven to lead to a warm process: to
+// that of the link, which has answered since, or to one that has been there for coldStart.
+func (l *Link) LeadsToWarm(now, openedAt time.Time, life Life, coldStart time.Duration) bool {
+	return now.Sub(openedAt) >= coldStart || !openedAt.After(l.answeredAt) && l.IsWarm(now, life, coldStart)
+}
--- /dev/null
+++ b/internal/owner/coldstart/main_test.go
@@ -0,0 +1,9 @@
+package coldstart
+
+import (
+	"testing"
+
+	"crocusyoke/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, proptest.Size{Checks: 1000}) }
