Cold targets: what entries tell reaches the node; two entries in a row prove a process after a break

Change: after a break two later entries are needed; entries count by their numbers, so that a restored store proves nothing.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,6 +70,9 @@
 	// that process has said about itself. Both are 0 if the entry does not state them.
 	StartedAt time.Time
 	Sequence  uint64
+	// ColdLeft is how much longer the target is cold, if ColdLeftKnown: if the entry states it.
+	ColdLeft      time.Duration
+	ColdLeftKnown bool
 }
 
 // Precedes reports whether t is an earlier entry of its target than other.
--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -5,7 +5,8 @@
 // minRestart is the least time between the end of a target's process and the first connection that the next one takes.
 // It is more than the interval of a target's entries. A control connection that this node closed itself is as good as
 // one that stands if it was replaced within that time, and an entry that is no older than that shows which process a
-// connection leads to. Once this node has seen a connection break, only entries that came later do.
+// connection leads to. Once this node has seen a connection break, only two entries in a row that came later do: the target's
+// former process may have left one.
 const minRestart = 1300 * time.Millisecond
 
 // Link is the control connection to a target. As long as it stands, one process is at its other end.
@@ -43,11 +44,19 @@
 	if now.Sub(l.connectedAt) >= coldStart {
 		return true
 	}
-	earliest := l.connectedAt
-	if !l.broken {
-		earliest = earliest.Add(-minRestart)
+	return l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+}
+
+// isOf reports whether life is that of the process at the other end.
+func (l *Link) isOf(life Life) bool {
+	switch {
+	case life.timelyAt.IsZero():
+		return false
+	case l.broken:
+		return !life.beforeAt.Before(l.connectedAt)
+	default:
+		return !life.timelyAt.Before(l.connectedAt.Add(-minRestart))
 	}
-	return !life.timelyAt.Before(earliest) && !life.timelyAt.IsZero() && !now.Before(life.coldUntil(coldStart))
 }
 
 // LeadsToWarm reports whether a data connection that was opened before openedAt is proven to lead to a warm process: to
--- a/internal/owner/coldstart/proof_test.go
+++ b/internal/owner/coldstart/proof_test.go
@@ -74,7 +74,8 @@
 	if newest != nil && writtenAt.After(w.learnedUntil) {
 		w.learnedUntil = writtenAt
 		left := max(0, newest.startedAt.Add(testColdStart).Sub(writtenAt))
-		w.life = w.life.Observe(w.now, newest.startedAt, left, w.random.IntN(10) > 0)
+		sequence := uint64(writtenAt.Sub(newest.startedAt)/heartbeat) + 1
+		w.life = w.life.Observe(w.now, Entry{newest.startedAt, sequence, left, w.random.IntN(10) > 0})
 	}
 }
 
@@ -168,18 +169,23 @@
 	must.Greater(t, 1000, warm)
 }
 
-// TestEntriesProveAfterTwo checks how soon a node in touch knows a warm target: with the second entry, or with the next
-// one after it has seen the connection break; and that what an entry states does not outweigh a start.
+// TestEntriesProveAfterTwo checks how soon a node in touch knows a warm target: with the second entry, also after it has
+// seen the connection break; and that what an entry states does not outweigh a start.
 func TestEntriesProveAfterTwo(t *testing.T) {
 	now := time.Unix(100_000, 0)
-	started := now.Add(-time.Hour)
-	life := Life{}.Observe(now, started, 0, true)
+	warm := Entry{StartedAt: now.Add(-time.Hour), Sequence: 7, Stated: true}
+	life := Life{}.Observe(now, warm)
+	next := func() {
+		now = now.Add(heartbeat)
+		warm.Sequence++
+		life = life.Observe(now, warm)
+	}
 	var link Link
 	link.Connect(now)
 	link.Answer(now)
 	must.False(t, link.IsWarm(now, life, testColdStart))
-	now = now.Add(heartbeat)
-	life = life.Observe(now, started, 0, true)
+	must.Eq(t, life, life.Observe(now.Add(heartbeat), warm))
+	next()
 	must.True(t, link.IsWarm(now, life, testColdStart))
 	must.False(t, link.LeadsToWarm(now, now, life, testColdStart))
 	link.Answer(now)
@@ -188,13 +194,22 @@
 	must.False(t, link.IsWarm(now, life, testColdStart))
 	link.Connect(now.Add(1))
 	link.Answer(now.Add(1))
-	must.False(t, link.IsWarm(now.Add(1), life, testColdStart))
-	now = now.Add(heartbeat)
-	must.True(t, link.IsWarm(now, life.Observe(now, started, 0, true), testColdStart))
-	born := Life{}.Observe(now, now, 0, true)
-	must.Eq(t, now.Add(testColdStart), born.coldUntil(testColdStart))
-	must.Eq(t, now.Add(testColdStart), Life{}.Observe(now, started, 0, false).coldUntil(testColdStart))
-	must.Eq(t, now.Add(3*time.Second), Life{}.Observe(now, started, 3*time.Second, true).coldUntil(testColdStart))
-	must.Eq(t, Life{}, Life{}.Observe(now, time.UnixMilli(0), 0, true))
-	must.Eq(t, born, born.Observe(now, started, 0, true))
+	for _, want := range []bool{false, false, true} {
+		must.Eq(t, want, link.IsWarm(now, life, testColdStart))
+		next()
+	}
+}
+
+func TestColdTimeOfAnEntry(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	until := func(e Entry) time.Duration { return Life{}.Observe(now, e).coldUntil(testColdStart).Sub(now) }
+	old := now.Add(-time.Hour)
+	must.Eq(t, 3*time.Second, until(Entry{StartedAt: old, Left: 3 * time.Second, Stated: true}))
+	must.Eq(t, testColdStart, until(Entry{StartedAt: old}))
+	must.Eq(t, testColdStart, until(Entry{StartedAt: now, Stated: true}))
+	must.Eq(t, testColdStart, until(Entry{StartedAt: now.Add(time.Hour), Stated: true}))
+	must.Eq(t, Life{}, Life{}.Observe(now, Entry{StartedAt: time.UnixMilli(0), Stated: true}))
+	life := Life{}.Observe(now, Entry{StartedAt: now, Sequence: 1, Stated: true})
+	must.Eq(t, life, life.Observe(now, Entry{StartedAt: old, Sequence: 2, Stated: true}))
+	must.True(t, life.Observe(now.Add(entryInterval+1), Entry{StartedAt: now, Sequence: 2, Stated: true}).timelyAt.IsZero())
 }
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -107,6 +107,8 @@
 	roster         *roster.Roster
 	decodedTargets map[string]decodedTarget
 	advancing      bool
+	// lives holds what the entries of each target tell of its process, for TargetLife.
+	lives lives
 	// retainedNodes holds the rows of nodes that a restore has lost, until nodesRetainedUntil.
 	retainedNodes      map[string]platform.Row
 	nodesRetainedUntil time.Time
--- a/internal/run/catalog/targets.go
+++ b/internal/run/catalog/targets.go
@@ -64,6 +64,7 @@
 		decoded, known := r.decodedTargets[key]
 		if !known || decoded.revision != revision {
 			decoded = r.decodeTarget(key, row, revision)
+			r.lives.observe(r.o.Clock.Now(), key, decoded)
 		}
 		next[key] = decoded
 		if decoded.usable {
@@ -71,6 +72,7 @@
 		}
 	}
 	r.decodedTargets = next
+	r.lives.retain(next)
 	return entries
 }
 
