Cold targets: placed within this node's share, by the holder of the group's lease

Cause: nothing asked the decisions of package coldstart. Change: a request or statement at a target that is not proven to be warm is counted before it waits for its slot; without room it waits if there is time, or is refused at once with when to come back; reads go elsewhere first.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -14,6 +14,7 @@
 	"crocusyoke/internal/peer/quicpeer"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/run/configuration"
+	"crocusyoke/internal/target"
 )
 
 const (
@@ -142,6 +143,32 @@
 	}
 }
 
+// observePoll is owner.Options.Observe.
+func (n *Node) observePoll(group string, sentAt time.Time, status target.Status) {
+	n.promotion.Observe(group, sentAt, status)
+	if n.polls != nil {
+		n.polls.ObservePoll(status.Target, sentAt, true)
+	}
+}
+
+// expectHold is promotion.Options.Holding. The order's answer may be lost, so earlier polls stop to count before it is
+// sent.
+func (n *Node) expectHold(group, targetName string) { n.owner.ExpectHold(group, targetName) }
+
+// observeHeld is promotion.Options.Held. A target that holds a higher term receives nothing of the primary, so no
+// earlier poll of it may confirm a write.
+func (n *Node) observeHeld(group string, at time.Time, status target.Status) {
+	n.owner.ObserveHeld(group, at, status)
+}
+
+// observeFailedPoll is owner.Options.Unreachable.
+func (n *Node) observeFailedPoll(group, targetName string, sentAt time.Time) {
+	n.promotion.ObserveFailedPoll(group, targetName, sentAt)
+	if n.polls != nil {
+		n.polls.ObservePoll(targetName, sentAt, false)
+	}
+}
+
 // observeDeclinedPoll is owner.Options.Declined.
 func (n *Node) observeDeclinedPoll(group, targetName string, sentAt time.Time) {
 	n.promotion.ObserveDeclinedPoll(group, targetName, sentAt)
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -135,7 +135,7 @@
 	})
 	n.assembleMembership(nil)
 	config := n.newCatalog(h)
-	n.config, n.polls = config, config
+	n.config, n.polls, n.targetLife = config, config, config.TargetLife
 	n.membership.Subscribe(func(v *membership.View) { config.SetNodes(readerNodes(v)) })
 	nodes := n.newRegister(h, config)
 	n.exchange = newCatalogExchange(n, config)
@@ -343,6 +343,17 @@
 	}
 }
 
+// coldHolder returns owner.Options.ColdHolder: who holds the lease of a group may use its cold targets.
+func (n *Node) coldHolder() func(group string) (fence uint64, held bool) {
+	if n.leases == nil {
+		return nil
+	}
+	return func(group string) (uint64, bool) {
+		fence, err := n.leases.Fence(group)
+		return fence, err == nil
+	}
+}
+
 // setLeaseWanted starts or stops keeping the lease of a group. It does nothing on nodes that
 // use no leases.
 func (n *Node) setLeaseWanted(group string, wanted bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/coldstart"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/peer"
@@ -82,6 +83,8 @@
 	// polls is told the results of polls of targets; nil if the list of targets alone decides which
 	// are members of their groups.
 	polls pollObserver
+	// targetLife returns what a target's entries tell of its process; nil if targets have no entries of their own.
+	targetLife func(targetName string) coldstart.Life
 	// drainStarted is closed when the graceful stop begins.
 	// pulse tells whether the process did not run right before a stop; nil before serve.
 	pulse        *pulse
@@ -305,36 +308,13 @@
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 		Regions:                s.Places.Regions,
+		Cold:                   coldstart.Bound{Over: s.Cold.Over, Slack: s.Cold.Slack},
+		ColdHolder:             n.coldHolder(),
+		TargetLife:             n.targetLife,
 	})
 	n.owners = newOwnerTracker(n)
 }
 
-// observePoll is owner.Options.Observe.
-func (n *Node) observePoll(group string, sentAt time.Time, status target.Status) {
-	n.promotion.Observe(group, sentAt, status)
-	if n.polls != nil {
-		n.polls.ObservePoll(status.Target, sentAt, true)
-	}
-}
-
-// expectHold is promotion.Options.Holding. The order's answer may be lost, so earlier polls stop to count before it is
-// sent.
-func (n *Node) expectHold(group, targetName string) { n.owner.ExpectHold(group, targetName) }
-
-// observeHeld is promotion.Options.Held. A target that holds a higher term receives nothing of the primary, so no
-// earlier poll of it may confirm a write.
-func (n *Node) observeHeld(group string, at time.Time, status target.Status) {
-	n.owner.ObserveHeld(group, at, status)
-}
-
-// observeFailedPoll is owner.Options.Unreachable.
-func (n *Node) observeFailedPoll(group, targetName string, sentAt time.Time) {
-	n.promotion.ObserveFailedPoll(group, targetName, sentAt)
-	if n.polls != nil {
-		n.polls.ObservePoll(targetName, sentAt, false)
-	}
-}
-
 // promotionLease returns the leases that guard promotions, or nil if promotions need no lease.
 // A nil *lease.Keeper must not be returned, since the interface would then not be nil.
 func (n *Node) promotionLease() promotion.Lease {
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -1,14 +1,15 @@
 // Package choose selects the target of a group that serves a request.
 //
 // Invariant: a replica is chosen for a read only if all of these hold:
-//   - it is not leaving the group and not outside of the request's home regions;
+//   - it is not leaving the group, not outside of the request's home regions, and not one that has just started of
+//     which this node has no share;
 //   - while a primary is known, the replica's term is the highest term seen and its last
 //     log entry was written in that term (under held terms the last entry may be older);
 //   - its term is not below that of the session token, and its log covers the token, which is
 //     the log position that reflects what the session has written or read before;
 //   - its data is no older than the profile's maximum age.
 //
-// Every other request goes to the primary, unless that is leaving or outside of the request's home regions. The status of a replica may be out of date by
+// Every other request goes to the primary, unless the first of these holds for that one. The status of a replica may be out of date by
 // the time it answers, so the caller checks the position of the answer with Accepts.
 //
 // The package starts no goroutines, takes no locks and reads no clock.
@@ -56,6 +57,8 @@
 	Leaving bool
 	// OutsideHome is true for a target outside of the request's home regions.
 	OutsideHome bool
+	// NoShare is true for a target that has just started and that this node may send nothing to.
+	NoShare bool
 	// StatusKnown is true while the newest status of the target is recent enough to be used.
 	StatusKnown bool
 	Role        target.Role
@@ -169,7 +172,7 @@
 // isEligible reports whether c may serve reads as a replica, without regard to its log
 // position and the age of its data.
 func isEligible(q *Criteria, c *Candidate) bool {
-	if c.Leaving || c.OutsideHome || !c.StatusKnown || c.Role != target.RoleReplica || c.Term < q.MinPosition.Term {
+	if c.Leaving || c.OutsideHome || c.NoShare || !c.StatusKnown || c.Role != target.RoleReplica || c.Term < q.MinPosition.Term {
 		return false
 	}
 	if q.Primary < 0 {
@@ -192,7 +195,11 @@
 }
 
 func hasUsablePrimary(q *Criteria, candidates []Candidate) bool {
-	return q.Primary >= 0 && !candidates[q.Primary].Leaving && !candidates[q.Primary].OutsideHome
+	if q.Primary < 0 {
+		return false
+	}
+	c := &candidates[q.Primary]
+	return !c.Leaving && !c.OutsideHome && !c.NoShare
 }
 
 func isSlowerThanPrimary(q *Criteria, candidates []Candidate, replica int) bool {
--- a/internal/owner/homes_test.go
+++ b/internal/owner/homes_test.go
@@ -66,8 +66,8 @@
 		_, err = h.serve(statement)
 		mustRefuse(t, err, request.CodeTransactionLost)
 		time.Sleep(50 * time.Millisecond)
-		must.Eq(t, 0, h.group.targets[0].runs["INSERT moved"])
-		must.Eq(t, 1, h.group.targets[0].runs["ROLLBACK"])
+		must.Eq(t, 0, h.group.targets[0].count("INSERT moved"))
+		must.Eq(t, 1, h.group.targets[0].count("ROLLBACK"))
 	})
 }
 
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -24,6 +24,7 @@
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/coldstart"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
@@ -124,6 +125,11 @@
 	SoleOrderer func(group string, highest uint64) bool
 	// Regions holds the region of each failure domain (package region).
 	Regions region.Map
+	// Cold bounds what a cold target gets. ColdHolder returns the fence of the group's lease and whether this node holds
+	// it now, TargetLife what a target's entries tell of its process. Without these three no target counts as cold.
+	Cold       coldstart.Bound
+	ColdHolder func(group string) (fence uint64, held bool)
+	TargetLife func(targetName string) coldstart.Life
 }
 
 // Manager serves the requests of every group. It is safe for concurrent use.
@@ -131,6 +137,7 @@
 	options     Options
 	counts      *counters
 	slotWaiters sync.Pool
+	coldWindows coldWindows
 
 	mu        sync.RWMutex
 	groups    map[string]*group
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -7,6 +7,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/coldstart"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
@@ -46,6 +47,11 @@
 	coveredAt        time.Time
 	coveredKnown     bool
 	errorShare       float64
+	// link is the control connection as package coldstart sees it. cold is what was last logged, coldWaiting how many
+	// requests wait for room at the target while it is cold.
+	link        coldstart.Link
+	cold        bool
+	coldWaiting int
 }
 
 func newMember(g *group, t *fleet.Target) *member {
@@ -146,7 +152,7 @@
 
 // candidate describes m to package choose. The group's mu is held.
 func (m *member) candidate(now time.Time, req *request.Request) choose.Candidate {
-	return choose.Candidate{
+	c := choose.Candidate{
 		Name:         m.name,
 		Domain:       m.target.Domain,
 		Leaving:      m.target.Leaving,
@@ -160,6 +166,8 @@
 		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight),
 		ErrorShare:   m.errorShare,
 	}
+	m.markCold(now, &c)
+	return c
 }
 
 // slotWaiter is a statement that waits for or holds a slot. decided receives nil when the slot
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -23,6 +23,9 @@
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
 	outsideHome         *expvar.Int
+	coldPlaced          *expvar.Int
+	coldWaits           *expvar.Int
+	coldRefused         *expvar.Int
 }
 
 func newCounters() *counters {
@@ -42,6 +45,9 @@
 	c.statementsCancelled = c.add("statements_cancelled")
 	c.transactionsLost = c.add("transactions_lost")
 	c.outsideHome = c.add("outside_home")
+	c.coldPlaced = c.add("cold_placed")
+	c.coldWaits = c.add("cold_waits")
+	c.coldRefused = c.add("cold_refused")
 	return c
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -14,21 +14,29 @@
 func (g *group) place(ctx context.Context, r *execution) *request.Refusal {
 	for {
 		changed, wait, refusal := g.tryPlace(ctx, r)
-		if changed == nil {
+		if refusal != nil || changed == nil && wait == 0 {
 			return refusal
 		}
+		if r.coldWaitsAt != nil {
+			g.awaitColdRoom(ctx, r, wait)
+			continue
+		}
 		g.awaitChange(ctx, changed, wait)
 	}
 }
 
 // tryPlace chooses a target for r and submits r to its schedule, or refuses r. If r has to wait, up to
-// wait, it returns a channel that is closed when the group's state changes, and counts r as waiting.
+// wait, it returns a channel that is closed when the group's state changes, and counts r as waiting. For room at a cold
+// target it returns the wait only.
 func (g *group) tryPlace(ctx context.Context, r *execution) (changed <-chan struct{}, wait time.Duration, refusal *request.Refusal) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	choice := g.choose(now, r)
 	if choice.Target >= 0 {
+		if wait, refusal := g.placeCold(ctx, now, r, g.members[choice.Target]); wait > 0 || refusal != nil {
+			return nil, wait, refusal
+		}
 		r.member = g.members[choice.Target]
 		r.replica = choice.Replica
 		r.placedAt = now
@@ -38,6 +46,11 @@
 	if refusal := g.refuseOutsideHome(r); refusal != nil {
 		return nil, 0, refusal
 	}
+	if choice.Wait <= 0 {
+		if refusal := g.refuseWithoutShare(r); refusal != nil {
+			return nil, 0, refusal
+		}
+	}
 	wait, retryAfter := choice.Wait, time.Duration(0)
 	if wait <= 0 {
 		wait, retryAfter = g.primaryWait(ctx, now, r)
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -110,6 +110,7 @@
 	sentAt := g.now()
 	if control == nil {
 		control, err = g.options.Dialer.Control(ctx, login)
+		m.recordControl(err)
 	}
 	var status target.Status
 	if err == nil {
@@ -130,6 +131,7 @@
 		m.recordPollFailure(sentAt)
 		return nil
 	}
+	m.recordAnswer(sentAt)
 	if g.options.Observe != nil {
 		g.options.Observe(g.name, sentAt, status)
 	}
@@ -157,6 +159,7 @@
 	g.mu.Lock()
 	m.lastPollAt = sentAt
 	m.pollFailures++
+	m.link.Break()
 	m.pollFailedAt = g.now()
 	if !m.pollFailedAt.After(sentAt) {
 		m.pollFailedAt = sentAt.Add(1)
@@ -268,6 +271,10 @@
 	if g.isFormerOwner(now) {
 		g.resizeAll()
 	}
+	if g.cold.start > 0 {
+		// The time for which the lease was held counts also without requests.
+		g.coldShare(now)
+	}
 	expired := g.expiredTransactions(now)
 	unused := g.activeRequests == 0 && len(g.transactions) == 0 && now.Sub(g.lastUsed) > g.options.Times.IdleGroup
 	g.mu.Unlock()
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/evidence"
@@ -104,6 +103,9 @@
 	replica  bool
 	term     uint64
 	placedAt time.Time
+	// coldAt is the cold target at which the request is counted, coldWaitsAt the one at which it waits for room.
+	coldAt, coldWaitsAt *member
+
 	criteria choose.Criteria
 	slot     *slotWaiter
 }
@@ -154,6 +156,7 @@
 	if refusal := g.place(ctx, r); refusal != nil {
 		return nil, refusal
 	}
+	defer g.endCold(r, false)
 	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
 		return nil, refusal
 	}
@@ -172,6 +175,11 @@
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, request.Refuse(request.CodeTimeout, "exchange", r.member.name, "time ran out before anything was sent")
 	}
+	if refusal := g.admitCold(ctx, r, conn); refusal != nil {
+		r.member.pool.Put(conn)
+		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
+		return nil, refusal
+	}
 	o := g.runAttempt(ctx, r, conn)
 	tx := g.finishExchange(ctx, r, conn, &o)
 	g.recycle(r.slot)
@@ -187,6 +195,7 @@
 			g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		}
 	}()
+	defer g.endCold(r, true)
 	o := g.exchange(ctx, conn, r.req, r.attemptTimeout(ctx, g.now()), r.replica)
 	g.recordErrorAnswer(r.member.name, r.req, &o)
 	finished = true
@@ -349,48 +358,3 @@
 	defer g.mu.Unlock()
 	return g.evidence.Age(o.answeredAt, o.reply.Position)
 }
-
-// claimOf returns the claim that must be confirmed before an answer of the primary is passed
-// on. It reports false if the answer needs no confirmation. A write or commit needs it if it
-// succeeded, and so does another statement that ended its transaction. A failed write or commit,
-// a rollback and KindBegin never need it. Any other answer needs it unless it covers the session
-// token; a read always needs it if the profile sends reads to the primary.
-func claimOf(req *request.Request, primary string, term uint64, o *exchangeResult) (evidence.Claim, bool) {
-	claim := evidence.Claim{Primary: primary, Term: term, Position: o.reply.Position, Since: o.answeredAt}
-	switch req.Kind {
-	case request.KindWrite, request.KindCommit:
-		claim.Majority = req.Profile.Confirm != fleet.ConfirmTerm
-		return claim, o.reply.Outcome == target.Done
-	case request.KindInTransaction:
-		if o.reply.TxStatus == 'I' && o.reply.Outcome == target.Done {
-			claim.Majority = req.Profile.Confirm != fleet.ConfirmTerm
-			return claim, true
-		}
-	case request.KindRollback, request.KindBegin:
-		return claim, false
-	case request.KindRead:
-		claim.Since = o.sentAt
-		return claim, !coversToken(req, o) || req.Profile.Reads == fleet.ReadsPrimary
-	}
-	claim.Since = o.sentAt
-	return claim, !coversToken(req, o)
-}
-
-// coversToken reports whether the answer is known to reflect everything that the session has
-// written or read before.
-func coversToken(req *request.Request, o *exchangeResult) bool {
-	return req.MinPositionKnown && !o.reply.Position.IsZero() && o.reply.Position.Covers(req.MinPosition)
-}
-
-func newResponse(req *request.Request, m *member, replica bool, o *exchangeResult) *request.Response {
-	return &request.Response{
-		ID:       req.ID,
-		Messages: o.reply.Messages,
-		TxStatus: o.reply.TxStatus,
-		Position: o.reply.Position,
-		Replica:  replica,
-		Target:   m.name,
-		Repeated: o.repeated,
-		Times:    request.Times{AtTarget: o.answeredAt.Sub(o.sentAt), Exchanges: 1},
-	}
-}
--- a/internal/owner/snapshot.go
+++ b/internal/owner/snapshot.go
@@ -33,6 +33,8 @@
 	Waiting  int `json:"waiting"`
 	// Transactions is the number of open transactions.
 	Transactions int `json:"transactions"`
+	// Cold is true if the target has just started, or may have, and gets few requests.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // GroupStatus is the state of one group as its owner knows it.
@@ -99,6 +101,7 @@
 		InFlight:     m.schedule.InFlight(),
 		Waiting:      m.schedule.Waiting(),
 		Transactions: m.schedule.OpenTransactions(),
+		Cold:         m.isCold(now),
 	}
 	if m.readablePosition.Index < head.Index {
 		status.Lag = head.Index - m.readablePosition.Index
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -50,6 +50,11 @@
 	if refusal := g.endOutsideHome(req, tx); refusal != nil {
 		return nil, refusal
 	}
+	counted, refusal := g.admitColdStatement(ctx, tx)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer g.endColdStatement(tx, counted)
 	class := schedule.InTransaction
 	if req.Kind == request.KindCommit || req.Kind == request.KindRollback {
 		class = schedule.EndTransaction
@@ -61,7 +66,6 @@
 	}
 	var o exchangeResult
 	var kept bool
-	var refusal *request.Refusal
 	if contain.Step(g.options.Logger, "serve statement", func() { o, kept, refusal = g.runStatement(ctx, req, tx, slot) }) {
 		g.abandonTransaction(tx, slot)
 		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", tx.member.name, "the statement panicked")
@@ -230,7 +234,13 @@
 		g.abandonTransaction(tx, slot)
 		return
 	}
+	admitted, counted := g.tryAdmitCold(tx.member, tx.conn, false)
+	if !admitted {
+		g.abandonTransaction(tx, slot)
+		return
+	}
 	o := g.exchange(ctx, tx.conn, req, 0, tx.replica)
+	g.endColdStatement(tx, counted)
 	g.recordErrorAnswer(tx.member.name, req, &o)
 	if o.err == nil && o.reply.TxStatus != 'I' {
 		o.err = Error.New("rollback left the transaction open")
