--- a/internal/filter/route/homes_test.go
+++ b/internal/filter/route/homes_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
@@ -30,3 +31,28 @@
 		must.Eq(t, ended+1, fleet.nodes["a"].ended)
 	}
 }
+
+// TestReaderOutsideOfTheHomesIsPassedOver guards against reads that are sent to a reader outside of their homes, also
+// those of a transaction whose homes have changed.
+func TestReaderOutsideOfTheHomesIsPassedOver(t *testing.T) {
+	f, nodes, readers := newFleetWithReader()
+	serve := func(kind request.Kind, homes ...string) error {
+		_, err := f.Serve(t.Context(), &request.Request{
+			ID: request.ID{Session: "s"}, Kind: kind, Profile: fleet.Profile{Reads: fleet.ReadsAge}, MinPositionKnown: true,
+			HomeRegions: region.NewSet(homes),
+		})
+		return err
+	}
+	must.NoError(t, serve(request.KindRead, "a"))
+	must.Eq(t, 0, nodes.nodes["b"].served)
+	must.NoError(t, serve(request.KindRead, "a", "b"))
+	must.Eq(t, 1, nodes.nodes["b"].served)
+	must.NoError(t, serve(request.KindBegin, "a", "b"))
+	f.End("s")
+	link := f.newLink("b", false)
+	link.inTransaction = true
+	f.readerLinks.Store("s", link)
+	must.Eq(t, request.CodeTransactionLost, codeOf(serve(request.KindInTransaction, "a")))
+	must.Eq(t, 1, nodes.nodes["b"].served)
+	must.Eq(t, 0, readers.declined)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -311,6 +311,7 @@
 		Cold:                   coldstart.Bound{Over: s.Cold.Over, Slack: s.Cold.Slack},
 		ColdHolder:             n.coldHolder(),
 		TargetLife:             n.targetLife,
+		HasReader:              func(group, domain string) bool { return n.owners.readers.hasReader(group, domain) },
 	})
 	n.owners = newOwnerTracker(n)
 }
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -51,12 +51,14 @@
 	unfitRevision uint64
 	// unfit records which nodes are passed over as owners of which groups.
 	unfit *unfitSet
+	// readers holds the readers of this node's failure domain.
+	readers *readerTracker
 	// doubtedAt maps addresses to when Doubt last had them probed.
 	doubtedAt sync.Map
 }
 
 func newOwnerTracker(n *Node) *ownerTracker {
-	o := &ownerTracker{node: n, lostAt: make(map[string]time.Time), unfit: newUnfitSet(n.clock)}
+	o := &ownerTracker{node: n, lostAt: make(map[string]time.Time), unfit: newUnfitSet(n.clock), readers: newReaderTracker(n)}
 	o.table.Store(&ownerTable{})
 	o.homes.Store(&homeNodes{self: n.settings.Node.Name, unfit: o.unfit})
 	return o
@@ -156,12 +158,14 @@
 		groups[i] = ownership.Group{Name: g.Name, Domain: homeDomain(g), Nodes: fit}
 	}
 	table := make(ownerTable, len(groups))
-	for group, name := range ownership.Assign(groups, nodes) {
+	owners := ownership.Assign(groups, nodes)
+	for group, name := range owners {
 		table[group] = locate(view, name)
 	}
 	o.homes.Store(&homeNodes{self: view.Self, nodes: nodes, view: view, unfit: o.unfit, regions: o.regions()})
 	previous := *o.table.Swap(&table)
 	o.applyOwnership(previous, table)
+	o.readers.rebuild(config, owners, nodes, view)
 }
 
 // applyOwnership notifies the node's components of the groups that the node owns in only one
@@ -204,7 +208,9 @@
 	for group, since := range o.lostAt {
 		if now.Sub(since) >= releaseDelay {
 			delete(o.lostAt, group)
-			go o.releaseGroup(ctx, group)
+			if !o.readers.reads(group) {
+				go o.releaseGroup(ctx, group)
+			}
 		}
 	}
 }
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -9,8 +9,8 @@
 //     the log position that reflects what the session has written or read before;
 //   - its data is no older than the profile's maximum age.
 //
-// Every other request goes to the primary, unless the first of these holds for that one. The status of a replica may be out of date by
-// the time it answers, so the caller checks the position of the answer with Accepts.
+// Every other request goes to the primary, unless the first of these does not hold for that one. The status of a replica
+// may be out of date by the time it answers, so the caller checks the position of the answer with Accepts.
 //
 // The package starts no goroutines, takes no locks and reads no clock.
 package choose
@@ -42,6 +42,9 @@
 	// primaryPenalty keeps the primary's slots free for writes: a read goes to the primary
 	// only when the best replica is slower by more than this.
 	primaryPenalty = 20 * time.Millisecond
+	// readerPenalty is the cost of a replica to which the reader of its failure domain sends reads too. It is more
+	// than primaryPenalty, so that the owner uses such a replica only while the primary is busy.
+	readerPenalty = 2 * primaryPenalty
 	// errorPenalty is added for a candidate whose recent exchanges all failed. For others it is
 	// multiplied by their share of recent errors.
 	errorPenalty = 500 * time.Millisecond
@@ -59,6 +62,8 @@
 	OutsideHome bool
 	// NoShare is true for a target that has just started and that this node may send nothing to.
 	NoShare bool
+	// HasReader is true if another node is the reader of the target's failure domain.
+	HasReader bool
 	// StatusKnown is true while the newest status of the target is recent enough to be used.
 	StatusKnown bool
 	Role        target.Role
@@ -83,6 +88,8 @@
 	MinPositionKnown bool
 	// Domain is the failure domain of the node that owns the group.
 	Domain string
+	// Nearby restricts the choice to replicas in Domain.
+	Nearby bool
 	// Primary is the index of the current primary in the candidates, or -1.
 	Primary int
 	// Term is the highest term seen in the group.
@@ -115,6 +122,9 @@
 // within q.ReplicaWaitLeft, it returns how long to wait.
 func Choose(q *Criteria, candidates []Candidate) Choice {
 	best := noTarget
+	if q.Nearby {
+		return chooseNearby(q, candidates)
+	}
 	if CanUseReplica(q) {
 		best = chooseReplica(q, candidates)
 		if best.Target < 0 && q.ReplicaWaitLeft > 0 && canCatchUp(q, candidates) {
@@ -130,6 +140,14 @@
 	return best
 }
 
+// chooseNearby returns the best replica in q.Domain, or noTarget.
+func chooseNearby(q *Criteria, candidates []Candidate) Choice {
+	if !CanUseReplica(q) {
+		return noTarget
+	}
+	return chooseReplica(q, candidates)
+}
+
 // CanUseReplica reports whether a replica may serve the request at all.
 func CanUseReplica(q *Criteria) bool {
 	return q.Read && q.Policy != PrimaryOnly && q.MinPositionKnown && q.Profile.Reads != fleet.ReadsPrimary
@@ -157,7 +175,7 @@
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		if !isEligible(q, c) || !Accepts(q, c.Last, c.Age, c.AgeKnown) {
+		if q.Nearby && c.Domain != q.Domain || !isEligible(q, c) || !Accepts(q, c.Last, c.Age, c.AgeKnown) {
 			continue
 		}
 		cost := expectedCost(q, c)
@@ -215,5 +233,8 @@
 	if c.Domain != q.Domain {
 		cost += crossDomainCost
 	}
+	if c.HasReader {
+		cost += readerPenalty
+	}
 	return cost
 }
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -43,6 +43,9 @@
 		g.submit(ctx, now, r)
 		return nil, 0, nil
 	}
+	if r.req.Nearby {
+		return nil, 0, g.refuseNoReplica()
+	}
 	if refusal := g.refuseOutsideHome(r); refusal != nil {
 		return nil, 0, refusal
 	}
@@ -96,6 +99,7 @@
 		MinPosition:      r.req.MinPosition,
 		MinPositionKnown: r.req.MinPositionKnown,
 		Domain:           g.options.Domain,
+		Nearby:           r.req.Nearby,
 		Primary:          -1,
 		HeldTerms:        g.options.HeldTerms,
 		Term:             g.evidence.HighestTerm(),
@@ -103,6 +107,7 @@
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
+		g.candidates[i].HasReader = g.hasReader(m.target.Domain)
 		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -69,6 +69,7 @@
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
 	HomeRegions   region.Set    `cbor:"8,keyasint,omitempty"`
+	Nearby        bool          `cbor:"9,keyasint,omitempty"`
 }
 
 func newSessionContext(req *request.Request) sessionContext {
@@ -81,6 +82,7 @@
 		Weight:        req.Weight,
 		ConfigVersion: req.ConfigVersion,
 		HomeRegions:   req.HomeRegions,
+		Nearby:        req.Nearby,
 	}
 }
 
@@ -134,6 +136,7 @@
 		Messages:         f.Messages,
 		ConfigVersion:    c.ConfigVersion,
 		HomeRegions:      c.HomeRegions,
+		Nearby:           c.Nearby,
 		PrepareOnly:      f.PrepareOnly,
 	}
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -81,7 +81,9 @@
 	// the entry node's settings do not enable priorities.
 	Priority int `cbor:"15,keyasint,omitempty"`
 	// HomeRegions are the regions that the request may be sent to. The caller's node alone may be elsewhere.
-	HomeRegions region.Set `cbor:"16,keyasint,omitempty"`
+	HomeRegions region.Set `cbor:"17,keyasint,omitempty"`
+	// Nearby restricts a read to replicas in the failure domain of the node that serves it.
+	Nearby bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Response is the complete answer to one Request.
