Cold targets: what is proven stays proven while the connection stands

Cause: entries that expire while the store is away took the proof away, although the process was the same.

--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -17,6 +17,8 @@
 	answeredAt time.Time
 	// broken is true if an earlier connection broke, so that the target may have started again.
 	broken bool
+	// warm is true once the process at the other end was proven to be warm, which it stays.
+	warm bool
 }
 
 // Connect records a new connection, which was open at now. A former one, if there was one, was closed by this node.
@@ -24,7 +26,7 @@
 	if !l.answeredAt.IsZero() && now.Sub(l.answeredAt) <= minRestart {
 		return
 	}
-	l.connectedAt, l.answeredAt = now, time.Time{}
+	*l = Link{connectedAt: now, broken: l.broken}
 }
 
 // Answer records an answer on the connection to a question sent at sentAt.
@@ -41,10 +43,8 @@
 	if l.connectedAt.IsZero() || l.answeredAt.IsZero() {
 		return false
 	}
-	if now.Sub(l.connectedAt) >= coldStart {
-		return true
-	}
-	return l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+	l.warm = l.warm || now.Sub(l.connectedAt) >= coldStart || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+	return l.warm
 }
 
 // isOf reports whether life is that of the process at the other end.
--- a/internal/owner/coldstart/proof_test.go
+++ b/internal/owner/coldstart/proof_test.go
@@ -190,6 +190,7 @@
 	must.False(t, link.LeadsToWarm(now, now, life, testColdStart))
 	link.Answer(now)
 	must.True(t, link.LeadsToWarm(now, now, life, testColdStart))
+	must.True(t, link.IsWarm(now, Life{}, testColdStart))
 	link.Break()
 	must.False(t, link.IsWarm(now, life, testColdStart))
 	link.Connect(now.Add(1))
