Home regions: nothing changes without homes; connections for one node that serves in the owner's place

Cause: several regions alone moved owners and took connections from nodes that did not own a group. Change: only where a service or customer has homes; that many connections are reserved then.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,10 @@
 // settings.
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Duration is a time.Duration that is encoded as text, such as "250ms".
 type Duration time.Duration
@@ -211,6 +214,12 @@
 	return find(c.Groups, func(v *Group) bool { return v.Name == name })
 }
 
+// HasHomes reports whether a service or a customer has home regions.
+func (c *Config) HasHomes() bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return len(s.HomeRegions) > 0 }) ||
+		slices.ContainsFunc(c.Customers, func(c Customer) bool { return len(c.HomeRegions) > 0 })
+}
+
 func find[T any](all []T, match func(*T) bool) *T {
 	for i := range all {
 		if match(&all[i]) {
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -58,9 +58,9 @@
 
 // ownerRegions returns the regions in which each group's owner should be: those of its listed targets, and of them
 // the homes of its services, one service after the other as long as a region is left. It returns nil if there is only
-// one region.
+// one region or nothing has homes.
 func ownerRegions(regions region.Map, config *fleet.Config) map[string]region.Set {
-	if !regions.IsDivided() {
+	if !regions.IsDivided() || !config.HasHomes() {
 		return nil
 	}
 	sets := make(map[string]region.Set, len(config.Groups))
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -47,6 +47,8 @@
 	reads  bool
 	lostAt time.Time
 	cold   coldState
+	// hasHomes is true if requests have home regions, so that nodes that never owned the group may serve it.
+	hasHomes bool
 	// releasing is set while the group refuses new work because it is handed over or closed, closing once
 	// its connections are closed.
 	releasing bool
@@ -110,6 +112,7 @@
 		targets = mine.Targets
 	}
 	g.applyColdConfig(mine)
+	g.hasHomes = g.options.Regions.IsDivided() && config.HasHomes()
 	old := g.members
 	g.members = make([]*member, 0, len(targets))
 	names := make([]string, 0, len(targets))
@@ -161,7 +164,7 @@
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	connections = dataConnectionLimit(t.Connections-g.readerControlConnections(), g.exclusive)
+	connections = dataConnectionLimit(t.Connections-g.readerControlConnections()-g.homeConnections(t), g.exclusive)
 	if g.isFormerOwner(g.now()) || g.leavesToOthers(t) {
 		connections = min(connections, max(2, t.Slots))
 	}
@@ -213,8 +216,7 @@
 	if g.owned || g.reads || now.Sub(g.lostAt) < formerOwnerGrace {
 		return false
 	}
-	// Where there are several regions, there may be one node that never owned the group for each set of homes.
-	return !g.lostAt.IsZero() || g.options.Regions.IsDivided()
+	return !g.lostAt.IsZero() || g.hasHomes
 }
 
 // resizeAll applies changed limits to all members. g.mu is held.
--- a/internal/owner/homes.go
+++ b/internal/owner/homes.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
@@ -11,6 +12,15 @@
 	return m.group.options.Regions.Allows(req.HomeRegions, m.target.Domain)
 }
 
+// homeConnections returns the number of t's connections that are reserved for a node that serves requests whose homes the
+// owner is not in. g.mu is held.
+func (g *group) homeConnections(t *fleet.Target) int {
+	if !g.hasHomes {
+		return 0
+	}
+	return t.Slots + controlConnections
+}
+
 // refuseOutsideHome refuses a request that waiting does not help: no target is in its home regions, or it needs the
 // primary, which is outside of them. Otherwise it returns nil. g.mu is held, and r.criteria is set.
 func (g *group) refuseOutsideHome(r *execution) *request.Refusal {
--- a/internal/owner/homes_test.go
+++ b/internal/owner/homes_test.go
@@ -22,6 +22,7 @@
 	for i, domain := range []string{"a", "b", "c"} {
 		config.Groups[0].Targets[i].Domain = domain
 	}
+	config.Services = []fleet.Service{{Name: "south", HomeRegions: []string{"C"}}}
 	source.config.Store(&config)
 }
 
@@ -83,5 +84,9 @@
 		must.NoError(t, err)
 		limit := h.manager.groups["ledger"].members[2].pool.Stats().Limit
 		must.Eq(t, fakeSlots, limit)
+		h.manager.SetOwned("ledger", true)
+		owners := h.manager.groups["ledger"].members[2].pool.Stats().Limit
+		must.LessEq(t, fakeConnections, 2*owners+limit+2*controlConnections)
+		must.GreaterEq(t, fakeSlots, owners)
 	})
 }
