Cold targets: what a proven target answers proves connections that were opened before

Cause: new connections of nodes without the lease waited for a poll each, which a busy target may decline.

--- a/internal/owner/cold.go
+++ b/internal/owner/cold.go
@@ -284,3 +284,11 @@
 	defer m.group.mu.Unlock()
 	m.link.Answer(sentAt)
 }
+
+// recordWarm records the answer of an exchange, if its connection leads to a warm target: it proves the same of connections
+// opened before. The group's mu is held.
+func (m *member) recordWarm(o *exchangeResult) {
+	if o.err == nil && o.warm {
+		m.link.AnswerWarm(o.sentAt)
+	}
+}
--- a/internal/owner/cold_test.go
+++ b/internal/owner/cold_test.go
@@ -268,6 +268,16 @@
 		must.Eq(t, 200, h.load(h.manager, request.KindWrite, 200, time.Second, time.Second))
 		f.holder.Store("nobody")
 		must.Eq(t, 200, h.load(h.manager, request.KindWrite, 200, time.Second, time.Second))
+		// What a proven target answers proves connections that were opened before, also without polls.
+		opened := time.Now()
+		must.Eq(t, 1, h.load(h.manager, request.KindWrite, 1, time.Second, time.Second))
+		g := h.manager.groups["ledger"]
+		g.mu.Lock()
+		link := g.members[0].link
+		g.mu.Unlock()
+		link.Break()
+		must.True(t, link.LeadsToWarm(time.Now(), opened, coldstart.Life{}, coldStart))
+		must.False(t, link.LeadsToWarm(time.Now(), time.Now(), coldstart.Life{}, coldStart))
 		f.arrivals.forget()
 		// The targets start again. The node hears nothing of it but that its connections end.
 		f.arrivals.starts.Add(1)
--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -19,6 +19,8 @@
 	broken bool
 	// warm is true once the process at the other end was proven to be warm, which it stays.
 	warm bool
+	// warmAt is when the last request was sent that a process answered which was proven to be warm. It outlasts the link.
+	warmAt time.Time
 }
 
 // Connect records a new connection, which was open at now. A former one, if there was one, was closed by this node.
@@ -26,7 +28,7 @@
 	if !l.answeredAt.IsZero() && now.Sub(l.answeredAt) <= minRestart {
 		return
 	}
-	*l = Link{connectedAt: now, broken: l.broken}
+	*l = Link{connectedAt: now, broken: l.broken, warmAt: l.warmAt}
 }
 
 // Answer records an answer on the connection to a question sent at sentAt.
@@ -34,7 +36,14 @@
 
 // Break records that the connection broke or that none could be opened.
 func (l *Link) Break() {
-	*l = Link{broken: true}
+	*l = Link{broken: true, warmAt: l.warmAt}
+}
+
+// AnswerWarm records the answer to a request that was sent at sentAt on a data connection that leads to a warm process.
+func (l *Link) AnswerWarm(sentAt time.Time) {
+	if sentAt.After(l.warmAt) {
+		l.warmAt = sentAt
+	}
 }
 
 // IsWarm reports whether the process at the other end of the link is proven to be warm: it has been there for
@@ -60,7 +69,8 @@
 }
 
 // LeadsToWarm reports whether a data connection that was opened before openedAt is proven to lead to a warm process: to
-// that of the link, which has answered since, or to one that has been there for coldStart.
+// that of the link or of another data connection, which has answered since, or to one that has been there for coldStart.
 func (l *Link) LeadsToWarm(now, openedAt time.Time, life Life, coldStart time.Duration) bool {
-	return now.Sub(openedAt) >= coldStart || !openedAt.After(l.answeredAt) && l.IsWarm(now, life, coldStart)
+	return now.Sub(openedAt) >= coldStart || !openedAt.After(l.warmAt) ||
+		!openedAt.After(l.answeredAt) && l.IsWarm(now, life, coldStart)
 }
--- a/internal/owner/coldstart/proof_test.go
+++ b/internal/owner/coldstart/proof_test.go
@@ -159,6 +159,9 @@
 				case w.link.LeadsToWarm(w.now, openedAt, w.life, testColdStart):
 					warm++
 					must.True(t, isWarm)
+					if random.IntN(3) == 0 {
+						w.link.AnswerWarm(w.now)
+					}
 				case isWarm:
 					unproven++
 				}
--- a/internal/owner/exchange.go
+++ b/internal/owner/exchange.go
@@ -25,6 +25,8 @@
 	cancelled bool
 	// silent is true if no answer arrived in time.
 	silent bool
+	// warm is true if the connection was proven to lead to a warm target (package coldstart).
+	warm bool
 }
 
 // refusal returns the refusal that the exchange returned as its error, or nil.
@@ -53,7 +55,7 @@
 // at a primary is abandoned as soon as the primary is replaced, since no answer of a replaced
 // primary could be confirmed any more.
 func (g *group) exchange(ctx context.Context, conn *pool.Conn, req *request.Request, timeout time.Duration, replica bool) exchangeResult {
-	o := exchangeResult{sentAt: g.now()}
+	o := exchangeResult{sentAt: g.now(), warm: conn.IsWarm()}
 	running, abandon := detach(ctx, timeout)
 	defer abandon()
 	if !replica {
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -245,6 +245,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.member.recordExchange(failed, o.reply.Position)
+	r.member.recordWarm(o)
 	if !pinned {
 		deliver(r.member.schedule.Done(now, &r.slot.item, schedule.TransactionUnchanged))
 		return nil
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -143,6 +143,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	tx.member.recordExchange(o.connectionFailed(), o.reply.Position)
+	tx.member.recordWarm(o)
 	tx.lastUsed = now
 	tx.tainted = tx.tainted || o.cancelled
 	change := schedule.TransactionUnchanged
