--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -46,6 +46,9 @@
 	// reads is true while this node is the reader of a failure domain of the group.
 	reads  bool
 	lostAt time.Time
+	cold   coldState
+	// hasHomes is true if requests have home regions, so that nodes that never owned the group may serve it.
+	hasHomes bool
 	// releasing is set while the group refuses new work because it is handed over or closed, closing once
 	// its connections are closed.
 	releasing bool
@@ -94,34 +97,6 @@
 	return g.primaryCtx
 }
 
-// suspensionTolerance is the longest measured suspension that leaves evidence valid. A
-// suspension is measured as the difference of two clocks, which are read one after the other.
-// The readings may be this far apart without any suspension.
-const suspensionTolerance = 20 * time.Millisecond
-
-// syncEvidence updates g.evidence with what it can't observe itself: a suspension of the VM,
-// and whether this node alone may order promotions. It must be called before every query of
-// g.evidence that decides about a primary, and before Observe. g.mu is held.
-func (g *group) syncEvidence() {
-	g.invalidateAfterSuspension()
-	if g.options.SoleOrderer != nil && g.options.HeldTerms {
-		g.evidence.SetSoleOrderer(g.options.SoleOrderer(g.name, g.evidence.HighestTerm()))
-	}
-}
-
-// invalidateAfterSuspension drops the evidence gathered before the VM was suspended, because
-// the clock that its age is measured with did not count the suspension. g.mu is held.
-func (g *group) invalidateAfterSuspension() {
-	suspended := g.options.Suspended()
-	if suspended-g.lastSuspended <= suspensionTolerance {
-		return
-	}
-	_ = g.options.Logger.Log("event", "suspended", "group", g.name, "for", suspended-g.lastSuspended)
-	g.lastSuspended = suspended
-	g.evidence.ExpireObservations()
-	g.wakePollers()
-}
-
 func (g *group) now() time.Time { return g.options.Clock.Now() }
 
 // refresh applies the current configuration if it has changed. g.mu is held.
@@ -132,9 +107,12 @@
 	}
 	g.config = config
 	var targets []fleet.Target
-	if mine := config.Group(g.name); mine != nil {
+	mine := config.Group(g.name)
+	if mine != nil {
 		targets = mine.Targets
 	}
+	g.applyColdConfig(mine)
+	g.hasHomes = g.options.Regions.IsDivided() && config.HasHomes()
 	old := g.members
 	g.members = make([]*member, 0, len(targets))
 	names := make([]string, 0, len(targets))
@@ -186,7 +164,7 @@
 	if split := g.options.Split; split > 0 {
 		return max(1, t.Slots/split), max(2, (t.Connections-split)/split)
 	}
-	connections = dataConnectionLimit(t.Connections-g.readerControlConnections(), g.exclusive)
+	connections = dataConnectionLimit(t.Connections-g.readerControlConnections()-g.homeConnections(t), g.exclusive)
 	if g.isFormerOwner(g.now()) || g.leavesToOthers(t) {
 		connections = min(connections, max(2, t.Slots))
 	}
@@ -235,7 +213,10 @@
 
 // isFormerOwner reports whether this node has lost the group for long enough to give up its connections.
 func (g *group) isFormerOwner(now time.Time) bool {
-	return !g.owned && !g.reads && !g.lostAt.IsZero() && now.Sub(g.lostAt) >= formerOwnerGrace
+	if g.owned || g.reads || now.Sub(g.lostAt) < formerOwnerGrace {
+		return false
+	}
+	return !g.lostAt.IsZero() || g.hasHomes
 }
 
 // resizeAll applies changed limits to all members. g.mu is held.
