--- a/internal/filter/route/reader.go
+++ b/internal/filter/route/reader.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -26,10 +27,11 @@
 	session := req.ID.Session
 	link := loadLink(&f.readerLinks, session)
 	if link != nil && link.inTransaction {
-		if isInTransaction(req.Kind) {
+		if isInTransaction(req.Kind) && f.isAllowed(link, req.HomeRegions) {
 			return link
 		}
-		// The caller's transaction has ended without an answer of the reader, which still has it open.
+		// Its homes have changed, or the caller's transaction has ended without an answer of the reader, which still has it
+		// open.
 		dropLink(&f.readerLinks, session, link)
 		link = nil
 	}
@@ -37,7 +39,7 @@
 		return nil
 	}
 	address, self, ok := f.Readers.Reader(req.Group)
-	if !ok {
+	if !ok || req.HomeRegions != region.Any && !f.owners.Allows(address, req.HomeRegions) {
 		return nil
 	}
 	if link == nil || link.self != self || !self && link.address != address {
@@ -45,6 +47,7 @@
 		link = f.newLink(address, self)
 		f.readerLinks.Store(session, link)
 	}
+	link.homes = req.HomeRegions
 	return link
 }
 
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -23,6 +23,10 @@
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
 	urgency             urgencyCounts
+	outsideHome         *expvar.Int
+	coldPlaced          *expvar.Int
+	coldWaits           *expvar.Int
+	coldRefused         *expvar.Int
 }
 
 // newCounters returns counters. priorities says whether requests are counted by priority.
@@ -47,6 +51,10 @@
 	c.vars.Set("refused_by_priority", &c.urgency.refused)
 	c.vars.Set("waited_by_priority", &c.urgency.waited)
 	c.vars.Set("shed_by_priority", &c.urgency.shed)
+	c.outsideHome = c.add("outside_home")
+	c.coldPlaced = c.add("cold_placed")
+	c.coldWaits = c.add("cold_waits")
+	c.coldRefused = c.add("cold_refused")
 	return c
 }
 
