--- a/internal/peer/quicpeer/priority_test.go
+++ b/internal/peer/quicpeer/priority_test.go
@@ -20,7 +20,7 @@
 		must.NoError(t, err)
 		var fields map[int]any
 		must.NoError(t, cbor.Unmarshal(body, &fields))
-		_, sent := fields[8]
+		_, sent := fields[10]
 		must.Eq(t, priority != 0, sent)
 		var received sessionContext
 		must.NoError(t, cbor.Unmarshal(body, &received))
