Evacuated failure domains: followed beside the configuration, part of each published one

The operator's order to evacuate a domain is a row of the table that holds the configuration. Nothing read it. The set is followed like the configuration, announced when it alone changes, and stays over a restore that lost its rows.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,8 +1,8 @@
 // Package catalog merges the operator's configuration and the platform's list of targets into
 // the fleet.Config that nodes use.
 //
-// Invariant: each Config is computed from exactly one version of the configuration and one
-// state of the groups' members. It contains no target whose group is not in the configuration. The package uses no goroutines, locks or clocks.
+// Invariant: each Config is computed from exactly one version of the configuration, one
+// state of the groups' members and one set of evacuated failure domains. It contains no target whose group is not in the configuration. The package uses no goroutines, locks or clocks.
 package catalog
 
 import (
@@ -86,14 +86,17 @@
 	Target(key string, value []byte) (target Target, ok bool)
 }
 
-// BuildConfig returns the Config for configuration c and the given members of the groups.
-func BuildConfig(c *Configuration, targets []Target) *fleet.Config {
+// BuildConfig returns the Config for configuration c, the given members of the groups and the names of
+// the evacuated failure domains.
+func BuildConfig(c *Configuration, targets []Target, evacuated []string) *fleet.Config {
 	config := &fleet.Config{
 		Version:   c.Version,
 		Profiles:  c.Profiles,
 		Customers: c.Customers,
 		Services:  c.Services,
 		Groups:    make([]fleet.Group, 0, len(c.Groups)),
+
+		EvacuatedDomains: evacuated,
 	}
 	for _, g := range c.Groups {
 		config.Groups = append(config.Groups, fleet.Group{
@@ -104,6 +107,7 @@
 			Targets:      groupTargets(g, targets),
 		})
 	}
+	config.MarkEvacuated()
 	return config
 }
 
--- a/internal/fleet/diff.go
+++ b/internal/fleet/diff.go
@@ -119,7 +119,10 @@
 }
 
 func describeConfig(c *Config) []object {
-	objects := []object{{"fleet", []field{{name: "token_secret", value: c.TokenSecret, secret: true}}}}
+	objects := []object{{"fleet", []field{
+		{name: "token_secret", value: c.TokenSecret, secret: true},
+		{name: "evacuated_domains", value: strings.Join(c.EvacuatedDomains, ",")},
+	}}}
 	for i := range c.Profiles {
 		objects = append(objects, describeProfile(&c.Profiles[i]))
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,11 +14,13 @@
 	// Version is the version that the platform table's row got when this Config was written.
 	Version uint64 `toml:"-" json:"version"`
 	// TokenSecret is the secret that authenticates session tokens: at least 32 bytes, in hex.
-	TokenSecret string     `toml:"token_secret,omitempty" json:"token_secret,omitempty"`
-	Profiles    []Profile  `toml:"profile" json:"profiles"`
-	Customers   []Customer `toml:"customer" json:"customers"`
-	Services    []Service  `toml:"service" json:"services"`
-	Groups      []Group    `toml:"group" json:"groups"`
+	TokenSecret string `toml:"token_secret,omitempty" json:"token_secret,omitempty"`
+	// EvacuatedDomains are the failure domains whose targets get no new requests, in order of their names.
+	EvacuatedDomains []string   `toml:"evacuated_domains,omitempty" json:"evacuated_domains,omitempty"`
+	Profiles         []Profile  `toml:"profile" json:"profiles"`
+	Customers        []Customer `toml:"customer" json:"customers"`
+	Services         []Service  `toml:"service" json:"services"`
+	Groups           []Group    `toml:"group" json:"groups"`
 }
 
 // Confirm is the condition that a write must meet before it is acknowledged.
@@ -154,6 +156,9 @@
 	// Unlisted is true for a target that the platform's list no longer names but that may still run.
 	// It is also Leaving: it counts towards majorities and may be promoted, but gets no requests.
 	Unlisted bool `toml:"-" json:"unlisted,omitempty"`
+	// Evacuated is true for a target in one of the EvacuatedDomains. It counts towards majorities, but gets
+	// no new requests and is promoted only if no other target has its log.
+	Evacuated bool `toml:"-" json:"evacuated,omitempty"`
 }
 
 // Source provides the Config in force. Only its implementation publishes a new Config;
--- a/internal/fleet/parse.go
+++ b/internal/fleet/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -35,6 +36,8 @@
 		return nil, err
 	}
 	applyDefaults(config, doc.Has)
+	slices.Sort(config.EvacuatedDomains)
+	config.MarkEvacuated()
 	if complete != nil {
 		complete(config)
 	}
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -38,6 +38,7 @@
 	v.checkCustomers()
 	v.checkGroups()
 	v.checkServices()
+	v.checkEvacuatedDomains()
 	return v.issues
 }
 
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -50,6 +50,8 @@
 	Decoder  catalog.Decoder
 	// ConfigurationKey is the key of the row that holds the configuration.
 	ConfigurationKey string
+	// EvacuationPrefix is what the keys of the rows start with that evacuate a failure domain each.
+	EvacuationPrefix string
 	// NewDialer returns the dialer of the targets. The dialer takes the fence that it sends with
 	// a promotion from leases.
 	NewDialer func(leases *lease.Keeper) target.Dialer
@@ -189,6 +191,7 @@
 		Feed:             h.Store,
 		Decoder:          h.Decoder,
 		ConfigurationKey: h.ConfigurationKey,
+		EvacuationPrefix: h.EvacuationPrefix,
 		Self:             n.settings.Node.Name,
 		FirstStart:       h.FirstStart,
 		Peers:            n.peers,
--- a/internal/run/catalog/announce.go
+++ b/internal/run/catalog/announce.go
@@ -9,15 +9,16 @@
 
 const (
 	// announceInterval is the shortest time between two announcements of one node. The last of several
-	// versions that follow each other more quickly is always announced.
+	// changes that follow each other more quickly is always announced.
 	announceInterval = 200 * time.Millisecond
 	// announceTimeout bounds the announcement to one peer.
 	announceTimeout = 500 * time.Millisecond
 )
 
-// startAnnouncing lets announceVersions tell this node's contacts of the configuration that it has just
-// taken. The caller holds r.mu.
-func (r *Runner) startAnnouncing() {
+// announceChange lets announceVersions tell this node's contacts of the configuration or the evacuations
+// that it has just taken. The caller holds r.mu.
+func (r *Runner) announceChange() {
+	r.newsCount++
 	if r.announcing || r.o.Contacts == nil || r.running.Err() != nil {
 		return
 	}
@@ -25,25 +26,33 @@
 	r.wait.Go(r.announceVersions)
 }
 
-// announceVersions announces the newest configuration until it has announced the last one.
+// announceVersions announces what this node knows until it has announced the last change.
 func (r *Runner) announceVersions() {
 	for {
+		news := r.newsToAnnounce()
 		k := r.Knowledge()
 		for _, address := range r.o.Contacts() {
 			r.wait.Go(func() { r.announce(address, k) })
 		}
-		if r.o.Clock.Sleep(r.running, announceInterval) != nil || r.endAnnouncing(k.ConfigurationVersion) {
+		if r.o.Clock.Sleep(r.running, announceInterval) != nil || r.endAnnouncing(news) {
 			return
 		}
 	}
 }
 
-// endAnnouncing ends the announcing if announced is the version of the newest configuration, and reports
-// whether it has.
+// newsToAnnounce returns the number of the last change that is to be announced.
+func (r *Runner) newsToAnnounce() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newsCount
+}
+
+// endAnnouncing ends the announcing if announced is the number of the last change, and reports whether it
+// has.
 func (r *Runner) endAnnouncing(announced uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.announcing = r.document.version() > announced
+	r.announcing = r.newsCount > announced
 	return !r.announcing
 }
 
--- a/internal/run/catalog/fetch.go
+++ b/internal/run/catalog/fetch.go
@@ -19,11 +19,15 @@
 }
 
 // isBetterThan reports whether o is to be fetched instead of other: the newer configuration first, then
-// what is due first.
+// the newer table that holds it and the evacuations, then what is due first.
 func (o *offer) isBetterThan(other *offer) bool {
 	if o.knowledge.ConfigurationVersion != other.knowledge.ConfigurationVersion {
 		return o.knowledge.ConfigurationVersion > other.knowledge.ConfigurationVersion
 	}
+	changed, others := o.knowledge.Changed, other.knowledge.Changed
+	if changed.Era == others.Era && changed.Configuration != others.Configuration {
+		return changed.Configuration > others.Configuration
+	}
 	return o.due.Before(other.due)
 }
 
--- a/internal/run/catalog/publish.go
+++ b/internal/run/catalog/publish.go
@@ -42,7 +42,7 @@
 	if r.document.decoded == nil {
 		return
 	}
-	config := catalog.BuildConfig(r.document.decoded, r.roster.Targets())
+	config := catalog.BuildConfig(r.document.decoded, r.roster.Targets(), r.evacuations.Domains())
 	r.current.Store(config)
 	for _, f := range r.subscribers {
 		f(config)
@@ -81,7 +81,7 @@
 	isFirst := r.document.decoded == nil
 	r.document = document{decoded: decoded, value: value, era: revision.Era}
 	if !isFirst {
-		r.startAnnouncing()
+		r.announceChange()
 	}
 	return true
 }
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -4,7 +4,7 @@
 // internal/catalog defines the decoder of the rows and joins them into a configuration.
 //
 // Invariant: within one run of the process, neither the version of the configuration nor
-// any row of the list of targets reverts to an older state, whatever the feed, a full read
+// any row of the list of targets or of an evacuation reverts to an older state, whatever the feed, a full read
 // or a peer returns. What a table is followed up to is compared by its revision: after the store
 // was restored from a copy, its versions go back and are assigned again, in a later era. What its
 // writer numbers, such as a configuration or an entry of a target, is compared by the writer's own
@@ -25,6 +25,7 @@
 
 	"crocusyoke/internal/catalog"
 	"crocusyoke/internal/clock"
+	"crocusyoke/internal/controller/evacuation"
 	"crocusyoke/internal/controller/reader"
 	"crocusyoke/internal/controller/roster"
 	"crocusyoke/internal/fleet"
@@ -58,6 +59,9 @@
 	Decoder catalog.Decoder
 	// ConfigurationKey is the key of the configuration's row.
 	ConfigurationKey string
+	// EvacuationPrefix is what the keys of the rows in the same table start with that evacuate a failure
+	// domain each. The domain's name follows. No domain is ever evacuated if it is empty.
+	EvacuationPrefix string
 	// Self is this node's name.
 	Self string
 	// FirstStart is true if the whole fleet starts for the first time.
@@ -102,6 +106,10 @@
 	heard heardVersion
 	// decodedRow is the revision of the configuration's row that was last decoded.
 	decodedRow platform.Revision
+	// evacuations holds the evacuated failure domains.
+	evacuations evacuation.Set
+	// newsCount counts the changes that this node has had to announce.
+	newsCount uint64
 	// roster holds the members of the groups. decodedTargets holds the entries that its last change
 	// was made from, by key. advancing is true while advanceRoster runs.
 	roster         *roster.Roster
@@ -228,6 +236,9 @@
 	r.Counters.Add(changeCounters[name], 1)
 	restored := r.noteRestored(name, t, former)
 	r.decodeConfigurationRow(source)
+	if name == platform.TableConfiguration {
+		r.updateEvacuations(source)
+	}
 	if name == platform.TableTargets {
 		r.updateRoster(restored)
 	}
