Promotion: the primary of an evacuated failure domain hands over

It is fenced first, like a leaving one, and only once another target receives its log; evacuated replicas come last among logs of the same position.

--- a/internal/controller/promotion/actions.go
+++ b/internal/controller/promotion/actions.go
@@ -56,8 +56,13 @@
 	ReasonIsolated Reason = "primary cut off from its group"
 	// ReasonLeaving means that the primary's target is leaving the group.
 	ReasonLeaving Reason = "primary is leaving"
+	// ReasonEvacuated means that the failure domain of the primary is evacuated.
+	ReasonEvacuated Reason = "primary's failure domain is evacuated"
 )
 
+// isHandover reports whether the primary is replaced while it works, so that it is fenced first.
+func (r Reason) isHandover() bool { return r == ReasonLeaving || r == ReasonEvacuated }
+
 func (QueryPeers) action()      {}
 func (Announce) action()        {}
 func (Adopt) action()           {}
--- a/internal/controller/promotion/members.go
+++ b/internal/controller/promotion/members.go
@@ -60,16 +60,29 @@
 	return false
 }
 
+// handoverReason returns the reason for replacing a primary that works, or reasonNone.
+func (g *Group) handoverReason(now time.Time, primary string) Reason {
+	m := g.member(primary)
+	switch {
+	case !m.isWithdrawn() || !g.hasSuccessor(now, primary):
+		return reasonNone
+	case m.Leaving:
+		return ReasonLeaving
+	default:
+		return ReasonEvacuated
+	}
+}
+
 // hasSuccessor reports whether there is a reachable target, other than the primary, that is not
-// leaving. For an unlisted primary, the target must also receive the primary's log: otherwise the
-// attempt could only promote the same primary again.
+// withdrawn. For a primary that gets no new requests any more, because it is unlisted or evacuated, the
+// target must also receive the primary's log: otherwise the attempt could only promote the same primary again.
 func (g *Group) hasSuccessor(now time.Time, primary string) bool {
-	unlisted := g.member(primary).Unlisted
+	getsNone := g.member(primary).Unlisted || g.member(primary).Evacuated
 	for _, m := range g.members {
-		if m.Name == primary || m.Leaving || !g.isReachable(now, m.Name) {
+		if m.Name == primary || m.isWithdrawn() || !g.isReachable(now, m.Name) {
 			continue
 		}
-		if !unlisted || !g.observations[m.Name].status.Last.Less(g.observations[primary].previousLast) {
+		if !getsNone || !g.observations[m.Name].status.Last.Less(g.observations[primary].previousLast) {
 			return true
 		}
 	}
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -7,7 +7,7 @@
 	"crocusyoke/internal/target"
 )
 
-// startAttempt starts an attempt to promote a target to the next term. A leaving primary adopts
+// startAttempt starts an attempt to promote a target to the next term. A primary that hands over adopts
 // the term first, so that a replica can catch up with it.
 func (g *Group) startAttempt(now time.Time, reason Reason) []Action {
 	primary, _ := g.Primary()
@@ -26,7 +26,7 @@
 	if g.skipsAdopt(reason) {
 		g.attempt.adoptSent[primary] = true
 	}
-	if reason == ReasonLeaving {
+	if reason.isHandover() {
 		g.attempt.phase = PhaseFence
 		g.attempt.adoptSent[primary] = true
 		return append(g.announceActions(), Adopt{Target: primary, Term: g.attempt.term})
@@ -70,7 +70,7 @@
 		return
 	}
 	fenced := g.options.HeldTerms && targetName == g.attempt.oldPrimary && status.Role == target.RoleReplica
-	if !fenced || g.attempt.reason == ReasonLeaving {
+	if !fenced || g.attempt.reason.isHandover() {
 		g.attempt.adopted[targetName] = status
 	}
 	if g.attempt.phase == PhaseFence || fenced {
@@ -89,12 +89,12 @@
 	return g.adoptRemaining()
 }
 
-// hasCaughtUpReplica reports whether a reachable target that is not leaving has the whole log of
+// hasCaughtUpReplica reports whether a reachable target that is not withdrawn has the whole log of
 // the fenced primary, which commits nothing more because it has adopted the attempt's term.
 func (g *Group) hasCaughtUpReplica() bool {
 	for _, m := range g.members {
 		o := g.observations[m.Name]
-		if m.Leaving || o == nil || !o.answered || o.missedPolls > 0 {
+		if m.isWithdrawn() || o == nil || !o.answered || o.missedPolls > 0 {
 			continue
 		}
 		if o.status.Last == g.attempt.fencedPosition {
@@ -140,7 +140,7 @@
 }
 
 // chooseCandidate returns the adopter, all of which are members, with the highest last log position. Among equals it prefers
-// a target that is not leaving, then one in the orderer's failure domain, then the first.
+// a target that is not withdrawn, then one that is not leaving, then one in the orderer's failure domain, then the first.
 func (g *Group) chooseCandidate() string {
 	var best *Member
 	var highest logpos.Position
@@ -158,6 +158,9 @@
 }
 
 func (g *Group) isBetterCandidate(m, other *Member) bool {
+	if m.isWithdrawn() != other.isWithdrawn() {
+		return other.isWithdrawn()
+	}
 	if m.Leaving != other.Leaving {
 		return other.Leaving
 	}
--- a/internal/controller/promotion/promotion.go
+++ b/internal/controller/promotion/promotion.go
@@ -18,8 +18,13 @@
 	Leaving bool
 	// Unlisted is true for a leaving target that the platform's list no longer names.
 	Unlisted bool
+	// Evacuated is true for a target in an evacuated failure domain, which gets no new requests either.
+	Evacuated bool
 }
 
+// isWithdrawn reports whether m is to be replaced as the primary as soon as another target can be.
+func (m *Member) isWithdrawn() bool { return m.Leaving || m.Evacuated }
+
 // Options configures a Group.
 type Options struct {
 	// Self is the name of this node as an orderer. It must differ between two starts of the same
@@ -220,10 +225,7 @@
 	if g.isPrimaryIsolated(now, primary) {
 		return ReasonIsolated, false
 	}
-	if g.member(primary).Leaving && g.hasSuccessor(now, primary) {
-		return ReasonLeaving, false
-	}
-	return reasonNone, false
+	return g.handoverReason(now, primary), false
 }
 
 // elapsedSince returns the time from start to now. It first sets start to now if it is zero.
--- a/internal/controller/promotion/state.go
+++ b/internal/controller/promotion/state.go
@@ -10,11 +10,11 @@
 // Phase is the phase of an attempt.
 type Phase uint8
 
-// Phases, in order. PhaseFence is skipped unless the primary is leaving.
+// Phases, in order. PhaseFence is skipped unless the primary is leaving or evacuated.
 const (
 	// PhaseIdle means that no attempt is in progress.
 	PhaseIdle Phase = iota
-	// PhaseFence means that a leaving primary is fenced: it adopts the new term before the other
+	// PhaseFence means that a primary that hands over is fenced: it adopts the new term before the other
 	// targets and so commits nothing more, and a replica catches up with it.
 	PhaseFence
 	// PhaseAdopt means that the targets are asked to adopt the new term.
--- a/internal/controller/promotion/times.go
+++ b/internal/controller/promotion/times.go
@@ -32,7 +32,7 @@
 	// AnnounceTimeout is the maximum wait until the row of the promotion lease names the term. The
 	// wait starts when a majority has adopted the term.
 	AnnounceTimeout = 1500 * time.Millisecond
-	// CatchUpTimeout is the maximum wait for a replica to catch up with a fenced, leaving primary.
+	// CatchUpTimeout is the maximum wait for a replica to catch up with a fenced primary that hands over.
 	CatchUpTimeout = 2 * time.Second
 	// PromoteTimeout is the maximum wait for the result of a Promote command. HeldPromoteTimeout replaces
 	// it with Options.HeldTerms, where a promotion takes effect some time after the command.
--- a/internal/run/promotion/runner.go
+++ b/internal/run/promotion/runner.go
@@ -312,7 +312,9 @@
 func members(listed *fleet.Group) []promotion.Member {
 	all := make([]promotion.Member, len(listed.Targets))
 	for i, t := range listed.Targets {
-		all[i] = promotion.Member{Name: t.Name, Address: t.Address, Domain: t.Domain, Leaving: t.Leaving, Unlisted: t.Unlisted}
+		all[i] = promotion.Member{
+			Name: t.Name, Address: t.Address, Domain: t.Domain, Leaving: t.Leaving, Unlisted: t.Unlisted, Evacuated: t.Evacuated,
+		}
 	}
 	return all
 }
