Owner: nothing new reaches the targets of an evacuated failure domain, and they return by degrees

Requests that wait there are placed again, open transactions end in time, connections close. Requests that need a primary wait while another can take over and are refused at once otherwise.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -124,6 +124,7 @@
 		a.customerCommand(),
 		a.keyCommand(),
 		a.targetCommand(),
+		a.domainCommand(),
 		a.statusCommand(),
 		a.auditCommand(),
 		a.versionCommand(),
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -163,6 +163,25 @@
 	must.Eq(t, 7, result.Version)
 }
 
+// TestDomainEvacuate checks that an evacuation and its end are new versions of the configuration in the audit trail,
+// that a name without a target is refused, and that config show keeps the field.
+func TestDomainEvacuate(t *testing.T) {
+	f := newTestFleet(t)
+	f.mustRun("config", "apply", "../../examples/trust/fleet.toml")
+	f.mustFail(ExitError, `there is no target in a failure domain "nowhere"`, "domain", "evacuate", "nowhere")
+	must.StrContains(t, f.mustRun("domain", "evacuate", "rajkot-a"), `evacuated_domains "" -> "rajkot-a"`)
+	must.StrContains(t, f.mustRun("config", "show"), "evacuated_domains = ['rajkot-a']")
+	must.StrContains(t, f.mustRun("audit"), "version 1 -> 2")
+	current, err := change.Read(context.Background(), f.store, "trust")
+	must.NoError(t, err)
+	for _, g := range current.Config.Groups {
+		for _, target := range g.Targets {
+			must.Eq(t, target.Domain == "rajkot-a", target.IsWithdrawn())
+		}
+	}
+	must.StrContains(t, f.mustRun("domain", "evacuate", "rajkot-a", "--undo"), `evacuated_domains "rajkot-a" -> ""`)
+}
+
 // TestShowOutputCanBeApplied checks that a file printed by config show, which has no secrets,
 // keeps the secrets in force when it is edited and applied, and is refused after another change.
 func TestShowOutputCanBeApplied(t *testing.T) {
--- a/internal/controller/promotion/evacuated_test.go
+++ b/internal/controller/promotion/evacuated_test.go
@@ -40,12 +40,12 @@
 	return h
 }
 
-// TestEvacuatedPrimaryHandsOver checks that the primary of an evacuated domain is fenced and replaced, within
-// the time that is left of the bound, by the only target that is not evacuated.
+// TestEvacuatedPrimaryHandsOver checks that the primary of an evacuated domain is fenced and replaced at once
+// by the only target that is not evacuated.
 func TestEvacuatedPrimaryHandsOver(t *testing.T) {
 	h := startHeld(t)
 	h.evacuate("a", "b")
-	h.advance(time.Second)
+	h.advance(200 * time.Millisecond)
 	must.Eq(t, "p", h.adopted[0])
 	must.Eq(t, []string{"r2"}, h.promoted)
 	h.lead("r2", 2)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -296,6 +296,7 @@
 		Scheduling:             schedule.Policy(s.Policy.Scheduling),
 		Reads:                  choose.Policy(s.Policy.Reads),
 		Split:                  s.Policy.Split,
+		EvacuationBound:        s.Places.EvacuationBound.Std(),
 		HeldTerms:              n.heldTerms,
 		FailFastWithoutPrimary: n.heldTerms,
 		Idempotent:             runIdempotent,
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -20,6 +20,9 @@
 		ConfigFresh:   n.config.Fresh(),
 		Draining:      n.isDraining(),
 	}
+	if config := n.config.Current(); config != nil {
+		r.EvacuatedDomains = config.EvacuatedDomains
+	}
 	if brief {
 		return r
 	}
@@ -76,6 +79,7 @@
 			Busy:        t.InFlight,
 			Queued:      t.Waiting,
 			Leaving:     t.Leaving,
+			Evacuated:   t.Evacuated,
 			Reachable:   t.SeenAgo >= 0 && t.SeenAgo < 2*target.ControlTimeout,
 		}
 	}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -24,6 +24,7 @@
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
@@ -104,6 +105,9 @@
 	// of nodes among which each target's slots and connections are divided evenly.
 	Split int
 	Times Times
+	// EvacuationBound is how long after an evacuation was ordered requests may still reach the targets; 0 means
+	// evacuate.DefaultBound.
+	EvacuationBound time.Duration
 	// Database returns the name of the database to connect to in a group's targets. nil
 	// means the group's own name.
 	Database func(group string) string
@@ -154,6 +158,9 @@
 		options.Suspended = func() time.Duration { return 0 }
 	}
 	options.Times = options.Times.withDefaults()
+	if options.EvacuationBound == 0 {
+		options.EvacuationBound = evacuate.DefaultBound
+	}
 	options.Idempotent = options.Idempotent.contained()
 	options.IdempotentBegin = options.IdempotentBegin.contained()
 	return &Manager{
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
@@ -46,6 +48,13 @@
 	coveredAt        time.Time
 	coveredKnown     bool
 	errorShare       float64
+
+	// evacuation says whether the target is evacuated. isEvacuated is the same for use without the group's mu,
+	// and inUse ends, by endInUse, when the target is evacuated.
+	evacuation  evacuate.Target
+	isEvacuated atomic.Bool
+	inUse       context.Context
+	endInUse    context.CancelFunc
 }
 
 func newMember(g *group, t *fleet.Target) *member {
@@ -82,12 +91,15 @@
 		Limit:   limit,
 		MinIdle: minIdle,
 	})
+	m.inUse, m.endInUse = context.WithCancel(g.ctx)
+	g.setEvacuated(m, t.Evacuated)
 	go m.pollLoop(ctx, login)
 	return m
 }
 
 func (m *member) close() {
 	m.stop()
+	m.endInUse()
 	m.pool.Close()
 }
 
@@ -149,14 +161,14 @@
 	return choose.Candidate{
 		Name:         m.name,
 		Domain:       m.target.Domain,
-		Leaving:      m.target.Leaving,
+		Leaving:      m.target.IsWithdrawn(),
 		StatusKnown:  !m.statusAt.IsZero() && now.Sub(m.statusAt) <= evidence.MaxObservationAge,
 		Role:         m.status.Role,
 		Term:         m.status.Term,
 		Last:         m.readablePosition,
 		Age:          now.Sub(m.coveredAt),
 		AgeKnown:     m.coveredKnown,
-		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight),
+		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight) + m.evacuation.Surcharge(now),
 		ErrorShare:   m.errorShare,
 	}
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -22,6 +22,11 @@
 	statementsCancelled *expvar.Int
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
+	// evacuations counts targets that were evacuated or taken back.
+	evacuations           *expvar.Int
+	requestsMoved         *expvar.Int
+	refusedEvacuated      *expvar.Int
+	transactionsEvacuated *expvar.Int
 }
 
 func newCounters() *counters {
@@ -40,6 +45,10 @@
 	c.silentConnections = c.add("silent_connections")
 	c.statementsCancelled = c.add("statements_cancelled")
 	c.transactionsLost = c.add("transactions_lost")
+	c.evacuations = c.add("evacuations")
+	c.requestsMoved = c.add("requests_moved")
+	c.refusedEvacuated = c.add("refused_evacuated")
+	c.transactionsEvacuated = c.add("transactions_evacuated")
 	return c
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -32,10 +32,19 @@
 		r.member = g.members[choice.Target]
 		r.replica = choice.Replica
 		r.placedAt = now
+		r.inUse = r.member.inUse
+		if !choice.Replica {
+			g.handover.End()
+		}
 		g.submit(ctx, now, r)
 		return nil, 0, nil
 	}
 	wait, retryAfter := choice.Wait, time.Duration(0)
+	if wait <= 0 {
+		if wait, refusal = g.handoverWait(ctx, now, r); refusal != nil {
+			return nil, 0, refusal
+		}
+	}
 	if wait <= 0 {
 		wait, retryAfter = g.primaryWait(ctx, now, r)
 	}
@@ -141,14 +150,14 @@
 }
 
 // isPlacementValid reports whether r's target may still serve r: it is in the configuration and
-// not leaving. Unless it was chosen as a replica, it must also still be the primary of the same
+// not withdrawn. Unless it was chosen as a replica, it must also still be the primary of the same
 // term.
 func (g *group) isPlacementValid(r *execution) bool {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refresh()
-	if !g.hasMember(r.member) || r.member.target.Leaving {
+	if !g.hasMember(r.member) || r.member.target.IsWithdrawn() {
 		return false
 	}
 	if r.replica {
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -106,6 +106,8 @@
 	placedAt time.Time
 	criteria choose.Criteria
 	slot     *slotWaiter
+	// inUse ends when member is evacuated.
+	inUse context.Context
 }
 
 // serveNew runs a request outside a transaction, in up to maxAttempts attempts.
@@ -154,7 +156,7 @@
 	if refusal := g.place(ctx, r); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
+	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
 		return nil, refusal
 	}
 	conn, err := r.member.connection(ctx, r.req.Customer)
@@ -162,7 +164,7 @@
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, g.refuseNoConnection(ctx, r, err)
 	}
-	if g.now().Sub(r.placedAt) > recheckAfter && !g.isPlacementValid(r) {
+	if g.needsRecheck(r) && !g.isPlacementValid(r) {
 		r.member.pool.Put(conn)
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, markRetryable(g.refuseNoPrimary())
--- a/internal/owner/snapshot.go
+++ b/internal/owner/snapshot.go
@@ -10,13 +10,15 @@
 
 // TargetStatus is the state of one target as its owner knows it.
 type TargetStatus struct {
-	Name    string          `json:"name"`
-	Address string          `json:"address"`
-	Domain  string          `json:"domain"`
-	Leaving bool            `json:"leaving"`
-	Role    target.Role     `json:"role"`
-	Term    uint64          `json:"term"`
-	Last    logpos.Position `json:"last"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Leaving bool   `json:"leaving"`
+	// Evacuated is true if the target's failure domain is evacuated.
+	Evacuated bool            `json:"evacuated"`
+	Role      target.Role     `json:"role"`
+	Term      uint64          `json:"term"`
+	Last      logpos.Position `json:"last"`
 	// Lag is the number of log entries that the target is behind the primary's last known
 	// position.
 	Lag uint64 `json:"lag"`
@@ -89,6 +91,7 @@
 		Address:      m.target.Address,
 		Domain:       m.target.Domain,
 		Leaving:      m.target.Leaving,
+		Evacuated:    m.target.Evacuated,
 		Role:         m.status.Role,
 		Term:         m.status.Term,
 		Last:         m.readablePosition,
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -87,6 +87,11 @@
 		g.endUnsentStatement(tx)
 		return o, true, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
 	}
+	if refusal := g.refuseEvacuated(tx); refusal != nil {
+		g.freeSlot(m, slot, schedule.TransactionUnchanged)
+		g.endUnsentStatement(tx)
+		return o, true, refusal
+	}
 	o = g.exchange(ctx, tx.conn, req, 0, tx.replica)
 	g.recordErrorAnswer(m.name, req, &o)
 	return o, g.endStatement(tx, slot, &o), nil
@@ -208,11 +213,15 @@
 }
 
 // rollback rolls tx back on its target and returns its connection, or closes the connection
-// if that takes longer than rollbackTimeout or panics.
+// if that takes longer than rollbackTimeout or panics, or if nothing more is to be sent to the target.
 func (g *group) rollback(tx *transaction) {
 	g.manager.counts.transactionsLost.Add(1)
 	req := &request.Request{Customer: tx.customer, Weight: tx.weight, Kind: request.KindRollback}
 	slot := g.newSlotWaiter(req, schedule.EndTransaction, g.now().Add(rollbackTimeout))
+	if tx.member.isEvacuated.Load() {
+		g.abandonTransaction(tx, slot)
+		return
+	}
 	if contain.Step(g.options.Logger, "rollback", func() { g.runRollback(req, tx, slot) }) {
 		g.abandonTransaction(tx, slot)
 	}
@@ -278,13 +287,14 @@
 }
 
 // expiredTransactions returns the transactions that have been idle for longer than
-// Times.TransactionIdleTimeout or open for longer than Times.TransactionTotal. g.mu is held.
+// Times.TransactionIdleTimeout, open for longer than Times.TransactionTotal, or at an evacuated target for too
+// long. g.mu is held.
 func (g *group) expiredTransactions(now time.Time) []*transaction {
 	var expired []*transaction
 	for _, tx := range g.transactions {
 		idle := !tx.busy && now.Sub(tx.lastUsed) > g.options.Times.TransactionIdleTimeout
 		old := now.Sub(tx.opened) > g.options.Times.TransactionTotal
-		if idle || old {
+		if idle || old || g.endsByEvacuation(now, tx) {
 			expired = append(expired, tx)
 		}
 	}
--- a/internal/run/catalog/fleet_test.go
+++ b/internal/run/catalog/fleet_test.go
@@ -105,7 +105,7 @@
 		Attachment: n.attachment, OnAttachment: n.receiveAttachment,
 	})
 	n.runner = New(Options{
-		Feed: n, Decoder: fakeDecoder{}, ConfigurationKey: "config", Self: name, Peers: n, Clock: clock.Wall{},
+		Feed: n, Decoder: fakeDecoder{}, ConfigurationKey: "config", EvacuationPrefix: testEvacuationPrefix, Self: name, Peers: n, Clock: clock.Wall{},
 		Logger: log.NewNopLogger(), Random: rand.New(rand.NewPCG(uint64(index), 2)), OnNodesChanged: n.receiveNodes,
 		Contacts: n.membership.Contacts,
 	})
--- a/internal/run/catalog/runner_test.go
+++ b/internal/run/catalog/runner_test.go
@@ -196,7 +196,7 @@
 	o := Options{
 		Self: self,
 		Feed: f, Decoder: panickingDecoder{}, ConfigurationKey: "config", Peers: p, Clock: clock.Wall{}, Logger: log.NewNopLogger(),
-		Random: rand.New(rand.NewPCG(1, 1)),
+		EvacuationPrefix: testEvacuationPrefix, Random: rand.New(rand.NewPCG(1, 1)),
 	}
 	for _, f := range change {
 		f(&o)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,7 +91,7 @@
 	// Regions holds the region of each failure domain, by the domain's name. Without it all of them are in one.
 	Regions map[string]string `toml:"regions"`
 	// EvacuationBound is how long after an evacuation was accepted requests may still reach the failure
-	// domain; 0 if failure domains are never evacuated.
+	// domain; 0 for the default.
 	EvacuationBound fleet.Duration `toml:"evacuation_bound"`
 }
 
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -34,6 +34,8 @@
 	Shares   []Share   `cbor:"10,keyasint" json:"shares,omitempty"`
 	Peers    []Peer    `cbor:"11,keyasint" json:"peers,omitempty"`
 	Refusals []Refusal `cbor:"12,keyasint" json:"refusals,omitempty"`
+	// EvacuatedDomains are the evacuated failure domains in the configuration in force.
+	EvacuatedDomains []string `cbor:"13,keyasint,omitempty" json:"evacuated_domains,omitempty"`
 }
 
 // Group is a database group as the reporting node sees it.
@@ -67,6 +69,8 @@
 	Leaving bool `cbor:"10,keyasint" json:"leaving"`
 	// Reachable is false if the target has not answered polls recently.
 	Reachable bool `cbor:"11,keyasint" json:"reachable"`
+	// Evacuated is true for a target in an evacuated failure domain. It receives no new requests.
+	Evacuated bool `cbor:"12,keyasint,omitempty" json:"evacuated"`
 }
 
 // Share is the reporting node's share of a customer's quota.
--- a/internal/status/table.go
+++ b/internal/status/table.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +40,7 @@
 // separated by empty lines.
 func WriteTables(w io.Writer, reports []Report, silent []SilentNode) {
 	writeNodes(w, reports, silent)
+	writeEvacuations(w, reports)
 	writeGroups(w, reports)
 	writeShares(w, reports)
 	writeRefusals(w, reports)
@@ -54,6 +57,23 @@
 	}
 }
 
+// writeEvacuations writes which nodes have which failure domains evacuated, if there are any.
+func writeEvacuations(w io.Writer, reports []Report) {
+	nodes := make(map[string]int)
+	for _, r := range reports {
+		for _, domain := range r.EvacuatedDomains {
+			nodes[domain]++
+		}
+	}
+	if len(nodes) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nEVACUATED DOMAIN\tIN FORCE AT")
+	for _, domain := range slices.Sorted(maps.Keys(nodes)) {
+		fmt.Fprintf(w, "%s\t%d of %d nodes\n", Name(domain), nodes[domain], len(reports))
+	}
+}
+
 func nodeState(r Report) string {
 	if r.Draining {
 		return "draining"
@@ -88,6 +108,8 @@
 		return "unreachable"
 	case t.Leaving:
 		return "leaving"
+	case t.Evacuated:
+		return "evacuated"
 	default:
 		return "-"
 	}
--- a/internal/status/table_test.go
+++ b/internal/status/table_test.go
@@ -17,8 +17,8 @@
 	return out.String()
 }
 
-// TestTablesShowDegradedStates checks that the tables show draining and silent nodes, leaving
-// and unreachable targets, a lost coordinator and refusals.
+// TestTablesShowDegradedStates checks that the tables show draining and silent nodes, leaving,
+// evacuated and unreachable targets, evacuated failure domains, a lost coordinator and refusals.
 func TestTablesShowDegradedStates(t *testing.T) {
 	report := status.Report{
 		Node: "vm-1", Domain: "rajkot-a", Draining: true, ConfigVersion: 7, Uptime: 90 * time.Second,
@@ -28,10 +28,13 @@
 				{Name: "t1", Role: target.RolePrimary, Term: 4, Reachable: true},
 				{Name: "t2", Role: target.RoleReplica, Term: 4, Lag: 12, Age: 1500 * time.Millisecond, Leaving: true},
 				{Name: "t3", Role: target.RoleReplica, Term: 4, Leaving: true, Reachable: true},
+				{Name: "t4", Role: target.RoleReplica, Term: 4, Evacuated: true, Reachable: true},
 			},
 		}},
 		Shares:   []status.Share{{Customer: "mill", Tokens: 12.34, Demand: 5, OwnShare: true, Coordinator: "n2"}},
 		Refusals: []status.Refusal{{Code: "over_rate", Count: 9}},
+
+		EvacuatedDomains: []string{"morbi-b"},
 	}
 	out := renderTables([]status.Report{report}, status.SilentNode{Node: "vm-2", Domain: "morbi-b", Error: "no answer"})
 	for _, line := range []string{
@@ -39,6 +42,8 @@
 		"vm-2\tmorbi-b\tsilent\t-\t-\t-\t-\tno answer",
 		"ledger-1\tvm-1\tt2\treplica\t4\t0/0\t12\t1.5s\t0\t0\t0\tunreachable",
 		"ledger-1\tvm-1\tt3\treplica\t4\t0/0\t0\t0s\t0\t0\t0\tleaving",
+		"ledger-1\tvm-1\tt4\treplica\t4\t0/0\t0\t0s\t0\t0\t0\tevacuated",
+		"morbi-b\t1 of 1 nodes",
 		"mill\tvm-1\t12.3\t5.0\tyes\tn2",
 		"over_rate\tvm-1\t9",
 	} {
