--- a/internal/controller/promotion/evacuated_test.go
+++ b/internal/controller/promotion/evacuated_test.go
@@ -100,3 +100,17 @@
 	must.Len(t, 2, h.promoted)
 	must.NotEq(t, first, h.promoted[1])
 }
+
+// TestEvacuatedPrimaryFencedInVain guards against an evacuated primary that is fenced again and again, so that replicas
+// serve nothing either, while the lease's row can't be written.
+func TestEvacuatedPrimaryFencedInVain(t *testing.T) {
+	h := startHeld(t)
+	h.unannounced = true
+	h.evacuate("a")
+	h.advance(10 * time.Second)
+	must.SliceEmpty(t, h.adopted)
+	must.Greater(t, 1, h.group.Counters().AbandonedAttempts)
+	h.unannounced = false
+	h.advance(3 * time.Second)
+	must.Len(t, 1, h.promoted)
+}
--- a/internal/controller/promotion/order.go
+++ b/internal/controller/promotion/order.go
@@ -28,8 +28,7 @@
 	}
 	if reason.isHandover() {
 		g.attempt.phase = PhaseFence
-		g.attempt.adoptSent[primary] = true
-		return append(g.announceActions(), Adopt{Target: primary, Term: g.attempt.term})
+		return append(g.announceActions(), g.fenceActions(now)...)
 	}
 	return append(g.announceActions(), g.adoptRemaining()...)
 }
@@ -79,7 +78,27 @@
 	}
 }
 
+// fenceActions returns the Adopt that fences the old primary, unless it was sent or has to wait. The primary of an
+// evacuated domain serves replicas' reads by its evidence, and could be fenced in vain for as long as the lease's row
+// can't be written: it is fenced once the row names the term.
+func (g *Group) fenceActions(now time.Time) []Action {
+	primary := g.attempt.oldPrimary
+	waits := g.options.HeldTerms && g.attempt.reason == ReasonEvacuated && !g.attempt.announced
+	if waits || g.attempt.adoptSent[primary] {
+		return nil
+	}
+	g.attempt.adoptSent[primary] = true
+	g.attempt.phaseStartedAt = now
+	return []Action{Adopt{Target: primary, Term: g.attempt.term}}
+}
+
 func (g *Group) tickFence(now time.Time) []Action {
+	if !g.attempt.adoptSent[g.attempt.oldPrimary] {
+		if actions := g.fenceActions(now); actions != nil {
+			return actions
+		}
+		return g.awaitAnnounced(now)
+	}
 	caughtUp := g.attempt.fenced && g.hasCaughtUpReplica()
 	if !caughtUp && now.Sub(g.attempt.phaseStartedAt) < CatchUpTimeout {
 		return nil
