--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -124,7 +124,8 @@
 		for range fakeSlots {
 			go func() { _, _ = h.serve(h.request(request.KindBegin, "BEGIN", 10*time.Second)) }()
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		primary.update(func(f *fakeTarget) { must.Eq(t, fakeSlots, f.running) })
 		h.evacuate("a")
 		inside := nextRequest(begin, request.KindInTransaction, "SELECT late")
 		inside.Deadline = time.Now().Add(10 * time.Second)
@@ -140,7 +141,7 @@
 func TestQueuedRequestsLeaveAnEvacuatedTarget(t *testing.T) {
 	withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
 		for _, f := range h.group.targets {
-			f.update(func(f *fakeTarget) { f.serviceTime = 2 * time.Second })
+			f.update(func(f *fakeTarget) { f.serviceTime = time.Second })
 		}
 		h.evacuate()
 		served := make(chan error)
