--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -185,7 +185,7 @@
 func (s *session) statement(id, text string) Statement {
 	st := Statement{
 		ID: id, Text: text, Customer: s.customer, Settings: maps.Clone(s.settings),
-		Connection: s.connection, Target: s.target.ID,
+		Connection: s.connection, Target: s.target.ID, ReceivedAt: time.Now(),
 	}
 	if rest, ok := strings.CutPrefix(st.CallerText(), "EXEC "); ok {
 		name, arguments, _ := strings.Cut(rest, " ")
--- a/internal/standin/hosted/statement.go
+++ b/internal/standin/hosted/statement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // ownID is the ID of statements that no caller sent.
@@ -33,6 +34,8 @@
 	// Transaction identifies the transaction in which the statement ran, or that a BEGIN began, in the same
 	// way; 0 if there is none.
 	Transaction uint64
+	// ReceivedAt is when the target read the statement.
+	ReceivedAt time.Time
 	// Target is the ID of the target. Result is the code of its error, empty if the statement succeeded.
 	Target, Result string
 	// Rows are those of its answer.
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -25,6 +25,7 @@
 //   - a read sees what was acknowledged before it was sent, before its transaction began, or before the age that its
 //     route allows, and its session's own writes;
 //   - a customer that presses runs no more than its rate and burst allow;
+//   - nothing reaches the targets of an evacuated zone once that has to be in force;
 //   - a node's memory and descriptors stay within its class;
 //   - each node serves every group soon after the last event.
 //
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -70,6 +70,8 @@
 		r.changeSettings(e)
 	case KindRate:
 		r.lowerRate(e)
+	case KindEvacuate:
+		r.evacuate(e)
 	case KindLag:
 		r.fallBehind(e)
 	case KindRestore:
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -26,6 +26,7 @@
 	ruleFresh      = "a read sees what it has to see"
 	ruleResources  = "a node's memory and descriptors stay within its class"
 	ruleInForce    = "a configuration is in force in time"
+	ruleEvacuated  = "nothing reaches an evacuated failure domain"
 	ruleNoReturn   = "a node does not return to an older configuration"
 )
 
@@ -60,7 +61,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleFresh, ruleResources} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleEvacuated, ruleFresh, ruleResources} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -27,7 +27,7 @@
 type Options struct {
 	Seed   uint64
 	Length time.Duration
-	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide, SchedulePlanned or ScheduleRecord.
+	// Schedule is ScheduleAll, ScheduleMixed, ScheduleWide, SchedulePlanned, ScheduleDomains or ScheduleRecord.
 	Schedule string
 	// Nodes is the number of nodes, Groups that of groups of targets, at most three, and Sessions that of
 	// callers' sessions at the same time.
@@ -74,7 +74,7 @@
 
 // spares returns how many nodes may be added in the course of the run.
 func (o *Options) spares() int {
-	if o.Schedule == ScheduleWide || o.Schedule == SchedulePlanned {
+	if slices.Contains([]string{ScheduleWide, SchedulePlanned, ScheduleDomains}, o.Schedule) {
 		return spareNodes
 	}
 	return 0
@@ -83,7 +83,7 @@
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
-	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide, SchedulePlanned}, o.Schedule):
+	case !slices.Contains([]string{ScheduleAll, ScheduleMixed, ScheduleRecord, ScheduleWide, SchedulePlanned, ScheduleDomains}, o.Schedule):
 		return Error.New("unknown schedule %q", o.Schedule)
 	case o.Groups < 1 || o.Groups > len(groupNames):
 		return Error.New("%d groups; 1 to %d can be played", o.Groups, len(groupNames))
@@ -119,13 +119,15 @@
 	balancer   *balancer
 	super      *supervise.Supervisor
 	inForce    *inForce
-	lateness   lateness
-	ended      chan struct{}
-	wait       sync.WaitGroup
-	statements *statements
-	items      atomic.Uint64
-	version    atomic.Uint64
-	copies     copies
+	// evacuations judges what reaches evacuated zones.
+	evacuations *evacuations
+	lateness    lateness
+	ended       chan struct{}
+	wait        sync.WaitGroup
+	statements  *statements
+	items       atomic.Uint64
+	version     atomic.Uint64
+	copies      copies
 	// document is the newest configuration. writing is held while it, or the store as a whole, is replaced.
 	document []byte
 	writing  sync.Mutex
@@ -165,6 +167,7 @@
 	defer network.release()
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
 	r.inForce = newInForce(r.judge)
+	r.evacuations = &evacuations{judge: r.judge}
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.statements.rate.maxRate = r.inForce.maxRate
 	r.store = hosted.NewStore()
@@ -202,7 +205,7 @@
 func (r *run) startDatabases() error {
 	var groups []*hosted.Group
 	for i := range r.options.Groups {
-		d, err := newDatabase(i, r.options, r.store, r.statements.observe)
+		d, err := newDatabase(i, r.options, r.store, r.observe)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -44,24 +44,28 @@
 	KindShrink Kind = "shrink"
 	// KindRate lowers a customer's rate for a while. It is planned work.
 	KindRate Kind = "rate"
+	// KindEvacuate evacuates a zone for a while. It is planned work.
+	KindEvacuate Kind = "evacuate"
 	// KindSettings replaces a node's settings file, which is planned work too.
 	KindSettings Kind = "settings"
 )
 
 var (
-	plannedKinds = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw}
-	morePlanned  = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
-	recordKinds  = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
-	widePlanned  = append(slices.Clone(morePlanned), KindGrow, KindShrink, KindSettings, KindSettings)
-	allPlanned   = append(slices.Clone(widePlanned), KindRate, KindRate)
-	wideFaults   = append(slices.Clone(faultKinds), KindRestore, KindRestore, KindLag, KindLag)
-	faultKinds   = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
+	plannedKinds  = []Kind{KindStop, KindStop, KindStop, KindUnreadLog, KindConfigure, KindWithdraw}
+	morePlanned   = append(slices.Clone(plannedKinds), KindHangup, KindRelease, KindRecord)
+	recordKinds   = []Kind{KindRecord, KindRecord, KindRecord, KindConfigure, KindRelease, KindHangup}
+	widePlanned   = append(slices.Clone(morePlanned), KindGrow, KindShrink, KindSettings, KindSettings)
+	allPlanned    = append(slices.Clone(widePlanned), KindRate, KindRate)
+	domainPlanned = append(slices.Clone(allPlanned), KindEvacuate, KindEvacuate, KindEvacuate, KindEvacuate)
+	domainFaults  = append(slices.Clone(faultKinds), KindLag, KindEvacuate, KindEvacuate, KindEvacuate)
+	wideFaults    = append(slices.Clone(faultKinds), KindRestore, KindRestore, KindLag, KindLag)
+	faultKinds    = []Kind{KindKill, KindPause, KindCrash, KindCrash, KindOddEntry, KindOddEntry, KindOddEntry, KindStore, KindStop}
 )
 
 // IsFault reports whether events of kind k are faults and not planned work.
 func (k Kind) IsFault() bool {
 	switch k {
-	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord, KindGrow, KindShrink, KindSettings, KindRate:
+	case KindStop, KindUnreadLog, KindConfigure, KindWithdraw, KindHangup, KindRelease, KindRecord, KindGrow, KindShrink, KindSettings, KindRate, KindEvacuate:
 		return false
 	}
 	return true
@@ -100,6 +104,8 @@
 	ScheduleWide = "wide"
 	// SchedulePlanned has the planned work of ScheduleWide, and a customer's rate that is lowered.
 	SchedulePlanned = "planned"
+	// ScheduleDomains has the planned work of SchedulePlanned and zones that are evacuated, at times beside faults.
+	ScheduleDomains = "domains"
 	// ScheduleRecord has planned work only, mostly KindRecord.
 	ScheduleRecord = "record"
 )
@@ -119,6 +125,10 @@
 			kinds = recordKinds
 		case schedule == SchedulePlanned:
 			kinds = allPlanned
+		case (at/phaseLength)%4 == 3 && schedule == ScheduleDomains:
+			kinds = domainFaults
+		case schedule == ScheduleDomains:
+			kinds = domainPlanned
 		case (at/phaseLength)%2 == 1 && schedule == ScheduleWide:
 			kinds = wideFaults
 		case (at/phaseLength)%2 == 1:
