--- a/internal/owner/evacuate/evacuate.go
+++ b/internal/owner/evacuate/evacuate.go
@@ -66,6 +66,10 @@
 	return time.Duration(float64(maxSurcharge) * float64(left) / float64(RampTime))
 }
 
+// IsReturning reports whether the target was taken back lately, so that it gets only what the owner of its group places
+// there by the surcharge.
+func (t *Target) IsReturning(now time.Time) bool { return t.Surcharge(now) > 0 }
+
 // Handover tracks how long requests have found the primary evacuated.
 type Handover struct {
 	since time.Time
--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/request"
 )
@@ -234,3 +235,24 @@
 		must.Between(t, 1, early, replica.total()-before-1)
 	})
 }
+
+// TestNearbyReadsOfAnEvacuatedDomain checks that a reader refuses the reads of its evacuated domain at once as not run, so
+// that the owner serves them, and that it does so a little longer, until the target has returned by degrees.
+func TestNearbyReadsOfAnEvacuatedDomain(t *testing.T) {
+	withHarness(t, time.Millisecond, func(o *Options) { o.Domain = "b" }, func(h *harness) {
+		nearby := func() error {
+			req := h.request(request.KindRead, "SELECT 1", time.Second)
+			req.Nearby = true
+			_, err := h.serve(req)
+			return err
+		}
+		h.evacuate()
+		must.NoError(t, nearby())
+		h.evacuate("b")
+		mustRefuse(t, nearby(), request.CodeNoTarget)
+		h.evacuate()
+		mustRefuse(t, nearby(), request.CodeNoTarget)
+		time.Sleep(evacuate.RampTime)
+		must.NoError(t, nearby())
+	})
+}
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -161,7 +161,7 @@
 	return choose.Candidate{
 		Name:         m.name,
 		Domain:       m.target.Domain,
-		Leaving:      m.target.IsWithdrawn(),
+		Leaving:      m.target.IsWithdrawn() || req.Nearby && m.evacuation.IsReturning(now),
 		StatusKnown:  !m.statusAt.IsZero() && now.Sub(m.statusAt) <= evidence.MaxObservationAge,
 		Role:         m.status.Role,
 		Term:         m.status.Term,
