Promotion: what follows from an announcement is not cancelled when the announcement ends

Cause: announce ticked the controller with its own bounded context, which ends as it returns, so that orders started by that tick died. A Promote behind a late announcement had the same fault. The tick now has the caller's context.

--- a/internal/run/promotion/lease.go
+++ b/internal/run/promotion/lease.go
@@ -47,16 +47,16 @@
 }
 
 // announce records in the lease's row the term for which a Promote command may be sent. It
-// retries until AnnounceTimeout has elapsed.
+// retries until AnnounceTimeout has elapsed. What follows from the announcement is not bounded by that.
 func (r *Runner) announce(ctx context.Context, g *group, a promotion.Announce) {
 	if r.options.Lease == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, promotion.AnnounceTimeout)
+	bounded, cancel := context.WithTimeout(ctx, promotion.AnnounceTimeout)
 	defer cancel()
-	err := r.options.Lease.Announce(ctx, g.name, a.Term)
-	for err != nil && r.options.Clock.Sleep(ctx, announceRetryInterval) == nil {
-		err = r.options.Lease.Announce(ctx, g.name, a.Term)
+	err := r.options.Lease.Announce(bounded, g.name, a.Term)
+	for err != nil && r.options.Clock.Sleep(bounded, announceRetryInterval) == nil {
+		err = r.options.Lease.Announce(bounded, g.name, a.Term)
 	}
 	_ = r.options.Logger.Log("event", "announce", "group", g.name, "term", a.Term, "err", err)
 	g.update(func(c *promotion.Group) { c.HandleAnnounceResult(r.options.Clock.Now(), a.Term, err) })
