--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -108,6 +108,8 @@
 
 	criteria choose.Criteria
 	slot     *slotWaiter
+	// inUse ends when member is evacuated.
+	inUse context.Context
 }
 
 // serveNew runs a request outside a transaction, in up to maxAttempts attempts.
@@ -157,7 +159,7 @@
 		return nil, refusal
 	}
 	defer g.endCold(r, false)
-	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
+	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
 		return nil, refusal
 	}
 	conn, err := r.member.connection(ctx, r.req.Customer)
@@ -165,7 +167,7 @@
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, g.refuseNoConnection(ctx, r, err)
 	}
-	if g.now().Sub(r.placedAt) > recheckAfter && !g.isPlacementValid(r) {
+	if g.needsRecheck(r) && !g.isPlacementValid(r) {
 		r.member.pool.Put(conn)
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, markRetryable(g.refuseNoPrimary())
