--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -300,6 +300,7 @@
 		Reads:                  choose.Policy(s.Policy.Reads),
 		Split:                  s.Policy.Split,
 		Priorities:             s.Policy.Priorities,
+		EvacuationBound:        s.Places.EvacuationBound.Std(),
 		HeldTerms:              n.heldTerms,
 		FailFastWithoutPrimary: n.heldTerms,
 		Idempotent:             runIdempotent,
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -25,6 +25,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/coldstart"
+	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
@@ -108,6 +109,9 @@
 	// Priorities orders requests by their Priority wherever they wait for a slot or a connection or are refused.
 	Priorities bool
 	Times      Times
+	// EvacuationBound is how long after an evacuation was ordered requests may still reach the targets; 0 means
+	// evacuate.DefaultBound.
+	EvacuationBound time.Duration
 	// Database returns the name of the database to connect to in a group's targets. nil
 	// means the group's own name.
 	Database func(group string) string
@@ -169,6 +173,9 @@
 		options.Suspended = func() time.Duration { return 0 }
 	}
 	options.Times = options.Times.withDefaults()
+	if options.EvacuationBound == 0 {
+		options.EvacuationBound = evacuate.DefaultBound
+	}
 	options.Idempotent = options.Idempotent.contained()
 	options.IdempotentBegin = options.IdempotentBegin.contained()
 	return &Manager{
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/owner/choose"
 	"crocusyoke/internal/owner/coldstart"
+	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/pool"
 	"crocusyoke/internal/owner/schedule"
@@ -52,6 +54,13 @@
 	link        coldstart.Link
 	cold        bool
 	coldWaiting int
+
+	// evacuation says whether the target is evacuated. isEvacuated is the same for use without the group's mu,
+	// and inUse ends, by endInUse, when the target is evacuated.
+	evacuation  evacuate.Target
+	isEvacuated atomic.Bool
+	inUse       context.Context
+	endInUse    context.CancelFunc
 }
 
 func newMember(g *group, t *fleet.Target) *member {
@@ -89,12 +98,15 @@
 		Limit:   limit,
 		MinIdle: minIdle,
 	})
+	m.inUse, m.endInUse = context.WithCancel(g.ctx)
+	g.setEvacuated(m, t.Evacuated)
 	go m.pollLoop(ctx, login)
 	return m
 }
 
 func (m *member) close() {
 	m.stop()
+	m.endInUse()
 	m.pool.Close()
 }
 
@@ -156,15 +168,15 @@
 	c := choose.Candidate{
 		Name:         m.name,
 		Domain:       m.target.Domain,
-		Leaving:      m.target.Leaving,
 		OutsideHome:  !m.allows(req),
+		Leaving:      m.target.IsWithdrawn() || req.Nearby && m.evacuation.IsReturning(now),
 		StatusKnown:  !m.statusAt.IsZero() && now.Sub(m.statusAt) <= evidence.MaxObservationAge,
 		Role:         m.status.Role,
 		Term:         m.status.Term,
 		Last:         m.readablePosition,
 		Age:          now.Sub(m.coveredAt),
 		AgeKnown:     m.coveredKnown,
-		ExpectedWait: m.schedule.ExpectedWait(now, req.Customer, req.Weight, req.Priority),
+		ExpectedWait: m.schedule.ExpectedWait(now, req.Customer, req.Weight, req.Priority) + m.evacuation.Surcharge(now),
 		ErrorShare:   m.errorShare,
 	}
 	m.markCold(now, &c)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -27,6 +27,11 @@
 	coldPlaced          *expvar.Int
 	coldWaits           *expvar.Int
 	coldRefused         *expvar.Int
+	// evacuations counts targets that were evacuated or taken back.
+	evacuations           *expvar.Int
+	requestsMoved         *expvar.Int
+	refusedEvacuated      *expvar.Int
+	transactionsEvacuated *expvar.Int
 }
 
 // newCounters returns counters. priorities says whether requests are counted by priority.
@@ -55,6 +60,10 @@
 	c.coldPlaced = c.add("cold_placed")
 	c.coldWaits = c.add("cold_waits")
 	c.coldRefused = c.add("cold_refused")
+	c.evacuations = c.add("evacuations")
+	c.requestsMoved = c.add("requests_moved")
+	c.refusedEvacuated = c.add("refused_evacuated")
+	c.transactionsEvacuated = c.add("transactions_evacuated")
 	return c
 }
 
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -107,6 +107,8 @@
 
 	criteria choose.Criteria
 	slot     *slotWaiter
+	// inUse ends when member is evacuated.
+	inUse context.Context
 }
 
 // serveNew runs a request outside a transaction, in up to maxAttempts attempts.
@@ -156,14 +158,14 @@
 		return nil, refusal
 	}
 	defer g.endCold(r, false)
-	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
+	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
 		return nil, refusal
 	}
 	conn, refusal := g.connect(ctx, r)
 	if refusal != nil {
 		return nil, refusal
 	}
-	if g.now().Sub(r.placedAt) > recheckAfter && !g.isPlacementValid(r) {
+	if g.needsRecheck(r) && !g.isPlacementValid(r) {
 		r.member.pool.Put(conn)
 		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 		return nil, markRetryable(g.refuseNoPrimary())
