--- a/internal/owner/connect.go
+++ b/internal/owner/connect.go
@@ -36,7 +36,7 @@
 		return nil, g.refuseNoConnection(ctx, r, err)
 	}
 	g.retakeSlot(r)
-	if refusal := g.awaitSlot(ctx, r.member, r.slot); refusal != nil {
+	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
 		r.member.pool.Put(conn)
 		return nil, refusal
 	}
