--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -299,6 +299,7 @@
 		Scheduling:             schedule.Policy(s.Policy.Scheduling),
 		Reads:                  choose.Policy(s.Policy.Reads),
 		Split:                  s.Policy.Split,
+		Priorities:             s.Policy.Priorities,
 		EvacuationBound:        s.Places.EvacuationBound.Std(),
 		HeldTerms:              n.heldTerms,
 		FailFastWithoutPrimary: n.heldTerms,
