Quota: a lapsed hold limit doesn't rise while the share is lent

Seen by TestFleetStaysWithinRate with 60,000 histories (about one in 47,000, on the code before as well): a node had to give up a token that a request was using, the request returned it as not run more than GrantTTL later, and the limit had meanwhile risen to the node's part of the burst, which the coordinator had granted to others. Six requests ran at once with a burst of five. The limit now rises only once the node uses its share itself. TestReturnedTokenIsNotHeldBesideTheWhole replays it; it fails without the guard.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -163,10 +163,15 @@
 }
 
 // enforceHoldLimit discards the tokens above the hold limit. Without an answer from the
-// coordinator within GrantTTL, the limit is the node's own share of the burst.
+// coordinator within GrantTTL, the limit is the node's own share of the burst. It doesn't rise to that
+// while the share is lent, since the coordinator counts no more than what the node stated.
 func (a *Account) enforceHoldLimit(now time.Time) {
 	if now.Sub(a.holdLimitAt) > GrantTTL {
-		a.holdLimit = a.burstShare()
+		limit := a.burstShare()
+		if !a.usesOwnShare {
+			limit = min(limit, a.holdLimit)
+		}
+		a.holdLimit = limit
 	}
 	a.tokens = max(0, min(a.tokens, a.holdLimit-a.pending))
 }
--- a/internal/controller/quota/account_test.go
+++ b/internal/controller/quota/account_test.go
@@ -44,3 +44,26 @@
 	must.True(t, a.UsesOwnShare(now.Add(LoanTTL+LoanSafetyMargin)))
 	must.Greater(t, 0, LoanSafetyMargin)
 }
+
+// TestReturnedTokenIsNotHeldBesideTheWhole replays a history in which six requests ran at once with a burst of
+// five: a node had to give up a token that was spent on a request, the request returned it after the
+// coordinator had not answered for GrantTTL, and meanwhile the coordinator granted the whole burst.
+func TestReturnedTokenIsNotHeldBesideTheWhole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAccount(now)
+	a.Configure(Limit{Rate: 26, Burst: 5}, now)
+	a.SetShare(Share{Own: 0.5, Each: 0.5, Nodes: 2}, now)
+	a.SetCoordinator("n0")
+	must.True(t, a.UsesOwnShare(now))
+	now = now.Add(81 * time.Millisecond)
+	ok, _ := a.Take(now)
+	must.True(t, ok)
+	for range 2 {
+		r := a.Report("c", "n0", false, now)
+		a.ApplyGrant(-r.Held, r.Held, now, now)
+		now = now.Add(50 * time.Millisecond)
+	}
+	now = now.Add(GrantTTL)
+	a.Settle(false, now)
+	must.Eq(t, 0, a.Tokens(now))
+}
