Quota: coordinators in each failure domain exchange tokens; asks for waiting requests are not spaced

Fleets of more than 32 nodes with 12 and more in each of two to four failure domains now have shareholders and a coordinator for each partition in each domain. A coordinator that is short takes tokens, and the part of the burst that backs them, from the others for at most 100 ms; the giver counts them as held until no node holds them. Requests that wait for tokens granted on demand are asked for at once. Nodes without a share send no report only to say that they hold nothing: the coordinator knows when their tokens have lapsed.

Broken guards that TestCoordinatorsStayWithinRate finds: tokens given are not counted, or not for GrantTTL longer; lapsed tokens forgotten too early.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -64,6 +64,9 @@
 	// RecallsLoan is true if the report recalls an earlier loan. Once it has been answered, the
 	// coordinator no longer counts the share.
 	RecallsLoan bool `cbor:"6,keyasint,omitempty"`
+	// Lapses is true if the node has no share of its own, so that it holds nothing more once GrantTTL has
+	// passed since it sent its last report.
+	Lapses bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Account holds one customer's tokens on one node.
@@ -92,6 +95,8 @@
 	lentUntil time.Time
 	// unanswered counts the consecutive reports without an answer.
 	unanswered int
+	// forgetsLapsed is true if the coordinator stops counting what lapses by itself (see Report.Lapses).
+	forgetsLapsed bool
 
 	// demand is in requests per second, as of demandAt.
 	demand   float64
@@ -142,6 +147,7 @@
 	if name != a.coordinator {
 		a.coordinator = name
 		a.knownHeld = 0
+		a.forgetsLapsed = false
 		a.nextAskAt = time.Time{}
 		a.unanswered = maxUnanswered
 	}
@@ -254,7 +260,7 @@
 	if leaving {
 		wanted = 0
 	}
-	r := Report{Customer: customer}
+	r := Report{Customer: customer, Lapses: !a.IsShareholder()}
 	if keep := wanted * returnThreshold; a.tokens > keep && a.unanswered < maxUnanswered {
 		r.Returned = returnable(a.tokens, wanted)
 		a.tokens -= r.Returned
@@ -287,15 +293,19 @@
 func (a *Account) RecallReport(customer string, now time.Time) Report {
 	a.advance(now)
 	a.requested = 0
-	return Report{Customer: customer, Held: a.held(), RecallsLoan: true}
+	return Report{Customer: customer, Held: a.held(), RecallsLoan: true, Lapses: !a.IsShareholder()}
 }
 
 // ConfirmRecall records that the former coordinator has answered the report that RecallReport
 // returned. The node may use or lend its share again after GrantTTL, or when the loan ends for
 // the lender if that is earlier. By then no node holds tokens that were granted while the
 // share was lent.
-func (a *Account) ConfirmRecall(now time.Time) {
-	a.lentUntil = earlier(a.lentUntil, now.Add(GrantTTL))
+func (a *Account) ConfirmRecall(now time.Time) { a.ConfirmRecallFrom(0, now) }
+
+// ConfirmRecallFrom is ConfirmRecall where tokens that the former coordinator transferred to others are
+// backed by the share for the time outstanding.
+func (a *Account) ConfirmRecallFrom(outstanding time.Duration, now time.Time) {
+	a.lentUntil = earlier(a.lentUntil, now.Add(max(GrantTTL, outstanding)))
 	a.unanswered = 0
 	a.advance(now)
 }
--- a/internal/controller/quota/bucket.go
+++ b/internal/controller/quota/bucket.go
@@ -16,6 +16,9 @@
 	// an earlier process of this coordinator granted, but by then no node holds them any more.
 	grantsFrom time.Time
 	nodes      map[string]*nodeState
+	// given and received are the tokens that other coordinators of the customer took from this one, and
+	// those that they gave to it, as long as they count.
+	given, received []transfer
 }
 
 // nodeState is what the coordinator knows about one node.
@@ -30,6 +33,16 @@
 	// itself uses its share again only later (see Account.lentUntil).
 	lentUntil  time.Time
 	reportedAt time.Time
+	// lapses is true if the node holds nothing from GrantTTL after its last report on.
+	lapses bool
+}
+
+// heldAt returns how many tokens the node may hold at now.
+func (n *nodeState) heldAt(now time.Time) float64 {
+	if n.lapses && now.Sub(n.reportedAt) > GrantTTL {
+		return 0
+	}
+	return n.held
 }
 
 // forgetNodeAfter is how long a node's tokens are counted after its last report. A dead
@@ -39,7 +52,7 @@
 
 // NewBucket returns an empty Bucket.
 func NewBucket(now time.Time) *Bucket {
-	return &Bucket{filledAt: now, grantsFrom: now.Add(GrantTTL), nodes: make(map[string]*nodeState)}
+	return &Bucket{filledAt: now, grantsFrom: now.Add(TransferTTL + GrantTTL), nodes: make(map[string]*nodeState)}
 }
 
 // Configure changes the limit.
@@ -60,6 +73,7 @@
 func (b *Bucket) fill(now time.Time) {
 	from := b.filledAt
 	b.filledAt = now
+	b.forgetTransfers(now)
 	earned := 0.0
 	for name, n := range b.nodes {
 		if now.Sub(n.reportedAt) > forgetNodeAfter {
@@ -102,9 +116,9 @@
 // headroom returns how many tokens there may be besides those that nodes hold. It is negative
 // when a loan has ended and nodes still hold tokens backed by that share.
 func (b *Bucket) headroom(now time.Time) float64 {
-	headroom := b.limit.Burst * b.Lent(now)
+	headroom := b.limit.Burst*b.Lent(now) + total(b.received, now) - total(b.given, now)
 	for _, n := range b.nodes {
-		headroom -= n.held
+		headroom -= n.heldAt(now)
 	}
 	return headroom
 }
@@ -117,7 +131,8 @@
 }
 
 // HandleReport processes a node's report, received at now, and returns the number of tokens
-// granted. If the number is negative, the node must give up that many tokens.
+// granted. If the number is negative, the node must give up that many tokens. Where the report recalls a
+// loan, it returns for how many seconds tokens that were transferred to others are backed by that loan.
 func (b *Bucket) HandleReport(node string, r Report, now time.Time) float64 {
 	b.fill(now)
 	n := b.nodes[node]
@@ -125,7 +140,7 @@
 		n = &nodeState{}
 		b.nodes[node] = n
 	}
-	n.held = r.Held
+	n.held, n.lapses = r.Held, r.Lapses
 	n.reportedAt = now
 	switch {
 	case r.Lent:
@@ -135,6 +150,9 @@
 	}
 	b.tokens += r.Returned
 	b.fill(now)
+	if r.RecallsLoan {
+		return b.outstanding(now).Seconds()
+	}
 	n.shortfall = max(0, r.Wanted-r.Held)
 	granted := b.grant(n, r, now)
 	b.tokens -= max(0, granted)
--- a/internal/controller/quota/demand.go
+++ b/internal/controller/quota/demand.go
@@ -63,8 +63,28 @@
 }
 
 // IsIdle reports whether there is nothing to report about the customer but the loan of the
-// node's share: the node holds and wants no tokens, and the coordinator knows.
+// node's share: the node holds and wants no tokens, and the coordinator knows, or will without a report.
 func (a *Account) IsIdle(now time.Time) bool {
 	a.advance(now)
-	return a.held() == 0 && a.pending == 0 && a.knownHeld == 0 && a.Wanted(now) == 0
+	isKnown := a.knownHeld == 0 || a.forgetsLapsed && !a.IsShareholder() && !a.HasSpent(now)
+	return a.held() == 0 && a.pending == 0 && isKnown && a.Wanted(now) == 0
+}
+
+// smallBurst is a burst of which a few tokens that are counted as held, but were spent, are a large part.
+const smallBurst = 16
+
+// HasSpent reports whether the coordinator should soon be told that tokens were spent: it counts them as held,
+// and the burst is so small that this keeps it from filling the bucket.
+func (a *Account) HasSpent(now time.Time) bool {
+	a.advance(now)
+	return a.limit.Burst < smallBurst && a.pending == 0 && a.knownHeld-a.held() >= 1 && a.Wanted(now) == 0
+}
+
+// SetForgetsLapsed records whether the coordinator stops counting what lapses by itself.
+func (a *Account) SetForgetsLapsed(forgets bool) { a.forgetsLapsed = forgets }
+
+// NeedsTokensAtOnce reports whether the node should ask for tokens without waiting for other customers that
+// it could ask for in the same message: requests wait, and tokens are granted on demand.
+func (a *Account) NeedsTokensAtOnce(now time.Time) bool {
+	return a.waiting > 0 && a.share.grantsOnDemand(a.limit) && a.NeedsTokens(now)
 }
--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -18,6 +18,8 @@
 	now   time.Time
 	limit Limit
 	nodes []*simulatedNode
+	// holders is the number of nodes with a share; 0 means all.
+	holders int
 	// admitted holds the times of admitted requests that ran or whose outcome is unknown, in
 	// order.
 	admitted []time.Time
@@ -62,8 +64,15 @@
 	n := s.nodes[i]
 	n.account, n.pool, n.borrower, n.paused, n.unsettled = NewAccount(s.now), NewBucket(s.now), "", false, nil
 	each := 1 / float64(len(s.nodes))
+	own := each
+	if s.holders > 0 {
+		each, own = 1/float64(s.holders), 0
+		if i < s.holders {
+			own = each
+		}
+	}
 	n.account.Configure(s.limit, s.now)
-	n.account.SetShare(Share{Own: each, Each: each, Nodes: len(s.nodes)}, s.now)
+	n.account.SetShare(Share{Own: own, Each: each, Nodes: len(s.nodes)}, s.now)
 	n.pool.Configure(s.limit, s.now)
 	n.pool.SetShare(Share{Own: each, Each: each, Nodes: len(s.nodes)}, s.now)
 }
@@ -123,7 +132,7 @@
 		return
 	}
 	if m.report.RecallsLoan && from.borrower == to.name {
-		from.account.ConfirmRecall(s.now)
+		from.account.ConfirmRecallFrom(time.Duration(granted*float64(time.Second)), s.now)
 	}
 	if !m.report.RecallsLoan {
 		from.account.ApplyGrant(granted, m.report.Held, m.sentAt, s.now)
--- a/internal/controller/quota/shares.go
+++ b/internal/controller/quota/shares.go
@@ -49,6 +49,36 @@
 	if len(listed) <= maxSingleNodes {
 		return listed
 	}
+	return topRanked(key, listed, MaxShareholders)
+}
+
+// Bounds of a fleet whose failure domains have coordinators and shareholders of their own: at least two
+// shareholders and enough nodes to choose them from in each domain.
+const (
+	maxSplitDomains = MaxShareholders / 2
+	minDomainNodes  = 12
+)
+
+// SplitsDomains reports whether each failure domain has coordinators and shareholders of its own. listed is
+// the number of listed nodes in each domain.
+func SplitsDomains(listed map[string]int) bool {
+	total := 0
+	for _, nodes := range listed {
+		total += nodes
+		if nodes < minDomainNodes {
+			return false
+		}
+	}
+	return total > maxSingleNodes && len(listed) > 1 && len(listed) <= maxSplitDomains
+}
+
+// DomainShareholders returns the shareholders in one of several failure domains, with the given listed nodes.
+func DomainShareholders(key string, listed []string, domains int) []string {
+	return topRanked(key, listed, (MaxShareholders+domains-1)/domains)
+}
+
+// topRanked returns count of the listed nodes, by a hash of key and name.
+func topRanked(key string, listed []string, count int) []string {
 	ranked := make([]rankedNode, len(listed))
 	for i, node := range listed {
 		ranked[i] = rankedNode{node, xxhash.Sum64String(key + "\x00" + node)}
@@ -56,7 +86,7 @@
 	slices.SortFunc(ranked, func(a, b rankedNode) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
-	holders := make([]string, MaxShareholders)
+	holders := make([]string, min(count, len(ranked)))
 	for i := range holders {
 		holders[i] = ranked[i].name
 	}
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -59,6 +59,17 @@
 	cut   map[string]bool
 	// traffic counts requests and replies and their encoded bytes, by kind.
 	traffic map[peer.Kind]traffic
+	// delay is the time that a message takes from one node to another; nil means oneWayDelay.
+	delay func(from, to string) time.Duration
+}
+
+// pass waits while a message passes from one node to another.
+func (n *network) pass(from, to string) {
+	if n.delay == nil {
+		time.Sleep(oneWayDelay)
+		return
+	}
+	time.Sleep(n.delay(from, to))
 }
 
 type traffic struct{ messages, bytes int }
@@ -106,7 +117,7 @@
 		return err
 	}
 	n.network.count(kind, payload)
-	time.Sleep(oneWayDelay)
+	n.network.pass(n.name, address)
 	to := n.network.node(address)
 	if to == nil || n.network.node(n.name) == nil {
 		<-ctx.Done()
@@ -124,7 +135,7 @@
 		return err
 	}
 	n.network.count(kind, payload)
-	time.Sleep(oneWayDelay)
+	n.network.pass(address, n.name)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -157,7 +168,12 @@
 
 // startWith is start for a node with the given capacity.
 func (f *testFleet) startWith(name string, capacity int) *node {
-	vm := platform.VM{Name: name, Address: name, Domain: "d" + name[len(name)-1:], State: platform.VMLive, Capacity: capacity}
+	return f.startIn("d"+name[len(name)-1:], name, capacity)
+}
+
+// startIn is startWith for a node in the given failure domain.
+func (f *testFleet) startIn(domain, name string, capacity int) *node {
+	vm := platform.VM{Name: name, Address: name, Domain: domain, State: platform.VMLive, Capacity: capacity}
 	f.platform.set(func() { f.platform.vms[name] = vm })
 	n := &node{name: name, network: f.network}
 	n.membership = membership.New(membership.Options{
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -32,6 +32,7 @@
 		contain.Step(r.o.Logger, "quota tick", func() {
 			r.refresh(r.o.View())
 			r.sendDueReports(ctx)
+			r.sendExchanges(ctx)
 		})
 		r.awaitWake(ctx, timer, tickAt.Sub(r.now()))
 	}
@@ -60,21 +61,19 @@
 	r.collectLow()
 	changed := 0
 	for _, p := range r.partitions {
-		if !r.canReport(p) {
+		whole, asks := r.inFlight(p)
+		isDue := !now.Before(p.dueAt)
+		if p.coordinator == "" || whole || isDue && asks > 0 {
 			continue
 		}
-		switch {
-		case !now.Before(p.dueAt):
+		if isDue {
 			p.dueAt = now.Add(reportInterval)
 			clear(p.low)
 			changed += p.countShareChanges(now)
 			r.report(ctx, p, p.customers, true, now)
-		case len(p.low) > 0 && !now.Before(p.urgentDueAt):
-			r.report(ctx, p, p.takeLow(now), false, now)
-		case len(p.low) > 0 && p.wakeAt != p.urgentDueAt:
-			p.wakeAt = p.urgentDueAt
-			time.AfterFunc(p.urgentDueAt.Sub(now), r.Wake)
+			continue
 		}
+		r.reportLow(ctx, p, now)
 	}
 	r.logOwnShare(changed)
 }
@@ -91,23 +90,43 @@
 	clear(r.low)
 }
 
-// canReport reports whether a message about p may be sent now.
-func (r *Runner) canReport(p *partition) bool {
+// reportLow asks for tokens for those customers of p that are low on them: at once where requests wait for
+// tokens that are granted on demand, otherwise at most every urgentReportInterval.
+func (r *Runner) reportLow(ctx context.Context, p *partition, now time.Time) {
+	isSpaced := !now.Before(p.urgentDueAt)
+	if batch := p.takeLow(isSpaced, now); len(batch) > 0 {
+		if isSpaced {
+			p.urgentDueAt = now.Add(urgentReportInterval)
+		}
+		r.report(ctx, p, batch, false, now)
+	}
+	if len(p.low) > 0 && p.wakeAt != p.urgentDueAt {
+		p.wakeAt = p.urgentDueAt
+		time.AfterFunc(p.urgentDueAt.Sub(now), r.Wake)
+	}
+}
+
+// inFlight reports whether a message about all customers of p is in flight, and how many others are.
+func (r *Runner) inFlight(p *partition) (whole bool, asks int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return p.coordinator != "" && !p.inFlight
+	return p.isWholeInFlight, p.asksInFlight
 }
 
-// takeLow returns the customers of p that need tokens now. Those that may not ask yet stay in
-// p.low.
-func (p *partition) takeLow(now time.Time) []*customerQuota {
+// takeLow returns the customers of p that need tokens now; if isSpaced is false, only those that need them
+// at once. Those that may not ask yet stay in p.low, as do those of which a message is in flight.
+func (p *partition) takeLow(isSpaced bool, now time.Time) []*customerQuota {
 	var batch []*customerQuota
 	for s := range p.low {
-		needsTokens, waits := s.demand(now)
-		if needsTokens {
+		d := s.demand(now)
+		if d.inFlight {
+			continue
+		}
+		asks := d.atOnce || isSpaced && (d.needsTokens || d.hasSpent)
+		if asks {
 			batch = append(batch, s)
 		}
-		if needsTokens || !waits {
+		if asks || !d.needsTokens && !d.waits && !d.hasSpent {
 			delete(p.low, s)
 		}
 	}
@@ -126,11 +145,17 @@
 	return changed
 }
 
-// demand reports whether the customer needs tokens now, and whether requests of it wait for some.
-func (s *customerQuota) demand(now time.Time) (needsTokens, waits bool) {
+// demand states whether a customer needs tokens, now or at once, whether requests of it wait for some,
+// whether the coordinator should hear that tokens were spent, and whether a message about it is in flight.
+type demand struct{ needsTokens, atOnce, waits, hasSpent, inFlight bool }
+
+func (s *customerQuota) demand(now time.Time) demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.account.NeedsTokens(now), s.account.Waiting() > 0
+	return demand{
+		needsTokens: s.account.NeedsTokens(now), atOnce: s.account.NeedsTokensAtOnce(now),
+		waits: s.account.Waiting() > 0, hasSpent: s.account.HasSpent(now), inFlight: s.inFlight,
+	}
 }
 
 // updateOwnShare records whether the node uses its own share of the customer's rate, and reports
--- a/internal/run/quota/messages.go
+++ b/internal/run/quota/messages.go
@@ -15,10 +15,17 @@
 	LendsRest  bool `cbor:"4,keyasint,omitempty"`
 	Partition  int  `cbor:"5,keyasint,omitempty"`
 	Partitions int  `cbor:"6,keyasint,omitempty"`
+	// Transfers asks the recipient, another coordinator of these customers, for tokens.
+	Transfers []quota.TransferRequest `cbor:"7,keyasint,omitempty"`
 }
 
 // shareReply contains the tokens granted, one number for each report. A negative number means
 // that the node must give up tokens.
 type shareReply struct {
 	Granted []float64 `cbor:"1,keyasint"`
+	// ForgetsLapsed is true if the coordinator stops counting what lapses by itself (see
+	// quota.Report.Lapses).
+	ForgetsLapsed bool `cbor:"2,keyasint,omitempty"`
+	// Transferred contains what was given for each request for a transfer.
+	Transferred []quota.Transfer `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/run/quota/partition.go
+++ b/internal/run/quota/partition.go
@@ -8,7 +8,6 @@
 	"crocusyoke/internal/controller/membership"
 	"crocusyoke/internal/controller/quota"
 	"crocusyoke/internal/fleet"
-	"crocusyoke/internal/ownership"
 )
 
 // partition is a set of customers with the same coordinator and the same shareholders.
@@ -25,9 +24,14 @@
 	urgentDueAt time.Time
 	wakeAt      time.Time
 	low         map[*customerQuota]bool
-	// inFlight is true while a message about the partition is in flight. The Runner's mu guards
-	// it.
-	inFlight bool
+	// isWholeInFlight is true while a message about all customers is in flight, asksInFlight is the
+	// number of those about single customers, which are then in flight themselves. The Runner's mu guards
+	// both.
+	isWholeInFlight bool
+	asksInFlight    int
+	// others are the partition's coordinators in other failure domains, if this node is one of its
+	// coordinators.
+	others []string
 }
 
 // refresh applies the configuration in force and the current list of nodes.
@@ -94,8 +98,7 @@
 // shareholders. Partitions keep their times and messages in flight if their number is the same.
 func (r *Runner) assignPartitions(view *membership.View, now time.Time) {
 	listed := view.Listed()
-	// All nodes report to the coordinators, and connect to them at once when all have restarted.
-	candidates := ownership.LargeNodes(ownershipNodes(view.Live()))
+	layout := newLayout(view)
 	count := quota.Partitions(len(listed))
 	if count != len(r.partitions) {
 		r.partitions = newPartitions(count)
@@ -103,9 +106,10 @@
 	for i, p := range r.partitions {
 		key := partitionKey(i, count)
 		p.customers = p.customers[:0]
-		p.coordinator = ownership.Owner("quota/"+key, "", candidates)
-		p.share = quota.ShareOf(r.o.Self, quota.Shareholders(key, listed), len(listed))
+		p.coordinator, p.others = layout.coordinators(key, r.o.Self)
+		p.share = quota.ShareOf(r.o.Self, layout.shareholders(key), len(listed))
 	}
+	r.storeOthers()
 	for _, s := range *r.customers.Load() {
 		p := r.partitions[quota.PartitionOf(s.customer, count)]
 		p.customers = append(p.customers, s)
@@ -142,11 +146,3 @@
 	s.account.SetShare(p.share, now)
 	s.bucket.SetShare(p.share, now)
 }
-
-func ownershipNodes(members []membership.Member) []ownership.Node {
-	nodes := make([]ownership.Node, 0, len(members))
-	for _, m := range members {
-		nodes = append(nodes, ownership.Node{Name: m.Name, Domain: m.Domain, Capacity: m.Capacity})
-	}
-	return nodes
-}
--- a/internal/run/quota/report.go
+++ b/internal/run/quota/report.go
@@ -42,7 +42,9 @@
 // report sends what there is to say about customers of p. isWhole is true if these are all
 // customers of the partition.
 func (r *Runner) report(ctx context.Context, p *partition, customers []*customerQuota, isWhole bool, now time.Time) {
-	p.urgentDueAt = now.Add(urgentReportInterval)
+	if isWhole {
+		p.urgentDueAt = now.Add(urgentReportInterval)
+	}
 	messages, recalled := r.recallLoans(customers, now)
 	current := r.newMessage(p.coordinator, now)
 	current.partition, current.partitions = p.index, len(r.partitions)
@@ -66,7 +68,10 @@
 	if len(current.customers) > 0 {
 		messages = append(messages, current)
 	}
-	r.send(ctx, p, messages)
+	if isWhole {
+		customers = nil
+	}
+	r.send(ctx, p, messages, customers)
 }
 
 func (r *Runner) newMessage(to string, now time.Time) *message {
@@ -125,34 +130,48 @@
 }
 
 // send sends messages about p one after the other in the background. p is in flight until all
-// have been answered or have failed.
-func (r *Runner) send(ctx context.Context, p *partition, messages []*message) {
+// have been answered or have failed. asking are the customers that they are about; it is empty if these are
+// all customers of p.
+func (r *Runner) send(ctx context.Context, p *partition, messages []*message, asking []*customerQuota) {
 	if len(messages) == 0 {
 		return
 	}
-	r.setInFlight(p, true)
+	r.setInFlight(p, asking, true)
 	r.wait.Go(func() {
 		for _, m := range messages {
 			r.deliver(ctx, m)
 		}
-		r.setInFlight(p, false)
+		r.setInFlight(p, asking, false)
 		r.Wake()
 	})
 }
 
-func (r *Runner) setInFlight(p *partition, inFlight bool) {
+func (r *Runner) setInFlight(p *partition, asking []*customerQuota, inFlight bool) {
+	for _, s := range asking {
+		s.mu.Lock()
+		s.inFlight = inFlight
+		s.mu.Unlock()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.inFlight = inFlight
+	switch {
+	case len(asking) == 0:
+		p.isWholeInFlight = inFlight
+	case inFlight:
+		p.asksInFlight++
+	default:
+		p.asksInFlight--
+	}
 }
 
 // deliver sends one message and applies the answer. Where a report recalled a loan, the answer
 // only confirms the recall.
 func (r *Runner) deliver(ctx context.Context, m *message) {
-	granted, err := r.callCoordinator(ctx, m)
+	reply, err := r.callCoordinator(ctx, m)
 	if err != nil {
 		increment("report_errors")
 	}
+	granted := reply.Granted
 	for i, s := range m.customers {
 		s.mu.Lock()
 		isRecall := i < len(m.reports) && m.reports[i].RecallsLoan
@@ -161,8 +180,9 @@
 			s.account.RecordUnanswered()
 			s.recallUnanswered = s.recallUnanswered || isRecall
 		case isRecall:
-			s.account.ConfirmRecall(r.now())
+			s.account.ConfirmRecallFrom(seconds(granted[i]), r.now())
 		case i < len(m.reports):
+			s.account.SetForgetsLapsed(reply.ForgetsLapsed)
 			s.account.ApplyGrant(granted[i], m.reports[i].Held, m.sentAt, r.now())
 			s.signalGranted()
 		default:
@@ -172,36 +192,45 @@
 	}
 }
 
-// callCoordinator sends m to a coordinator, which may be this node, and returns the tokens
-// granted for each report.
-func (r *Runner) callCoordinator(ctx context.Context, m *message) ([]float64, error) {
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// callCoordinator sends m to a coordinator, which may be this node, and returns its answer with
+// the tokens granted for each report.
+func (r *Runner) callCoordinator(ctx context.Context, m *message) (shareReply, error) {
 	request := shareRequest{
 		From: r.o.Self, To: m.to, Reports: m.reports,
 		LendsRest: m.lendsRest, Partition: m.partition, Partitions: m.partitions,
 	}
 	if m.to == r.o.Self {
-		return r.grantTokens(&request), nil
+		return shareReply{Granted: r.grantTokens(ctx, &request), ForgetsLapsed: true}, nil
 	}
 	to, ok := r.o.View().Member(m.to)
 	if !ok {
-		return nil, Error.New("coordinator %s is not listed", m.to)
+		return shareReply{}, Error.New("coordinator %s is not listed", m.to)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	increment("reports")
 	var answer shareReply
 	if err := r.o.Peers.Call(ctx, to.Address, peer.KindQuotaReport, request, &answer); err != nil {
-		return nil, Error.New("report to %s: %w", m.to, err)
+		return shareReply{}, Error.New("report to %s: %w", m.to, err)
 	}
 	if len(answer.Granted) != len(m.reports) {
-		return nil, Error.New("report to %s: %d grants for %d reports", m.to, len(answer.Granted), len(m.reports))
+		return shareReply{}, Error.New("report to %s: %d grants for %d reports", m.to, len(answer.Granted), len(m.reports))
 	}
-	return answer.Granted, nil
+	return answer, nil
 }
 
 // grantTokens returns the tokens granted for the reports of a request about customers that this
-// node coordinates.
-func (r *Runner) grantTokens(request *shareRequest) []float64 {
+// node coordinates. Where its own bucket has too few, it asks the other coordinators first.
+func (r *Runner) grantTokens(ctx context.Context, request *shareRequest) []float64 {
+	granted := r.grantOwnTokens(request)
+	r.grantOthersTokens(ctx, request, granted)
+	return granted
+}
+
+// grantOwnTokens is grantTokens from this node's own buckets.
+func (r *Runner) grantOwnTokens(request *shareRequest) []float64 {
 	now := r.now()
 	all := *r.customers.Load()
 	granted := make([]float64, len(request.Reports))
@@ -230,7 +259,7 @@
 }
 
 // HandleShare handles peer.KindQuotaReport; it is a peer.ServeFunc.
-func (r *Runner) HandleShare(_ context.Context, _ string, payload []byte) (any, error) {
+func (r *Runner) HandleShare(ctx context.Context, _ string, payload []byte) (any, error) {
 	var request shareRequest
 	if err := cbor.Unmarshal(payload, &request); err != nil {
 		return nil, Error.New("report: %w", err)
@@ -238,7 +267,9 @@
 	if request.To != r.o.Self {
 		return nil, Error.New("report for %s was delivered to %s", request.To, r.o.Self)
 	}
-	return shareReply{Granted: r.grantTokens(&request)}, nil
+	return shareReply{
+		Granted: r.grantTokens(ctx, &request), ForgetsLapsed: true, Transferred: r.giveTokens(request.Transfers),
+	}, nil
 }
 
 // ReturnTokens returns all tokens to the coordinators before the node stops. It is the step
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -58,6 +58,14 @@
 	// coordinator is the customer's coordinator.
 	coordinator  string
 	usesOwnShare bool
+	// inFlight is true while a message that is only about customers that are low on tokens, with this one
+	// among them, is in flight.
+	inFlight bool
+	// exchange is the exchange of tokens with other coordinators that is under way, if any.
+	exchange *exchange
+	// nextExchangeAt is the earliest time for the next one, exchangeBackoff after one that brought nothing.
+	nextExchangeAt  time.Time
+	exchangeBackoff time.Duration
 	// granted is closed and replaced when tokens are granted while requests wait for them.
 	granted chan struct{}
 }
@@ -83,6 +91,11 @@
 	// has seen them.
 	low     map[*customerQuota]bool
 	leaving bool
+	// short holds the customers that this node coordinates and has few tokens of, until the loop of Run
+	// has seen them.
+	short map[*customerQuota]bool
+	// others holds the coordinators in other failure domains for each partition that this node coordinates.
+	others atomic.Pointer[[][]string]
 }
 
 // New returns a Runner that admits no requests until Run is called.
@@ -94,6 +107,8 @@
 		o:    o,
 		wake: make(chan struct{}, 1),
 		low:  make(map[*customerQuota]bool),
+
+		short: make(map[*customerQuota]bool),
 	}
 	r.customers.Store(&customerQuotas{})
 	return r
@@ -244,9 +259,14 @@
 	if s == nil {
 		return
 	}
+	now := r.now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.account.Settle(ran, r.now())
+	s.account.Settle(ran, now)
+	hasSpent := s.account.HasSpent(now)
+	s.mu.Unlock()
+	if hasSpent {
+		r.markLow(s)
+	}
 	if !ran {
 		increment("returned")
 	}
