Quota: a customer's waiting requests get its tokens in the order of their priority

Where a customer's own bulk asks for more than its rate, its urgent requests found no token and were refused like the bulk. Limit passes request.Priority on. On a node, tokens go to the most urgent of the waiting requests, every eighth one to the least urgent; urgent requests may wait although the customer is over its rate. Reports carry how many of the most urgent ones wait, and a coordinator keeps a reserve for these while others compete, of at most a quarter of the burst; the others get one token in eight in any case. Nothing changes where all priorities are equal, as they are unless settings enable them.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -67,6 +67,11 @@
 	// Lapses is true if the node has no share of its own, so that it holds nothing more once GrantTTL has
 	// passed since it sent its last report.
 	Lapses bool `cbor:"7,keyasint,omitempty"`
+	// Urgent is how many of the node's most urgent requests wait for a token, Priority their priority, and
+	// Least the least urgent priority in use at the node. A lower number is more urgent.
+	Urgent   float64 `cbor:"8,keyasint,omitempty"`
+	Priority int     `cbor:"9,keyasint,omitempty"`
+	Least    int     `cbor:"10,keyasint,omitempty"`
 }
 
 // Account holds one customer's tokens on one node.
@@ -114,6 +119,7 @@
 	// the node asks for them again at nextAskAt at the earliest, askBackoff after an answer that
 	// granted too few.
 	waiting    int
+	line       line
 	nextAskAt  time.Time
 	askBackoff time.Duration
 }
@@ -284,6 +290,7 @@
 	a.requested = wanted - a.tokens
 	r.Held = a.held()
 	r.Wanted = wanted + a.pending
+	r.Priority, r.Urgent, r.Least = a.urgent(now)
 	if a.canLend(borrower, now) {
 		r.Lent = true
 		a.lentUntil = now.Add(LoanTTL + LoanSafetyMargin)
@@ -321,6 +328,9 @@
 	}
 	a.askBackoff = min(maxAskBackoff, max(minAskBackoff, 2*a.askBackoff))
 	a.nextAskAt = now.Add(a.askBackoff)
+	if priority, waiting := a.line.first(); waiting > 0 && a.IsPreferred(priority, now) {
+		a.nextAskAt = now.Add(minAskBackoff)
+	}
 }
 
 // minAskBackoff and maxAskBackoff bound the time after which a node asks again for tokens that
--- a/internal/controller/quota/bucket.go
+++ b/internal/controller/quota/bucket.go
@@ -19,6 +19,7 @@
 	// given and received are the tokens that other coordinators of the customer took from this one, and
 	// those that they gave to it, as long as they count.
 	given, received []transfer
+	urgency         urgency
 }
 
 // nodeState is what the coordinator knows about one node.
@@ -154,7 +155,9 @@
 		return b.outstanding(now).Seconds()
 	}
 	n.shortfall = max(0, r.Wanted-r.Held)
+	b.urgency.note(r, now)
 	granted := b.grant(n, r, now)
+	b.urgency.charge(r, granted, now)
 	b.tokens -= max(0, granted)
 	n.held += granted
 	n.shortfall = max(0, n.shortfall-granted)
@@ -179,13 +182,14 @@
 	if now.Before(b.grantsFrom) {
 		return 0
 	}
-	if b.totalShortfall(now) <= b.tokens {
+	available := b.availableTo(r, now)
+	if b.totalShortfall(now) <= available {
 		return n.shortfall
 	}
 	if b.share.grantsOnDemand(b.limit) {
-		return min(n.shortfall, math.Floor(b.tokens))
+		return min(n.shortfall, math.Floor(available))
 	}
-	return min(n.shortfall, n.reserved, b.tokens)
+	return min(n.shortfall, max(min(n.reserved, available), b.grantByUrgency(r, now)))
 }
 
 // Lent returns the fraction of the limit that is lent to this coordinator at now.
--- a/internal/controller/quota/demand.go
+++ b/internal/controller/quota/demand.go
@@ -24,12 +24,6 @@
 	return a.demand
 }
 
-// BeginWait records that a request waits for a token until EndWait is called.
-func (a *Account) BeginWait() { a.waiting++ }
-
-// EndWait records that a request no longer waits for a token.
-func (a *Account) EndWait() { a.waiting-- }
-
 // Waiting returns the number of requests that wait for a token.
 func (a *Account) Waiting() int { return a.waiting }
 
--- a/internal/controller/quota/transfer.go
+++ b/internal/controller/quota/transfer.go
@@ -86,7 +86,7 @@
 	if level >= b.tokens {
 		tokens = max(tokens, -r.Level/(coordinators-1))
 	}
-	tokens = min(tokens, b.tokens)
+	tokens = min(tokens, b.tokens-b.urgentReserve(now))
 	ttl := b.backedFor(now)
 	if tokens <= 0 || ttl <= 0 || now.Before(b.grantsFrom) {
 		return Transfer{}
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -41,7 +41,7 @@
 func (env *testEnv) Doubt(string)                {}
 func (env *testEnv) Open(string) request.Handler { return env }
 func (env *testEnv) End(string)                  {}
-func (env *testEnv) Admit(context.Context, string) (bool, time.Duration) {
+func (env *testEnv) Admit(context.Context, string, int) (bool, time.Duration) {
 	env.quotaLeft--
 	return env.quotaLeft >= 0, 40 * time.Millisecond
 }
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -30,8 +30,9 @@
 type Quota interface {
 	// Admit charges the customer for one request. If the quota is used up, it may wait briefly
 	// for more, but not beyond ctx. If it returns false, retryAfter is how long the caller should
-	// wait before it sends the request again.
-	Admit(ctx context.Context, customer string) (ok bool, retryAfter time.Duration)
+	// wait before it sends the request again. Of the customer's requests that wait, those with the lowest
+	// priority are admitted first.
+	Admit(ctx context.Context, customer string, priority int) (ok bool, retryAfter time.Duration)
 	// Settle is called once for each request that Admit let pass. ran is false if the request
 	// provably did not run, so that the charge can be returned.
 	Settle(customer string, ran bool)
@@ -56,7 +57,7 @@
 	if !isCharged(req) {
 		return f.next.Serve(ctx, req)
 	}
-	ok, wait := f.quota.Admit(ctx, req.Customer)
+	ok, wait := f.quota.Admit(ctx, req.Customer, req.Priority)
 	if !ok {
 		f.countRefusal(req.Customer)
 		return nil, request.Refuse(request.CodeOverRate, step, "",
--- a/internal/filter/limit/limit_test.go
+++ b/internal/filter/limit/limit_test.go
@@ -15,7 +15,7 @@
 // fakeQuota admits as many requests as are left.
 type fakeQuota struct{ left int }
 
-func (b *fakeQuota) Admit(context.Context, string) (bool, time.Duration) {
+func (b *fakeQuota) Admit(context.Context, string, int) (bool, time.Duration) {
 	b.left--
 	return b.left >= 0, time.Second
 }
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -33,7 +33,7 @@
 
 func (i *instantOwner) Doubt(string)                                        {}
 func (i *instantOwner) Open(string) request.Handler                         { return i }
-func (i *instantOwner) Admit(context.Context, string) (bool, time.Duration) { return true, 0 }
+func (i *instantOwner) Admit(context.Context, string, int) (bool, time.Duration) { return true, 0 }
 func (i *instantOwner) Settle(string, bool)                                 {}
 
 // benchClient is a caller connected to a Server with the whole filter chain.
--- a/internal/run/quota/fleet_test.go
+++ b/internal/run/quota/fleet_test.go
@@ -252,7 +252,7 @@
 
 // admit asks for a token and waits as long as Runner.Admit allows.
 func admit(n *node) bool {
-	ok, _ := n.quota.Admit(context.Background(), "c")
+	ok, _ := n.quota.Admit(context.Background(), "c", 0)
 	if ok {
 		n.quota.Settle("c", true)
 	}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -190,43 +190,48 @@
 )
 
 // Admit is Take for callers that can wait: it waits for a token for at most admitTimeout
-// and not beyond the end of ctx.
-func (r *Runner) Admit(ctx context.Context, customer string) (ok bool, retryAfter time.Duration) {
+// and not beyond the end of ctx. Of the customer's requests that wait, those with the lowest priority get tokens
+// first.
+func (r *Runner) Admit(ctx context.Context, customer string, priority int) (ok bool, retryAfter time.Duration) {
 	s := (*r.customers.Load())[customer]
 	if s == nil {
 		return false, unknownCustomerRetryAfter
 	}
-	ok, retryAfter = r.take(s, (*quota.Account).Take)
-	if ok || !s.beginWait(r.now()) {
+	takeInTurn := func(a *quota.Account, now time.Time) (bool, time.Duration) { return a.TakeInTurn(priority, now) }
+	ok, retryAfter = r.take(s, func(a *quota.Account, now time.Time) (bool, time.Duration) {
+		a.NoteRequest(priority, now)
+		return takeInTurn(a, now)
+	})
+	if ok || !s.beginWait(priority, r.now()) {
 		return ok, retryAfter
 	}
-	defer s.endWait()
+	defer s.endWait(priority)
 	increment("waits")
 	r.markLow(s)
 	for until := r.o.Clock.Now().Add(admitTimeout); !ok && r.o.Clock.Now().Before(until); {
 		if !s.awaitGrant(ctx) {
 			break
 		}
-		ok, retryAfter = r.take(s, (*quota.Account).RetryTake)
+		ok, retryAfter = r.take(s, takeInTurn)
 	}
 	return ok, retryAfter
 }
 
-// beginWait reports whether one more request may wait for a token, and counts it if so.
-func (s *customerQuota) beginWait(now time.Time) bool {
+// beginWait reports whether one more request of the given priority may wait for a token, and counts it if so.
+func (s *customerQuota) beginWait(priority int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if float64(s.account.Waiting()) >= s.maxWaiters(now) {
+	if !s.account.MayWait(priority, s.maxWaiters(priority, now)) {
 		return false
 	}
-	s.account.BeginWait()
+	s.account.BeginWait(priority, now)
 	return true
 }
 
-func (s *customerQuota) endWait() {
+func (s *customerQuota) endWait(priority int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.account.EndWait()
+	s.account.EndWait(priority)
 }
 
 // awaitGrant waits until tokens are granted, but at most for retakeInterval, since the node's own
@@ -275,10 +280,14 @@
 	}
 }
 
-// maxWaiters returns how many requests may wait for tokens: as many as are likely to get
-// one within admitTimeout, or none if the customer asks for much more than its rate. s.mu is held.
-func (s *customerQuota) maxWaiters(now time.Time) float64 {
+// maxWaiters returns how many requests of a priority and of more urgent ones may wait for tokens: as many
+// as are likely to get one within admitTimeout. If the customer asks for much more than its rate, that is none, or
+// a few of those that go before others. s.mu is held.
+func (s *customerQuota) maxWaiters(priority int, now time.Time) float64 {
 	if s.account.IsOverRate(now) {
+		if s.account.IsPreferred(priority, now) {
+			return minWaiters
+		}
 		return 0
 	}
 	return max(minWaiters, s.account.TokenRate(now)*admitTimeout.Seconds())
--- a/internal/run/quota/runner_test.go
+++ b/internal/run/quota/runner_test.go
@@ -161,7 +161,7 @@
 		var sent, refused int64
 		for i := range 15 {
 			s, r := sendLoad(t, nodes[i%6:i%6+1], quiet.Rate*0.8, 2*time.Second, func(n *node) bool {
-				ok, _ := n.quota.Admit(t.Context(), quiet.Name)
+				ok, _ := n.quota.Admit(t.Context(), quiet.Name, 0)
 				if ok {
 					n.quota.Settle(quiet.Name, true)
 				}
--- a/internal/run/quota/wait_test.go
+++ b/internal/run/quota/wait_test.go
@@ -235,7 +235,7 @@
 		}
 		wait.Go(func() {
 			sentAt := time.Now()
-			ok, _ := n.quota.Admit(context.Background(), c.Name)
+			ok, _ := n.quota.Admit(context.Background(), c.Name, 0)
 			into.add(ok, time.Since(sentAt))
 			if ok {
 				time.Sleep(sheetExchange)
