--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -31,10 +31,10 @@
 func (i *instantOwner) End(string)                        {}
 func (i *instantOwner) Owner(string) (string, bool, bool) { return "", true, true }
 
-func (i *instantOwner) Doubt(string)                                        {}
-func (i *instantOwner) Open(string) request.Handler                         { return i }
+func (i *instantOwner) Doubt(string)                                             {}
+func (i *instantOwner) Open(string) request.Handler                              { return i }
 func (i *instantOwner) Admit(context.Context, string, int) (bool, time.Duration) { return true, 0 }
-func (i *instantOwner) Settle(string, bool)                                 {}
+func (i *instantOwner) Settle(string, bool)                                      {}
 
 // benchClient is a caller connected to a Server with the whole filter chain.
 type benchClient struct {
