Catalog: the table of nodes is read once the store answers, not after seconds

After a loss of all VMs during an outage of the store, nodes got their configuration within 0.1 to 0.5 s after the outage, but the list of nodes after up to 1.4 s: each table had its own delay after failed reads, of up to 6 s for nodes that aren't readers. Without the list a node knows no coordinator and refuses everybody as over their rate. The first read of this table now follows any answered call, of the node's own row too; no call is added.

--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -180,6 +180,7 @@
 		Random:         mathrand.New(mathrand.NewPCG(seed(), seed())),
 		RemovableNodes: n.nodesToRemove,
 		KnownRow:       config.NodeRow,
+		OnAnswer:       config.ObserveStoreAnswer,
 		FirstStart:     h.FirstStart,
 	})
 }
--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -132,7 +132,7 @@
 	case err != nil:
 		r.Counters.Add("feed_errors", 1)
 		f.backoff = r.nextBackoff(f.backoff)
-		_ = r.o.Clock.Sleep(call, r.jitter(f.backoff))
+		r.backOff(call, f.table, r.jitter(f.backoff))
 	case reading:
 		r.setHold(f.table, holdPartly)
 	default:
@@ -237,6 +237,7 @@
 	if at.After(r.answeredAt) {
 		r.answeredAt = at
 	}
+	r.wakeNodesRead()
 }
 
 // confirm records that the store has answered a call about the table called name; what it answered was
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -119,6 +119,8 @@
 	offer     *offer
 	fetching  bool
 	wakeFetch context.CancelFunc
+	// wakeNodes ends the delay after a failed first read of the table of nodes; nil if there is none.
+	wakeNodes context.CancelFunc
 	// announcing is true while announceVersions runs.
 	announcing bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -74,6 +74,8 @@
 	// KnownRow returns the row with the given key as this node knows it, without a call to the
 	// store. known is false as long as the table has not been read. It may be nil.
 	KnownRow func(key string) (row platform.Row, known bool)
+	// OnAnswer is called after each call that the store has answered; it may be nil.
+	OnAnswer func()
 	// FirstStart is true if the whole fleet starts for the first time, so that there is no row yet.
 	FirstStart bool
 }
@@ -146,6 +148,7 @@
 			} else {
 				pause = retryMin
 				r.writtenAt = r.o.Clock.Now()
+				r.noteAnswer()
 			}
 		}
 		r.deleteGoneRows(ctx)
@@ -155,6 +158,12 @@
 	}
 }
 
+func (r *Register) noteAnswer() {
+	if r.o.OnAnswer != nil {
+		r.o.OnAnswer()
+	}
+}
+
 // isWritten reports whether the row was written so recently that it may only be missing from what
 // this node knows of the table. A restore of the store loses it for good.
 func (r *Register) isWritten() bool {
