--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -47,6 +47,9 @@
 	expvar.Publish("membership", membership.Counters)
 	expvar.Publish("quota", quota.Counters)
 	expvar.Publish("filters", n.chain.Vars())
+	if n.storeVars != nil {
+		expvar.Publish("store", n.storeVars)
+	}
 }
 
 // handleHealth answers with status 200 while the platform's load balancer may send callers to
