--- a/internal/run/quota/exchange.go
+++ b/internal/run/quota/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +45,7 @@
 }
 
 // grantOthersTokens adds to the tokens that were granted for the reports of a request what the other
-// coordinators have of them. Customers of which there is enough, but little left, are noted for sendExchanges.
+// coordinators have of them.
 func (r *Runner) grantOthersTokens(ctx context.Context, request *shareRequest, granted []float64) {
 	all := *r.customers.Load()
 	begun := make(map[*customerQuota]*exchange)
@@ -58,7 +56,6 @@
 			continue
 		}
 		if report.Wanted-report.Held-granted[i] < 1 {
-			r.noteShort(s)
 			continue
 		}
 		missing = append(missing, i)
@@ -76,37 +73,6 @@
 	}
 }
 
-// noteShort makes the loop of Run ask the other coordinators for tokens of s if few are left.
-func (r *Runner) noteShort(s *customerQuota) {
-	s.mu.Lock()
-	_, low := s.bucket.IsLow(s.customer, 1, r.now())
-	s.mu.Unlock()
-	if !low {
-		return
-	}
-	r.mu.Lock()
-	r.short[s] = true
-	r.mu.Unlock()
-	r.Wake()
-}
-
-// sendExchanges asks the other coordinators for tokens of the customers that noteShort has collected.
-func (r *Runner) sendExchanges(ctx context.Context) {
-	r.mu.Lock()
-	short := slices.Collect(maps.Keys(r.short))
-	clear(r.short)
-	r.mu.Unlock()
-	begun := make(map[*customerQuota]*exchange)
-	for _, s := range short {
-		if x := r.beginExchange(s); x != nil {
-			begun[s] = x
-		}
-	}
-	if len(begun) > 0 {
-		r.wait.Go(func() { r.carryOut(ctx, begun) })
-	}
-}
-
 // beginExchange returns a new exchange about s, or nil if there is one, it is too early for the next, or
 // enough tokens are left.
 func (r *Runner) beginExchange(s *customerQuota) *exchange {
--- a/internal/run/quota/loop.go
+++ b/internal/run/quota/loop.go
@@ -32,7 +32,6 @@
 		contain.Step(r.o.Logger, "quota tick", func() {
 			r.refresh(r.o.View())
 			r.sendDueReports(ctx)
-			r.sendExchanges(ctx)
 		})
 		r.awaitWake(ctx, timer, tickAt.Sub(r.now()))
 	}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -93,9 +93,6 @@
 	// has seen them.
 	low     map[*customerQuota]bool
 	leaving bool
-	// short holds the customers that this node coordinates and has few tokens of, until the loop of Run
-	// has seen them.
-	short map[*customerQuota]bool
 	// others holds the coordinators in other failure domains for each partition that this node coordinates.
 	others atomic.Pointer[[][]string]
 }
@@ -109,8 +106,6 @@
 		o:    o,
 		wake: make(chan struct{}, 1),
 		low:  make(map[*customerQuota]bool),
-
-		short: make(map[*customerQuota]bool),
 	}
 	r.customers.Store(&customerQuotas{})
 	r.startedAt = r.now()
