--- a/internal/run/catalog/follow.go
+++ b/internal/run/catalog/follow.go
@@ -52,6 +52,8 @@
 	table  *table
 	// needsRead is true if the whole table has to be read next.
 	needsRead bool
+	// calledAt is when the last call began.
+	calledAt time.Time
 	// backoff is the last delay after a failed call, before jitter; 0 if the feed has answered since.
 	backoff time.Duration
 	// batchDelay is the last delay after a change; 0 if the last call brought none.
@@ -81,6 +83,7 @@
 	call, release, outdated := r.startCall(ctx, t)
 	defer release()
 	reading := f.needsRead || outdated
+	f.calledAt = r.o.Clock.Now()
 	var err error
 	if reading {
 		err = r.readTable(ctx, f.name, t)
@@ -132,7 +135,7 @@
 	case err != nil:
 		r.Counters.Add("feed_errors", 1)
 		f.backoff = r.nextBackoff(f.backoff)
-		r.backOff(call, f.table, r.jitter(f.backoff))
+		r.backOff(call, f.table, f.calledAt, r.jitter(f.backoff))
 	case reading:
 		r.setHold(f.table, holdPartly)
 	default:
@@ -237,7 +240,7 @@
 	if at.After(r.answeredAt) {
 		r.answeredAt = at
 	}
-	r.wakeNodesRead()
+	r.endBackOffs()
 }
 
 // confirm records that the store has answered a call about the table called name; what it answered was
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -119,8 +119,8 @@
 	offer     *offer
 	fetching  bool
 	wakeFetch context.CancelFunc
-	// wakeNodes ends the delay after a failed first read of the table of nodes; nil if there is none.
-	wakeNodes context.CancelFunc
+	// wakeUnread ends the delays after failed first reads of tables.
+	wakeUnread []context.CancelFunc
 	// announcing is true while announceVersions runs.
 	announcing bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
--- a/internal/run/catalog/unread.go
+++ b/internal/run/catalog/unread.go
@@ -5,31 +5,37 @@
 	"time"
 )
 
-// backOff waits for d after a failed call about t. As long as the table of nodes was never read, this ends as soon as
-// the store has answered any call: a node that knows no other one can do nothing, and gets nothing from
-// peers.
-func (r *Runner) backOff(ctx context.Context, t *table, d time.Duration) {
+// awayRetry is the delay after a failed first read of a table if the store has answered nothing since.
+const awayRetry = 2 * time.Second
+
+// backOff waits for d after a call about t has failed that began at calledAt. As long as a table was never read, this
+// ends as soon as the store has answered any call: without the lists of nodes and targets a node can do nothing. While
+// the store answers nothing, only the calls about the configuration find out when it does again.
+func (r *Runner) backOff(ctx context.Context, t *table, calledAt time.Time, d time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
-	if t == r.nodes && !t.isKnown() {
-		r.wakeNodes = cancel
+	if t != r.configuration && !t.isKnown() {
+		r.wakeUnread = append(r.wakeUnread, cancel)
+		if !r.answeredAt.After(calledAt) {
+			d = max(d, awayRetry)
+		}
 	}
 	r.mu.Unlock()
 	_ = r.o.Clock.Sleep(ctx, d)
 }
 
-// wakeNodesRead ends the delay before the next attempt at the first read of the table of nodes. The caller holds r.mu.
-func (r *Runner) wakeNodesRead() {
-	if r.wakeNodes != nil {
-		r.wakeNodes()
-		r.wakeNodes = nil
+// endBackOffs ends the delays before the next attempts at first reads of tables. The caller holds r.mu.
+func (r *Runner) endBackOffs() {
+	for _, wake := range r.wakeUnread {
+		wake()
 	}
+	r.wakeUnread = nil
 }
 
 // ObserveStoreAnswer is called when the store has answered a call that this Runner did not make.
 func (r *Runner) ObserveStoreAnswer() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.wakeNodesRead()
+	r.endBackOffs()
 }
--- a/internal/run/catalog/unread_test.go
+++ b/internal/run/catalog/unread_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +21,7 @@
 		f.set(platform.TableNodes, "node/n2", "row", false)
 		f.update(func() { f.down = true })
 		r := startRunner(t, f, nil)
-		time.Sleep(4 * time.Second)
+		time.Sleep(3 * time.Second)
 		f.update(func() { f.down = false })
 		synctest.Wait()
 		_, known := r.NodeRow("node/n2")
@@ -31,3 +33,41 @@
 		must.Eq(t, "row", string(row.Value))
 	})
 }
+
+// countingFeed counts the reads of whole tables.
+type countingFeed struct {
+	*fakeFeed
+	mu    sync.Mutex
+	reads map[string]int
+}
+
+func (f *countingFeed) Read(ctx context.Context, table string) ([]platform.Row, platform.Revision, error) {
+	f.mu.Lock()
+	f.reads[table]++
+	f.mu.Unlock()
+	return f.fakeFeed.Read(ctx, table)
+}
+
+// TestOutageIsProbedByOneTable checks that a node that starts during an outage of the store finds out by calls about
+// the configuration alone when it has ended, and then has all tables at once.
+func TestOutageIsProbedByOneTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &countingFeed{fakeFeed: newFakeFeed(), reads: map[string]int{}}
+		setInitialRows(f.fakeFeed)
+		f.set(platform.TableNodes, "node/n2", "row", false)
+		f.update(func() { f.down = true })
+		r := startRunner(t, f.fakeFeed, nil, func(o *Options) { o.Feed = f })
+		time.Sleep(1900 * time.Millisecond)
+		must.Eq(t, 1, f.reads[platform.TableNodes])
+		must.Eq(t, 1, f.reads[platform.TableTargets])
+		must.Greater(t, 1, f.reads[platform.TableConfiguration])
+		f.update(func() { f.down = false })
+		for r.Current() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		_, known := r.NodeRow("node/n2")
+		must.True(t, known)
+		must.Eq(t, "t1 t2", r.targetNames())
+	})
+}
--- a/internal/run/register/register.go
+++ b/internal/run/register/register.go
@@ -41,6 +41,8 @@
 	// until the table has been read.
 	knownRowAttempts = 10
 	knownRowInterval = 30 * time.Millisecond
+	// awayRowAttempts is the same after a call that the store has not answered: the table shows when it is back.
+	awayRowAttempts = 50
 	// retryMin and retryMax bound the delay after a failed write, before jitter.
 	retryMin = 100 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -91,6 +93,8 @@
 	// mustRead is true if the last write failed, so that the row may differ from what this node
 	// knows. Only Run uses it.
 	mustRead bool
+	// isAway is true if the last call failed because the store did not answer. Only Run uses it.
+	isAway bool
 	// writtenAt and writtenEra are when, and in which era of the store, the row was last written.
 	// Only Run uses them.
 	writtenAt  time.Time
@@ -141,7 +145,9 @@
 	for {
 		wait := checkInterval
 		if !isCurrent() && !r.isWritten() {
-			if err := r.writeRow(ctx); err != nil {
+			err := r.writeRow(ctx)
+			r.isAway = platform.ErrOutage.Has(err)
+			if err != nil {
 				_ = r.o.Logger.Log("event", "register", "err", err)
 				wait = pause/2 + time.Duration(r.o.Random.Int64N(int64(pause)))
 				pause = min(2*pause, retryMax)
@@ -222,7 +228,11 @@
 // awaitKnownRow returns the row as it is known without a call. After a restart it waits a little
 // for the table to be read.
 func (r *Register) awaitKnownRow(ctx context.Context, key string) (row platform.Row, known bool) {
-	for range knownRowAttempts {
+	attempts := knownRowAttempts
+	if r.isAway {
+		attempts = awayRowAttempts
+	}
+	for range attempts {
 		if row, known = r.o.KnownRow(key); known || r.o.FirstStart {
 			return row, known
 		}
