--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -48,9 +48,9 @@
 type HostedOptions struct {
 	Settings *settings.Settings
 	Store    HostedStore
-	// StoreVars holds the counters of the store's client; it may be nil.
-	StoreVars expvar.Var
-	Decoder   catalog.Decoder
+	// StoreCalls holds the calls to Store, counted by kind; it may be nil.
+	StoreCalls expvar.Var
+	Decoder    catalog.Decoder
 	// ConfigurationKey is the key of the row that holds the configuration.
 	ConfigurationKey string
 	// NewDialer returns the dialer of the targets. The dialer takes the fence that it sends with
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	n.fingerprint = quicpeer.Fingerprint(tls)
-	n.storeVars = h.StoreVars
+	n.storeCalls = h.StoreCalls
 	n.peers = n.newPeerClient(tls, sockets.calls)
 	n.peers.Accept = n.canAnswerAt
 	n.peers.SeparateCalls = func() bool { return len(n.membership.View().Members) > reader.MaxAllReaders }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,12 +56,12 @@
 	config     configSource
 	exchange   configExchange
 	quota      *quota.Runner
-	// storeVars holds the counters of the store client of a hosted node.
-	storeVars expvar.Var
-	promotion *promotion.Runner
-	owner     *owner.Manager
-	owners    *ownerTracker
-	chain     *filter.Chain
+	// storeCalls holds a hosted node's calls to the store, counted by kind.
+	storeCalls expvar.Var
+	promotion  *promotion.Runner
+	owner      *owner.Manager
+	owners     *ownerTracker
+	chain      *filter.Chain
 	// drainTimeout is the timeout of a graceful stop, in nanoseconds, if it was changed after the
 	// start; 0 means that the timeout in settings applies.
 	drainTimeout atomic.Int64
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -47,8 +47,10 @@
 	expvar.Publish("membership", membership.Counters)
 	expvar.Publish("quota", quota.Counters)
 	expvar.Publish("filters", n.chain.Vars())
-	if n.storeVars != nil {
-		expvar.Publish("store", n.storeVars)
+	if n.storeCalls != nil {
+		store := new(expvar.Map)
+		store.Set("calls_by_kind", n.storeCalls)
+		expvar.Publish("store", store)
 	}
 }
 
--- a/internal/run/catalog/unread_test.go
+++ b/internal/run/catalog/unread_test.go
@@ -48,6 +48,12 @@
 	return f.fakeFeed.Read(ctx, table)
 }
 
+func (f *countingFeed) readsOf(table string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads[table]
+}
+
 // TestOutageIsProbedByOneTable checks that a node that starts during an outage of the store finds out by calls about
 // the configuration alone when it has ended, and then has all tables at once.
 func TestOutageIsProbedByOneTable(t *testing.T) {
@@ -58,9 +64,9 @@
 		f.update(func() { f.down = true })
 		r := startRunner(t, f.fakeFeed, nil, func(o *Options) { o.Feed = f })
 		time.Sleep(1900 * time.Millisecond)
-		must.Eq(t, 1, f.reads[platform.TableNodes])
-		must.Eq(t, 1, f.reads[platform.TableTargets])
-		must.Greater(t, 1, f.reads[platform.TableConfiguration])
+		must.Eq(t, 1, f.readsOf(platform.TableNodes))
+		must.Eq(t, 1, f.readsOf(platform.TableTargets))
+		must.Greater(t, 1, f.readsOf(platform.TableConfiguration))
 		f.update(func() { f.down = false })
 		for r.Current() == nil {
 			time.Sleep(time.Millisecond)
