--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -24,7 +24,9 @@
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/coldstart"
 	"crocusyoke/internal/owner/schedule"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
 
@@ -123,6 +125,13 @@
 	// promotions of the group at present, and no promotion to a term above highest has been
 	// requested (see evidence.Group.SetSoleOrderer). nil means never.
 	SoleOrderer func(group string, highest uint64) bool
+	// Regions holds the region of each failure domain (package region).
+	Regions region.Map
+	// Cold bounds what a cold target gets. ColdHolder returns the fence of the group's lease and whether this node holds
+	// it now, TargetLife what a target's entries tell of its process. Without these three no target counts as cold.
+	Cold       coldstart.Bound
+	ColdHolder func(group string) (fence uint64, held bool)
+	TargetLife func(targetName string) coldstart.Life
 }
 
 // Manager serves the requests of every group. It is safe for concurrent use.
@@ -130,6 +139,7 @@
 	options     Options
 	counts      *counters
 	slotWaiters sync.Pool
+	coldWindows coldWindows
 
 	mu        sync.RWMutex
 	groups    map[string]*group
@@ -286,6 +296,9 @@
 // which the request was admitted lacks the group does not show that the service is unknown.
 func (m *Manager) groupFor(req *request.Request) (*group, *request.Refusal) {
 	g, refusal := m.groupOf(req.Group)
+	if refusal != nil && m.isReopened(req) {
+		g, refusal = m.groupOf(req.Group)
+	}
 	if refusal == nil || refusal.Code != request.CodeUnknownService {
 		return g, refusal
 	}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -22,6 +22,10 @@
 	statementsCancelled *expvar.Int
 	transactionsLost    *expvar.Int
 	errorAnswers        *errorAnswers
+	outsideHome         *expvar.Int
+	coldPlaced          *expvar.Int
+	coldWaits           *expvar.Int
+	coldRefused         *expvar.Int
 }
 
 func newCounters() *counters {
@@ -40,6 +44,10 @@
 	c.silentConnections = c.add("silent_connections")
 	c.statementsCancelled = c.add("statements_cancelled")
 	c.transactionsLost = c.add("transactions_lost")
+	c.outsideHome = c.add("outside_home")
+	c.coldPlaced = c.add("cold_placed")
+	c.coldWaits = c.add("cold_waits")
+	c.coldRefused = c.add("cold_refused")
 	return c
 }
 
--- a/internal/peer/quicpeer/frame.go
+++ b/internal/peer/quicpeer/frame.go
@@ -16,6 +16,7 @@
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/peer"
+	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
 
@@ -67,6 +68,7 @@
 	Profile       fleet.Profile `cbor:"5,keyasint"`
 	Weight        int           `cbor:"6,keyasint"`
 	ConfigVersion uint64        `cbor:"7,keyasint"`
+	HomeRegions   region.Set    `cbor:"8,keyasint,omitempty"`
 	Nearby        bool          `cbor:"9,keyasint,omitempty"`
 }
 
@@ -79,6 +81,7 @@
 		Profile:       req.Profile,
 		Weight:        req.Weight,
 		ConfigVersion: req.ConfigVersion,
+		HomeRegions:   req.HomeRegions,
 		Nearby:        req.Nearby,
 	}
 }
@@ -132,6 +135,7 @@
 		Remaining:        f.Remaining,
 		Messages:         f.Messages,
 		ConfigVersion:    c.ConfigVersion,
+		HomeRegions:      c.HomeRegions,
 		Nearby:           c.Nearby,
 		PrepareOnly:      f.PrepareOnly,
 	}
