--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	config     configSource
 	exchange   configExchange
 	quota      *quota.Runner
+	// storeCalls holds a hosted node's calls to the store, counted by kind.
+	storeCalls expvar.Var
 	promotion  *promotion.Runner
 	owner      *owner.Manager
 	owners     *ownerTracker
