Quota: reports are numbered, a late one is ignored

Cause: a report that arrived after a later one of the same node, its answer lost, set the coordinator's count of what the node holds back to an older value, and the bucket filled up beside tokens that were out. A loan that was recalled could begin again in the same way. Change: a message carries its process's run and number; the coordinator ignores an outdated report and fails its message, so that the sender takes it for lost. A recall ends the loan in any order. The simulation numbers reports as the runner does, and takes an outdated one for unanswered.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -72,6 +72,10 @@
 	Urgent   float64 `cbor:"8,keyasint,omitempty"`
 	Priority int     `cbor:"9,keyasint,omitempty"`
 	Least    int     `cbor:"10,keyasint,omitempty"`
+	// Run identifies the node's process, and Number orders its reports about a customer. They are those of the
+	// message that contains the report; 0 is a report without a number.
+	Run    uint32 `cbor:"-"`
+	Number uint64 `cbor:"-"`
 }
 
 // Account holds one customer's tokens on one node.
--- a/internal/controller/quota/bucket.go
+++ b/internal/controller/quota/bucket.go
@@ -34,6 +34,9 @@
 	// itself uses its share again only later (see Account.lentUntil).
 	lentUntil  time.Time
 	reportedAt time.Time
+	// run and number are those of the latest report.
+	run    uint32
+	number uint64
 	// lapses is true if the node holds nothing from GrantTTL after its last report on.
 	lapses bool
 }
@@ -141,6 +144,14 @@
 		n = &nodeState{}
 		b.nodes[node] = n
 	}
+	if n.isAfter(r) {
+		if r.RecallsLoan {
+			n.lentUntil = earlier(n.lentUntil, now)
+			return b.outstanding(now).Seconds()
+		}
+		return 0
+	}
+	n.run, n.number = r.Run, r.Number
 	n.held, n.lapses = r.Held, r.Lapses
 	n.reportedAt = now
 	switch {
@@ -165,6 +176,17 @@
 	return granted
 }
 
+// IsOutdated reports whether a later report of the same process was processed before r, so that HandleReport ignores
+// r. It must not be answered: the node would take the answer for what the coordinator counts. A loan may be
+// recalled in any order.
+func (b *Bucket) IsOutdated(node string, r Report) bool {
+	n := b.nodes[node]
+	return n != nil && n.isAfter(r) && !r.RecallsLoan
+}
+
+// isAfter reports whether the latest report is a later one of the same process than r.
+func (n *nodeState) isAfter(r Report) bool { return n.run == r.Run && r.Number < n.number }
+
 // grant returns the grant for a node's report. If all nodes together hold too many tokens,
 // each gives up those above its share of the burst. The share counts as 0 for a node whose
 // report does not lend it to this coordinator. If the bucket holds fewer tokens than all nodes
--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -33,6 +33,8 @@
 	borrower    string
 	coordinator int
 	paused      bool
+	run         uint32
+	reports     uint64
 	// killedAt is when the node's process was killed; zero while there is one.
 	killedAt time.Time
 	// unsettled holds the admission times of requests that have not been settled.
@@ -65,6 +67,7 @@
 func (s *simulation) start(i int) {
 	n := s.nodes[i]
 	n.account, n.pool, n.borrower, n.paused, n.unsettled = NewAccount(s.now), NewBucket(s.now), "", false, nil
+	n.run, n.reports = n.run+1, 0
 	s.configure(i)
 }
 
@@ -115,14 +118,22 @@
 	n.account.SetCoordinator(to)
 	if n.account.IsLentElsewhere(n.borrower, s.now) && rapid.Bool().Draw(s.t, "take back") {
 		former := slices.IndexFunc(s.nodes, func(f *simulatedNode) bool { return f.name == n.borrower })
-		s.inFlight = append(s.inFlight, message{from: i, to: former, report: n.account.RecallReport("c", s.now), sentAt: s.now, until: s.now.Add(MaxReportDelay)})
+		s.send(i, former, n.account.RecallReport("c", s.now))
 		return
 	}
 	r := n.account.Report("c", n.borrower, false, s.now)
 	if r.Lent {
 		n.borrower = to
 	}
-	s.inFlight = append(s.inFlight, message{from: i, to: n.coordinator, report: r, sentAt: s.now, until: s.now.Add(MaxReportDelay)})
+	s.send(i, n.coordinator, r)
+}
+
+// send puts a report with the next number of its node in transit.
+func (s *simulation) send(from, to int, r Report) {
+	n := s.nodes[from]
+	n.reports++
+	r.Run, r.Number = n.run, n.reports
+	s.inFlight = append(s.inFlight, message{from: from, to: to, report: r, sentAt: s.now, until: s.now.Add(MaxReportDelay)})
 }
 
 // deliver delivers a report, and also its answer unless that is lost.
@@ -134,8 +145,9 @@
 		from.account.RecordUnanswered()
 		return
 	}
+	isOutdated := to.pool.IsOutdated(from.name, m.report)
 	granted := to.pool.HandleReport(from.name, m.report, s.now)
-	if answerLost || from.paused {
+	if answerLost || isOutdated || from.paused {
 		from.account.RecordUnanswered()
 		return
 	}
--- a/internal/run/quota/messages.go
+++ b/internal/run/quota/messages.go
@@ -15,6 +15,9 @@
 	LendsRest  bool `cbor:"4,keyasint,omitempty"`
 	Partition  int  `cbor:"5,keyasint,omitempty"`
 	Partitions int  `cbor:"6,keyasint,omitempty"`
+	// Run identifies the sender's process, and Number orders its requests (see quota.Report).
+	Run    uint32 `cbor:"8,keyasint,omitempty"`
+	Number uint64 `cbor:"9,keyasint,omitempty"`
 	// Transfers asks the recipient, another coordinator of these customers, for tokens.
 	Transfers []quota.TransferRequest `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/run/quota/report.go
+++ b/internal/run/quota/report.go
@@ -23,6 +23,8 @@
 	// leaving is true if the node is stopping and returns all tokens.
 	leaving bool
 	sentAt  time.Time
+	// number orders the messages of this node.
+	number uint64
 }
 
 // add adds a customer with a report of its own.
@@ -77,7 +79,8 @@
 func (r *Runner) newMessage(to string, now time.Time) *message {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &message{to: to, sentAt: now, leaving: r.leaving}
+	r.messages++
+	return &message{to: to, sentAt: now, leaving: r.leaving, number: r.messages}
 }
 
 // recallLoans returns messages to the former coordinators that the shares of customers are still
@@ -222,9 +225,11 @@
 	request := shareRequest{
 		From: r.o.Self, To: m.to, Reports: m.reports,
 		LendsRest: m.lendsRest, Partition: m.partition, Partitions: m.partitions,
+		Run: r.run, Number: m.number,
 	}
 	if m.to == r.o.Self {
-		return shareReply{Granted: r.grantTokens(ctx, &request), ForgetsLapsed: true}, nil
+		granted, err := r.grantTokens(ctx, &request)
+		return shareReply{Granted: granted, ForgetsLapsed: true}, err
 	}
 	to, ok := r.o.View().Member(m.to)
 	if !ok {
@@ -245,39 +250,58 @@
 
 // grantTokens returns the tokens granted for the reports of a request about customers that this
 // node coordinates. Where its own bucket has too few, it asks the other coordinators first.
-func (r *Runner) grantTokens(ctx context.Context, request *shareRequest) []float64 {
-	granted := r.grantOwnTokens(request)
+func (r *Runner) grantTokens(ctx context.Context, request *shareRequest) ([]float64, error) {
+	for i := range request.Reports {
+		request.Reports[i].Run, request.Reports[i].Number = request.Run, request.Number
+	}
+	granted, err := r.grantOwnTokens(request)
+	if err != nil {
+		increment("outdated_reports")
+		return nil, err
+	}
 	r.grantOthersTokens(ctx, request, granted)
-	return granted
+	return granted, nil
 }
 
-// grantOwnTokens is grantTokens from this node's own buckets.
-func (r *Runner) grantOwnTokens(request *shareRequest) []float64 {
+// grantOwnTokens is grantTokens from this node's own buckets. A request with an outdated report fails as a whole:
+// its sender then takes all of its reports for lost.
+func (r *Runner) grantOwnTokens(request *shareRequest) ([]float64, error) {
 	now := r.now()
 	all := *r.customers.Load()
 	granted := make([]float64, len(request.Reports))
 	reported := make(map[string]bool, len(request.Reports))
+	isOutdated := false
 	for i, report := range request.Reports {
 		reported[report.Customer] = true
 		if s := all[report.Customer]; s != nil {
-			granted[i] = s.handleReport(request.From, report, now)
+			outdated := false
+			granted[i], outdated = s.handleReport(request.From, report, now)
+			isOutdated = isOutdated || outdated
 		}
 	}
-	if !request.LendsRest {
-		return granted
-	}
-	for name, s := range all {
-		if !reported[name] && quota.PartitionOf(name, request.Partitions) == request.Partition {
-			s.handleReport(request.From, quota.Report{Customer: name, Lent: true}, now)
+	if request.LendsRest {
+		for name, s := range all {
+			if !reported[name] && quota.PartitionOf(name, request.Partitions) == request.Partition {
+				rest := quota.Report{Customer: name, Lent: true, Run: request.Run, Number: request.Number}
+				_, outdated := s.handleReport(request.From, rest, now)
+				isOutdated = isOutdated || outdated
+			}
 		}
 	}
-	return granted
+	if isOutdated {
+		return nil, Error.New("a report of %s arrived after a later one", request.From)
+	}
+	return granted, nil
 }
 
-func (s *customerQuota) handleReport(node string, report quota.Report, now time.Time) float64 {
+// handleReport returns what is granted for a report, and whether it is outdated.
+func (s *customerQuota) handleReport(node string, report quota.Report, now time.Time) (granted float64, outdated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.bucket.HandleReport(node, report, now)
+	if s.bucket.IsOutdated(node, report) {
+		return 0, true
+	}
+	return s.bucket.HandleReport(node, report, now), false
 }
 
 // HandleShare handles peer.KindQuotaReport; it is a peer.ServeFunc.
@@ -289,9 +313,11 @@
 	if request.To != r.o.Self {
 		return nil, Error.New("report for %s was delivered to %s", request.To, r.o.Self)
 	}
-	return shareReply{
-		Granted: r.grantTokens(ctx, &request), ForgetsLapsed: true, Transferred: r.giveTokens(request.Transfers),
-	}, nil
+	granted, err := r.grantTokens(ctx, &request)
+	if err != nil {
+		return nil, err
+	}
+	return shareReply{Granted: granted, ForgetsLapsed: true, Transferred: r.giveTokens(request.Transfers)}, nil
 }
 
 // ReturnTokens returns all tokens to the coordinators before the node stops. It is the step
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,8 @@
 	o Options
 	// startedAt is when the process started, or later.
 	startedAt time.Time
+	// run is a random number that identifies this process in its messages.
+	run       uint32
 	customers atomic.Pointer[customerQuotas]
 	// wake makes Run check for due reports at once.
 	wake chan struct{}
@@ -93,6 +96,8 @@
 	// has seen them.
 	low     map[*customerQuota]bool
 	leaving bool
+	// messages is the number of messages with reports so far.
+	messages uint64
 	// others holds the coordinators in other failure domains for each partition that this node coordinates.
 	others atomic.Pointer[[][]string]
 }
@@ -104,6 +109,7 @@
 	}
 	r := &Runner{
 		o:    o,
+		run:  rand.Uint32(),
 		wake: make(chan struct{}, 1),
 		low:  make(map[*customerQuota]bool),
 	}
