PostgreSQL callers: a late stop tells them before it closes their connections

Cause: when a drain's time is over, it closed all connections at once, also if the process had lacked processor time since the requests should have been canceled and the callers told. Change: at its end the drain ends the connections if that was not done, and waits at most 100 ms for callers that had no chance to be told. Requests that go on although they were canceled in time are not waited for.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// isRunning reports whether a request of the connection runs.
+func (c *conn) isRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runningCancel != nil
+}
+
 // setRunning sets the function that cancels the running request; nil when a request has
 // ended. It returns why the previous request was cancelled, or nil if it was not.
 func (c *conn) setRunning(cancel context.CancelFunc) error {
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -245,6 +246,7 @@
 	select {
 	case <-finished:
 	case <-ctx.Done():
+		s.endLate()
 		err = errs.New("step %s: drain timed out, closing %d connections of callers", step, s.Open.Value())
 		s.stop()
 		<-finished
@@ -268,6 +270,21 @@
 	})
 }
 
+// lateAnswerTime is how long a drain whose time is over waits for callers to be told that had no chance to be, since
+// the process lacked processor time.
+const lateAnswerTime = 100 * time.Millisecond
+
+// endLate ends the connections if that has not been done, and waits, at most for lateAnswerTime, until their callers
+// have been told. It does not wait for requests that go on although they were canceled in time.
+func (s *Server) endLate() {
+	isLate := !s.isEnding()
+	s.endConns()
+	mayBeTold := func(c *conn) bool { return isLate || !c.isRunning() }
+	for until := time.Now().Add(lateAnswerTime); slices.ContainsFunc(s.sessionConns(), mayBeTold) && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
