Comeback: a spread that starts again keeps bulk behind urgent callers

Cause: when no room was left within the 2 s, a bulk caller was told to come back after 10 ms, before urgent ones that had been told to come later. Change: the spread starts again behind the more urgent callers; where these need more than half of it, in its middle, so that bulk does not come back all at once. Result: TestSpreadStartsAgainBehindUrgentCallers failed (10 ms, urgent at 300 ms) and passes.

--- a/internal/owner/comeback/comeback.go
+++ b/internal/owner/comeback/comeback.go
@@ -2,7 +2,8 @@
 //
 // Invariant: a caller is told to come back no earlier than the given time from now, and no later than
 // MaxSpread after that. Within MaxSpread, callers of one priority come back one pace apart, and after
-// all callers of more urgent priorities that were refused before.
+// all callers of more urgent priorities that were refused before. Once no room is left there, they share it with
+// callers before them, but still come back after the more urgent ones as long as these need no more than half of it.
 //
 // The package starts no goroutines, takes no locks, reads no clock and uses no randomness.
 package comeback
@@ -38,14 +39,22 @@
 	p.forget(now)
 	first := now.Add(max(MinWait, earliest))
 	last := first.Add(MaxSpread)
-	at := first
+	at, urgent := first, first
 	for i := range p.next {
-		if e := &p.next[i]; e.priority <= priority && e.at.After(at) {
+		e := &p.next[i]
+		if e.priority <= priority && e.at.After(at) {
 			at = e.at
 		}
+		if e.priority < priority && e.at.After(urgent) {
+			urgent = e.at
+		}
 	}
 	if at.After(last) {
-		at = first
+		// No room is left: the spread starts again behind the more urgent callers, but has half of its length.
+		at = urgent
+		if middle := first.Add(MaxSpread / 2); at.After(middle) {
+			at = middle
+		}
 	}
 	p.set(priority, at.Add(pace))
 	return at.Sub(now)
--- a/internal/owner/comeback/comeback_test.go
+++ b/internal/owner/comeback/comeback_test.go
@@ -47,3 +47,17 @@
 		must.LessEq(t, 3, n)
 	}
 }
+
+// TestSpreadStartsAgainBehindUrgentCallers: bulk callers for which the spread has no room left come back no earlier
+// than the more urgent callers that were refused before.
+func TestSpreadStartsAgainBehindUrgentCallers(t *testing.T) {
+	var p Plan
+	now := time.Unix(0, 0)
+	urgent := time.Duration(0)
+	for range 30 {
+		urgent = p.Next(now, 0, 0, 10*time.Millisecond)
+	}
+	for range 500 {
+		must.Greater(t, urgent, p.Next(now, 1, 0, 10*time.Millisecond))
+	}
+}
