Schedule: slots and connections do not wait for each other

Cause: a statement whose connection has to be opened gives its slot back, but keeps it once as many have done so as there are slots. With as many free connections as slots (a former owner, or transactions that pin the rest), all connections went to statements that waited for slots, and all slots were held by statements that waited for connections: 0.3 s of standstill, refusals, and failures counted against a sound target. Change: a statement that had to keep its slot gives it back once one of the others has its connection. The test of random histories follows that, with the same checks.

--- a/internal/owner/connect.go
+++ b/internal/owner/connect.go
@@ -22,9 +22,9 @@
 	if conn := r.member.pool.TryGetFor(use); conn != nil {
 		return conn, nil
 	}
-	gaveBack := g.giveBackSlot(r)
+	g.giveBackSlot(r)
 	conn, err := r.member.connection(ctx, use)
-	if !gaveBack {
+	if g.endOpening(r) {
 		if err != nil {
 			g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
 			return nil, g.refuseNoConnection(ctx, r, err)
@@ -43,14 +43,19 @@
 	return conn, nil
 }
 
-// giveBackSlot gives back r's slot until retakeSlot or abandonSlot. It reports false if r keeps it.
-func (g *group) giveBackSlot(r *execution) bool {
+// giveBackSlot gives back r's slot, now or later, until endOpening and then retakeSlot or abandonSlot.
+func (g *group) giveBackSlot(r *execution) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	decisions, ok := r.member.schedule.GiveBack(now, &r.slot.item)
-	deliver(decisions)
-	return ok
+	deliver(r.member.schedule.GiveBack(now, &r.slot.item))
+}
+
+// endOpening ends giveBackSlot's effect, and reports whether r still has its slot.
+func (g *group) endOpening(r *execution) (hasSlot bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.member.schedule.EndOpening(&r.slot.item)
 }
 
 func (g *group) abandonSlot(r *execution) {
--- a/internal/owner/schedule/schedule.go
+++ b/internal/owner/schedule/schedule.go
@@ -160,6 +160,8 @@
 	comeback       comeback.Plan
 	// gaveBack is the number of items that gave back their slots and were not submitted again yet.
 	gaveBack int
+	// opening holds the items that keep their slots only until they can give them back.
+	opening []*Item
 }
 
 // New returns an empty Scheduler.
@@ -193,11 +195,15 @@
 // If there is no decision on item, item waits for a slot.
 func (s *Scheduler) Submit(now time.Time, item *Item) []Decision {
 	s.decisions = s.decisions[:0]
-	s.Abandon(item)
+	if item.state == stateGaveBack {
+		s.Abandon(item)
+		s.giveBackNext()
+	}
 	s.lastArrivalSeq++
 	item.arrivalSeq = s.lastArrivalSeq
 	if refusal := s.admit(now, item); refusal != nil {
 		s.decisions = append(s.decisions, Decision{Item: item, Refusal: refusal})
+		s.dispatch(now)
 		return s.decisions
 	}
 	s.enqueue(item)
--- a/internal/owner/schedule/urgency_test.go
+++ b/internal/owner/schedule/urgency_test.go
@@ -289,19 +289,21 @@
 			must.Eq(t, len(running), s.InFlight())
 			must.Eq(t, len(running), s.running[Read])
 		}
-		var gaveBack []*Item
+		var gaveBack, opening []*Item
 		t.Repeat(map[string]func(*rapid.T){
 			"give back": func(t *rapid.T) {
-				if len(running) == 0 {
+				if len(running) == 0 || slices.Contains(opening, running[0]) {
 					return
 				}
 				item := running[0]
-				decisions, ok := s.GiveBack(now, item)
-				must.Eq(t, len(gaveBack) < slots, ok)
-				if ok {
-					gaveBack, running = append(gaveBack, item), running[1:]
-					apply(decisions)
+				decisions := s.GiveBack(now, item)
+				must.Eq(t, len(gaveBack) < slots, !item.Running())
+				if item.Running() {
+					opening = append(opening, item)
+					return
 				}
+				gaveBack, running = append(gaveBack, item), running[1:]
+				apply(decisions)
 			},
 			"come back": func(t *rapid.T) {
 				if len(gaveBack) == 0 {
@@ -309,12 +311,20 @@
 				}
 				item := gaveBack[0]
 				gaveBack = gaveBack[1:]
+				must.False(t, s.EndOpening(item))
 				if rapid.Bool().Draw(t, "abandon") {
 					s.Abandon(item)
 					return
 				}
 				waiting[item] = true
-				apply(s.Submit(now, item))
+				decisions := s.Submit(now, item)
+				if len(opening) > 0 && len(gaveBack) < slots {
+					next := opening[0]
+					opening, gaveBack = opening[1:], append(gaveBack, next)
+					running = slices.DeleteFunc(running, func(r *Item) bool { return r == next })
+					must.False(t, slices.Contains(s.opening, next), must.Sprint("still to give back its slot"))
+				}
+				apply(decisions)
 			},
 			"submit": func(t *rapid.T) {
 				item := &Item{
@@ -331,6 +341,8 @@
 				if len(running) > 0 {
 					item := running[0]
 					running = running[1:]
+					must.True(t, s.EndOpening(item))
+					opening = slices.DeleteFunc(opening, func(o *Item) bool { return o == item })
 					apply(s.Done(now, item, TransactionUnchanged))
 				}
 			},
--- a/internal/owner/urgency_test.go
+++ b/internal/owner/urgency_test.go
@@ -142,3 +142,27 @@
 		must.Eq(t, fakeSlots+1, m.pool.Stats().Open)
 	})
 }
+
+// TestReadyStatementsGetSlots guards against slots that are all held by statements which wait for connections, while
+// these are all held by statements that wait for slots: as many connections as slots, and twice as many customers.
+func TestReadyStatementsGetSlots(t *testing.T) {
+	perCustomer := func(o *Options) { o.Priorities, o.Dialer = true, customersDialer{o.Dialer.(pollableGroup)} }
+	withHarness(t, time.Millisecond, perCustomer, func(h *harness) {
+		h.group.targets[0].update(func(f *fakeTarget) { f.serviceTime = time.Millisecond })
+		_, err := h.serve(h.request(request.KindWrite, "INSERT first", time.Second))
+		must.NoError(t, err)
+		h.manager.groups["ledger"].members[0].pool.SetLimit(fakeSlots)
+		var callers sync.WaitGroup
+		began := time.Now()
+		for i := range 2 * fakeSlots {
+			req := h.request(request.KindWrite, "INSERT", time.Second)
+			req.Customer = fmt.Sprint("new", i)
+			callers.Go(func() {
+				_, err := h.serve(req)
+				must.NoError(t, err)
+			})
+		}
+		callers.Wait()
+		must.Less(t, connectTimeout/2, time.Since(began))
+	})
+}
