--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -129,8 +129,8 @@
 	offer     *offer
 	fetching  bool
 	wakeFetch context.CancelFunc
-	// wakeUnread ends the delays after failed first reads of tables.
-	wakeUnread []context.CancelFunc
+	// wakeUnread ends the delays after failed first reads of tables, one for each.
+	wakeUnread map[*table]context.CancelFunc
 	// announcing is true while announceVersions runs.
 	announcing bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
@@ -155,6 +155,7 @@
 		stop:          stop,
 		retainedNodes: make(map[string]platform.Row),
 		answeredAt:    o.Clock.Now(),
+		wakeUnread:    make(map[*table]context.CancelFunc),
 	}
 	r.Counters.Set("known_version", expvar.Func(r.knownVersion))
 	r.Counters.Set("confirmed_age_ms", expvar.Func(r.confirmedAgeMillis))
--- a/internal/run/catalog/unread.go
+++ b/internal/run/catalog/unread.go
@@ -16,7 +16,7 @@
 	defer cancel()
 	r.mu.Lock()
 	if t != r.configuration && !t.isKnown() {
-		r.wakeUnread = append(r.wakeUnread, cancel)
+		r.wakeUnread[t] = cancel
 		if !r.answeredAt.After(calledAt) {
 			d = max(d, awayRetry)
 		}
@@ -30,7 +30,7 @@
 	for _, wake := range r.wakeUnread {
 		wake()
 	}
-	r.wakeUnread = nil
+	clear(r.wakeUnread)
 }
 
 // ObserveStoreAnswer is called when the store has answered a call that this Runner did not make.
--- a/internal/run/catalog/unread_test.go
+++ b/internal/run/catalog/unread_test.go
@@ -77,3 +77,16 @@
 		must.Eq(t, "t1 t2", r.targetNames())
 	})
 }
+
+// TestLongOutageKeepsNothing checks that what ends the delays of first reads does not add up over an outage.
+func TestLongOutageKeepsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFeed()
+		f.update(func() { f.down = true })
+		r := startRunner(t, f, nil)
+		time.Sleep(10 * time.Minute)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		must.LessEq(t, 2, len(r.wakeUnread))
+	})
+}
