--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -33,11 +33,8 @@
 		return withPeer(refusal, r.member)
 	default:
 	}
-	waiting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(r.inUse, cancel)()
-	refusal := g.awaitSlot(waiting, r.member, r.slot)
-	if refusal == nil || ctx.Err() != nil || waiting.Err() == nil {
+	refusal := g.awaitSlotUntil(ctx, r.inUse.Done(), r.member, r.slot)
+	if refusal == nil || ctx.Err() != nil || r.inUse.Err() == nil {
 		return refusal
 	}
 	g.manager.counts.requestsMoved.Add(1)
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -223,6 +223,11 @@
 // awaitSlot waits until w, which was submitted to m, is granted a slot or refused. If ctx ends
 // first it withdraws w, frees a slot that was granted meanwhile, and returns a timeout.
 func (g *group) awaitSlot(ctx context.Context, m *member, w *slotWaiter) *request.Refusal {
+	return g.awaitSlotUntil(ctx, nil, m, w)
+}
+
+// awaitSlotUntil is awaitSlot that also ends once end is closed.
+func (g *group) awaitSlotUntil(ctx context.Context, end <-chan struct{}, m *member, w *slotWaiter) *request.Refusal {
 	select {
 	case refusal := <-w.decided:
 		return withPeer(refusal, m)
@@ -234,6 +239,7 @@
 	case refusal := <-w.decided:
 		return withPeer(refusal, m)
 	case <-ctx.Done():
+	case <-end:
 	}
 	if !g.withdraw(m, w) {
 		if refusal := <-w.decided; refusal != nil {
