Quota: a process does not use its share before its node's former loan has ended

Cause: a process that started within 0.35 s of its predecessor's last report used its share at once, while the coordinator still counted it as lent. Change: the share counts as lent until 0.73 s after the process started, as an added customer's does. It may be lent to the coordinator at once, as before.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -135,10 +135,11 @@
 
 // NewUnusedAccount is NewAccount for a node whose process has run since startedAt, and has neither used nor lent
 // its share. What an earlier process of the node lent has ended LoanTTL and LoanSafetyMargin after
-// startedAt. From then on nobody has used the share, and it has earned tokens.
+// startedAt; until then the share counts as lent. From then on nobody has used it, and it has earned tokens.
 func NewUnusedAccount(startedAt, now time.Time) *Account {
 	a := NewAccount(now)
-	a.unused = max(0, now.Sub(startedAt.Add(LoanTTL+LoanSafetyMargin)))
+	a.lentUntil = startedAt.Add(LoanTTL + LoanSafetyMargin)
+	a.unused = max(0, now.Sub(a.lentUntil))
 	return a
 }
 
--- a/internal/controller/quota/account_test.go
+++ b/internal/controller/quota/account_test.go
@@ -91,3 +91,15 @@
 		must.InDelta(t, c.tokens, a.Tokens(now), 1e-9)
 	}
 }
+
+// TestShareOfFormerProcessIsNotUsed checks that a process does not use its node's share while a coordinator may count
+// it as lent by the former process.
+func TestShareOfFormerProcessIsNotUsed(t *testing.T) {
+	startedAt := time.Unix(1000, 0)
+	a := NewUnusedAccount(startedAt, startedAt.Add(10*time.Millisecond))
+	a.Configure(Limit{Rate: 100, Burst: 50}, startedAt)
+	a.SetShare(Share{Own: 0.5, Each: 0.5, Nodes: 2}, startedAt.Add(10*time.Millisecond))
+	must.Eq(t, 0, a.Tokens(startedAt.Add(20*time.Millisecond)))
+	must.Eq(t, 0, a.Tokens(startedAt.Add(LoanTTL+LoanSafetyMargin)))
+	must.Between(t, 4.9, a.Tokens(startedAt.Add(LoanTTL+LoanSafetyMargin+100*time.Millisecond)), 5.1)
+}
