Quota: random histories with processes that start at once

TestCoordinatorsStayWithinRate also starts processes right after the end of the former one, with coordinators that do not change. It does not find a share used too early (TestShareOfFormerProcessIsNotUsed does).

--- a/internal/controller/quota/invariant_test.go
+++ b/internal/controller/quota/invariant_test.go
@@ -20,6 +20,9 @@
 	nodes []*simulatedNode
 	// holders is the number of nodes with a share; 0 means all.
 	holders int
+	// startsAtOnce is true if processes start at any time after the end of the former one. Their coordinators do
+	// not change then.
+	startsAtOnce bool
 	// admitted holds the times of admitted requests that ran or whose outcome is unknown, in
 	// order.
 	admitted []time.Time
--- a/internal/controller/quota/transfer_test.go
+++ b/internal/controller/quota/transfer_test.go
@@ -66,18 +66,21 @@
 	}
 }
 
-// killOrStart kills a node's process, or starts one that has waited long enough to know that its share was not
-// used meanwhile.
+// killOrStart kills a node's process, or starts one: where coordinators change, one that has waited long enough to know
+// that its share was not used meanwhile.
 func (s *simulation) killOrStart(i int) {
 	n := s.nodes[i]
 	switch {
 	case n.killedAt.IsZero():
 		n.killedAt, n.paused = s.now, true
-	case s.now.Sub(n.killedAt) > LoanTTL+LoanSafetyMargin:
+	case s.startsAtOnce || s.now.Sub(n.killedAt) > LoanTTL+LoanSafetyMargin:
 		startedAt := n.killedAt
 		coordinator := n.coordinator
 		s.start(i)
 		n.killedAt, n.coordinator = time.Time{}, coordinator
+		if s.startsAtOnce {
+			n.borrower = s.nodes[coordinator].name
+		}
 		n.account, n.pool = NewUnusedAccount(startedAt, s.now), NewBucket(startedAt)
 		s.configure(i)
 	}
@@ -92,6 +95,7 @@
 		if len(s.nodes) < 2 {
 			return
 		}
+		s.startsAtOnce = rapid.Bool().Draw(t, "starts at once")
 		s.holders = rapid.IntRange(1, len(s.nodes)).Draw(t, "holders")
 		for i, n := range s.nodes {
 			s.start(i)
@@ -111,6 +115,9 @@
 			case 2:
 				s.settle(i, rapid.IntRange(1, 200).Draw(t, "ended"), rapid.Bool().Draw(t, "ran"))
 			case 3:
+				if s.startsAtOnce {
+					continue
+				}
 				n.coordinator = rapid.IntRange(0, 1).Draw(t, "coordinator")
 			case 4:
 				if len(s.inFlight) > 0 {
