Quota: a priority between two others that wait gets tokens

Cause: every eighth token went to the least urgent of a customer's waiting requests, so that a priority between that and the most urgent one got none as long as both waited: 70, 0 and 10 of 80 tokens. Change: the eighth tokens go to the priorities below the most urgent one in turn. Result: TestNoPriorityBetweenOthersStarves failed (0 against 10) and passes.

--- a/internal/controller/quota/order.go
+++ b/internal/controller/quota/order.go
@@ -1,9 +1,14 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
-	// agedTurn is how many tokens pass until one goes to the least urgent of the requests that wait.
+	// agedTurn is how many tokens pass until one goes to requests that are less urgent than others that wait, to
+	// each of their priorities in turn.
 	agedTurn = 8
 	// urgencyMemory is how long a priority counts as in use after the last request that had it.
 	urgencyMemory = 5 * time.Second
@@ -38,20 +43,28 @@
 	return priority, count
 }
 
-// goesBefore reports whether a request of priority p takes a token before one of priority q. Every agedTurn-th
-// token goes to the least urgent, so that nobody waits for good.
-func (l *line) goesBefore(p, q int) bool {
-	if l.taken%agedTurn == agedTurn-1 {
-		return p > q
+// preferred returns the priority that takes the next token: the most urgent one of those that wait and of another
+// request, but of every agedTurn tokens one goes to the others in turn, so that nobody waits for good.
+func (l *line) preferred(another int) int {
+	priorities := slices.Sorted(maps.Keys(l.waiting))
+	if i, known := slices.BinarySearch(priorities, another); !known {
+		priorities = slices.Insert(priorities, i, another)
+	}
+	if len(priorities) == 1 || l.taken%agedTurn != agedTurn-1 {
+		return priorities[0]
 	}
-	return p < q
+	return priorities[1+l.taken/agedTurn%(len(priorities)-1)]
 }
 
 // ahead returns how many waiting requests take a token before one of the given priority.
 func (l *line) ahead(priority int) int {
+	first := l.preferred(priority)
+	if priority == first {
+		return 0
+	}
 	count := 0
 	for p, n := range l.waiting {
-		if l.goesBefore(p, priority) {
+		if p < priority || p == first {
 			count += n
 		}
 	}
--- a/internal/controller/quota/order_test.go
+++ b/internal/controller/quota/order_test.go
@@ -36,3 +36,43 @@
 	grant(1)
 	must.True(t, taken(bulk))
 }
+
+// TestNoPriorityBetweenOthersStarves: requests of three priorities wait all the time. Each gets tokens, the more urgent
+// ones at least as many.
+func TestNoPriorityBetweenOthersStarves(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAccount(now)
+	a.Configure(Limit{Rate: 10, Burst: 1000}, now)
+	a.SetShare(Share{Own: 1, Each: 1, Nodes: 1}, now)
+	for priority := range 3 {
+		a.NoteRequest(priority, now)
+		a.BeginWait(priority, now)
+	}
+	got := make([]int, 3)
+	for range 80 {
+		a.tokens, a.holdLimit, a.holdLimitAt = 1, 1000, now
+		for priority := range 3 {
+			if ok, _ := a.TakeInTurn(priority, now); ok {
+				got[priority]++
+				a.Settle(true, now)
+			}
+		}
+	}
+	must.Eq(t, 80, got[0]+got[1]+got[2])
+	must.GreaterEq(t, 70, got[0])
+	must.GreaterEq(t, got[2], got[1])
+	must.GreaterEq(t, 1, got[2])
+}
+
+// TestUrgentRequestThatArrivesGoesFirst: it takes the token that less urgent requests wait for.
+func TestUrgentRequestThatArrivesGoesFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAccount(now)
+	a.Configure(Limit{Rate: 10, Burst: 1000}, now)
+	a.SetShare(Share{Own: 1, Each: 1, Nodes: 1}, now)
+	a.BeginWait(1, now)
+	a.BeginWait(2, now)
+	a.tokens, a.holdLimit, a.holdLimitAt = 1, 1000, now
+	ok, _ := a.TakeInTurn(0, now)
+	must.True(t, ok)
+}
