Pool: bulk that waits for a connection is not overtaken for good

Cause: requests that wait for a connection were served strictly by priority, so that urgent ones beyond the limit kept bulk out for as long as they came; it was refused after 0.3 s, and each refusal counted as a failure of the target. Change: a request that has waited for 150 ms is not overtaken any more. Result: TestBulkGetsConnectionInTime failed (no connection in time) and passes; TestUrgentGetsConnectionFirst as before.

--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -291,7 +291,7 @@
 		return nil, err
 	}
 	wait := make(chan *Conn, 1)
-	p.enqueue(waiter{customer, use.Priority, wait})
+	p.enqueue(waiter{customer, use.Priority, now, wait})
 	p.fill()
 	p.mu.Unlock()
 	select {
--- a/internal/owner/pool/waiting.go
+++ b/internal/owner/pool/waiting.go
@@ -1,18 +1,26 @@
 package pool
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // waiter is a request that waits for a connection on behalf of customer.
 type waiter struct {
 	customer string
 	priority int
+	since    time.Time
 	conn     chan *Conn
 }
 
-// enqueue adds w to the waiting requests, behind those that are not less urgent. p.mu is held.
+// maxOvertaken is how long more urgent requests that come later go before one that waits. It is less than requests wait.
+const maxOvertaken = 150 * time.Millisecond
+
+// enqueue adds w to the waiting requests, behind those that are not less urgent or have waited for maxOvertaken. p.mu is
+// held.
 func (p *Pool) enqueue(w waiter) {
 	i := len(p.waiting)
-	for i > 0 && p.waiting[i-1].priority > w.priority {
+	for i > 0 && p.waiting[i-1].priority > w.priority && w.since.Sub(p.waiting[i-1].since) < maxOvertaken {
 		i--
 	}
 	p.waiting = slices.Insert(p.waiting, i, w)
@@ -38,14 +46,17 @@
 // hasMoreUrgent reports whether a more urgent request than w waits for which no connection is being
 // opened, because the pool is at its limit. p.mu is held.
 func (p *Pool) hasMoreUrgent(w waiter) bool {
-	if p.waiting[0].priority >= w.priority || p.open+p.opening < p.options.Limit {
+	if p.open+p.opening < p.options.Limit {
 		return false
 	}
 	wanted := make(map[string]int)
 	for _, other := range p.waiting {
-		if other.priority >= w.priority {
+		if other.conn == w.conn {
 			return false
 		}
+		if other.priority >= w.priority {
+			continue
+		}
 		wanted[other.customer]++
 		if wanted[other.customer] > p.openingFor[other.customer] {
 			return true
--- a/internal/owner/pool/waiting_test.go
+++ b/internal/owner/pool/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,3 +44,35 @@
 		must.Eq(t, []int{2, 3, 1, 4, 0}, order)
 	})
 }
+
+// TestBulkGetsConnectionInTime: more urgent requests than the limit serves wait all the time, and a bulk request gets a
+// connection before its time is over all the same.
+func TestBulkGetsConnectionInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &fakeServer{}
+		p := New(Options{Dial: server.dial, Clock: clock.Wall{}, Limit: 1})
+		defer p.Close()
+		ctx, stop := context.WithCancel(context.Background())
+		for i := range 4 {
+			go func() {
+				for ctx.Err() == nil {
+					conn, err := p.GetFor(ctx, Use{Customer: fmt.Sprint("urgent", i)})
+					if err != nil {
+						return
+					}
+					time.Sleep(10 * time.Millisecond)
+					p.Put(conn)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		limited, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		conn, err := p.GetFor(limited, Use{Customer: "bulk", Priority: 1000})
+		must.NoError(t, err)
+		p.Put(conn)
+		stop()
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+}
