Quota: a share that another node had is not taken for unused

Cause: what a node's share earned unused since its process started was credited when the node first had a share, also if it became a shareholder an hour later in place of another node, which had used the share: up to a share's burst too much. Change: it counts when the shareholders are known for the first time, or not at all. Result: TestShareOfAnotherNodeIsNotUnused failed with 25 tokens and passes.

--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -152,12 +152,13 @@
 	a.limit = limit
 }
 
-// SetShare sets what this node is entitled to.
+// SetShare sets what this node is entitled to. What an unused share has earned counts when the shareholders are known
+// for the first time; later, another node had the share before.
 func (a *Account) SetShare(share Share, now time.Time) {
 	a.fill(now)
 	a.share = share
-	if share.Own > 0 && a.unused > 0 {
-		a.usesOwnShare = !now.Before(a.lentUntil)
+	if share.Each > 0 && a.unused > 0 {
+		a.usesOwnShare = !now.Before(a.lentUntil) && share.Own > 0
 		a.tokens = max(a.tokens, min(a.burstShare(), a.unused.Seconds()*a.limit.Rate*share.Own))
 		a.unused = 0
 	}
--- a/internal/controller/quota/account_test.go
+++ b/internal/controller/quota/account_test.go
@@ -103,3 +103,17 @@
 	must.Eq(t, 0, a.Tokens(startedAt.Add(LoanTTL+LoanSafetyMargin)))
 	must.Between(t, 4.9, a.Tokens(startedAt.Add(LoanTTL+LoanSafetyMargin+100*time.Millisecond)), 5.1)
 }
+
+// TestShareOfAnotherNodeIsNotUnused checks that a node that becomes a shareholder later has earned nothing: another node
+// had the share before.
+func TestShareOfAnotherNodeIsNotUnused(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start.Add(10 * time.Second)
+	a := NewUnusedAccount(start, now)
+	a.Configure(Limit{Rate: 100, Burst: 50}, now)
+	a.SetShare(Share{}, now)
+	a.SetShare(Share{Each: 0.5, Nodes: 60}, now)
+	now = now.Add(time.Hour)
+	a.SetShare(Share{Own: 0.5, Each: 0.5, Nodes: 60}, now)
+	must.Eq(t, 0, a.Tokens(now))
+}
