Quota: small bursts are not divided by failure domain

Change: customers with bursts below 48 form partitions of their own with one coordinator. Which ones follows from the limits, so a message that lends shares without naming customers counts only at a coordinator with the same version of them.

--- a/internal/controller/quota/shares.go
+++ b/internal/controller/quota/shares.go
@@ -43,6 +43,32 @@
 	return int(xxhash.Sum64String(customer) % uint64(max(1, partitions)))
 }
 
+// SplitPartitions returns the number of partitions in a fleet whose failure domains have coordinators of their own: those
+// of Partitions for customers with a large burst, and as many for the others, whose burst is not divided by
+// domain.
+func SplitPartitions(nodes int) int { return 2 * Partitions(nodes) }
+
+// SplitPartitionOf returns the partition of a customer where SplitPartitions counts them.
+func SplitPartitionOf(customer string, isSmall bool, partitions int) int {
+	half := partitions / 2
+	index := PartitionOf(customer, half)
+	if isSmall {
+		index += half
+	}
+	return index
+}
+
+// IsDividedByDomain reports whether the rates of a partition's customers are split by failure domain, where
+// SplitPartitions counts the partitions.
+func IsDividedByDomain(partition, partitions int) bool { return partition < partitions/2 }
+
+// minDividedBurst is the lowest burst that is divided by failure domain. Each part of a smaller one would be a few
+// tokens, and requests would be refused in one domain while there are tokens in another.
+const minDividedBurst = 48
+
+// IsSmall reports whether a customer's burst is too small to be divided by failure domain.
+func IsSmall(limit Limit) bool { return limit.Burst < minDividedBurst }
+
 // Shareholders returns the nodes among which the rates of a partition's customers are split.
 // listed holds all nodes of the fleet. key identifies the partition.
 func Shareholders(key string, listed []string) []string {
--- a/internal/run/quota/exchange.go
+++ b/internal/run/quota/exchange.go
@@ -28,20 +28,26 @@
 
 // storeOthers makes the other coordinators of each partition known to the handlers of reports.
 func (r *Runner) storeOthers() {
-	others := make([][]string, len(r.partitions))
+	others := &otherCoordinators{isSplit: r.isSplit, byPartition: make([][]string, len(r.partitions))}
 	for i, p := range r.partitions {
-		others[i] = p.others
+		others.byPartition[i] = p.others
 	}
-	r.others.Store(&others)
+	r.others.Store(others)
+}
+
+// otherCoordinators are the coordinators in other failure domains for each partition that this node coordinates.
+type otherCoordinators struct {
+	isSplit     bool
+	byPartition [][]string
 }
 
 // othersOf returns the other coordinators of a customer that this node coordinates.
-func (r *Runner) othersOf(customer string) []string {
+func (r *Runner) othersOf(s *customerQuota) []string {
 	others := r.others.Load()
-	if others == nil || len(*others) == 0 {
+	if others == nil || len(others.byPartition) == 0 {
 		return nil
 	}
-	return (*others)[quota.PartitionOf(customer, len(*others))]
+	return others.byPartition[s.partitionIndex(others.isSplit, len(others.byPartition))]
 }
 
 // grantOthersTokens adds to the tokens that were granted for the reports of a request what the other
@@ -52,7 +58,7 @@
 	var missing []int
 	for i, report := range request.Reports {
 		s := all[report.Customer]
-		if s == nil || report.RecallsLoan || granted[i] < 0 || len(r.othersOf(report.Customer)) == 0 {
+		if s == nil || report.RecallsLoan || granted[i] < 0 || len(r.othersOf(s)) == 0 {
 			continue
 		}
 		if report.Wanted-report.Held-granted[i] < 1 {
@@ -77,7 +83,7 @@
 // enough tokens are left.
 func (r *Runner) beginExchange(s *customerQuota) *exchange {
 	now := r.now()
-	others := r.othersOf(s.customer)
+	others := r.othersOf(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	request, low := s.bucket.IsLow(s.customer, len(others)+1, now)
@@ -95,7 +101,7 @@
 	}
 	byOther := make(map[string][]*customerQuota)
 	for s := range begun {
-		for _, other := range r.othersOf(s.customer) {
+		for _, other := range r.othersOf(s) {
 			byOther[other] = append(byOther[other], s)
 		}
 	}
--- a/internal/run/quota/layout.go
+++ b/internal/run/quota/layout.go
@@ -59,6 +59,20 @@
 	return l
 }
 
+// isSplit reports whether failure domains have coordinators and shareholders of their own.
+func (l *layout) isSplit() bool { return len(l.domains) > 1 }
+
+// whole returns the layout of the same fleet without a split.
+func (l *layout) whole() *layout {
+	fleet := domain{}
+	for _, d := range l.domains {
+		fleet.listed = append(fleet.listed, d.listed...)
+		fleet.candidates = append(fleet.candidates, d.candidates...)
+	}
+	fleet.candidates = ownership.LargeNodes(fleet.candidates)
+	return &layout{domains: []domain{fleet}}
+}
+
 // listedByDomain returns how many nodes are listed in each failure domain.
 func listedByDomain(view *membership.View) map[string]int {
 	count := make(map[string]int)
--- a/internal/run/quota/messages.go
+++ b/internal/run/quota/messages.go
@@ -11,12 +11,17 @@
 	Reports []quota.Report `cbor:"3,keyasint"`
 	// LendsRest is true if the request also lends the sender's share of every customer of
 	// Partition that Reports does not contain. The sender holds no tokens of these customers and
-	// wants none. Partition is one of Partitions (see quota.PartitionOf).
+	// wants none. Partition is one of Partitions (see
+	// quota.PartitionOf and quota.SplitPartitionOf).
 	LendsRest  bool `cbor:"4,keyasint,omitempty"`
 	Partition  int  `cbor:"5,keyasint,omitempty"`
 	Partitions int  `cbor:"6,keyasint,omitempty"`
 	// Transfers asks the recipient, another coordinator of these customers, for tokens.
 	Transfers []quota.TransferRequest `cbor:"7,keyasint,omitempty"`
+	// IsSplit is true if Partitions counts those of quota.SplitPartitions. Which customers are in Partition then
+	// depends on their limits, which are those of ConfigVersion.
+	IsSplit       bool   `cbor:"8,keyasint,omitempty"`
+	ConfigVersion uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // shareReply contains the tokens granted, one number for each report. A negative number means
--- a/internal/run/quota/partition.go
+++ b/internal/run/quota/partition.go
@@ -70,10 +70,11 @@
 			changed = true
 			s = r.newCustomerQuota(c.Name, r.config == nil, now)
 		}
-		s.setLimit(quota.Limit{Rate: c.Rate, Burst: c.Burst}, now)
+		changed = s.setLimit(quota.Limit{Rate: c.Rate, Burst: c.Burst}, now) || changed
 		after[c.Name] = s
 	}
 	r.customers.Store(&after)
+	r.limitsVersion.Store(config.Version)
 	return changed || len(after) != len(before)
 }
 
@@ -94,11 +95,13 @@
 	return s
 }
 
-func (s *customerQuota) setLimit(limit quota.Limit, now time.Time) {
+// setLimit applies a limit and reports whether the customer may belong to another partition now.
+func (s *customerQuota) setLimit(limit quota.Limit, now time.Time) (moved bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.account.Configure(limit, now)
 	s.bucket.Configure(limit, now)
+	return s.isSmall.Swap(quota.IsSmall(limit)) != quota.IsSmall(limit)
 }
 
 // assignPartitions assigns the customers to partitions, and these to coordinators and
@@ -107,23 +110,38 @@
 	listed := view.Listed()
 	layout := newLayout(view)
 	count := quota.Partitions(len(listed))
-	if count != len(r.partitions) {
-		r.partitions = newPartitions(count)
+	if layout.isSplit() {
+		count = quota.SplitPartitions(len(listed))
+	}
+	if count != len(r.partitions) || layout.isSplit() != r.isSplit {
+		r.partitions, r.isSplit = newPartitions(count), layout.isSplit()
 	}
 	for i, p := range r.partitions {
 		key := partitionKey(i, count)
+		within := layout
+		if layout.isSplit() && !quota.IsDividedByDomain(i, count) {
+			within = layout.whole()
+		}
 		p.customers = p.customers[:0]
-		p.coordinator, p.others = layout.coordinators(key, r.o.Self)
-		p.share = quota.ShareOf(r.o.Self, layout.shareholders(key), len(listed))
+		p.coordinator, p.others = within.coordinators(key, r.o.Self)
+		p.share = quota.ShareOf(r.o.Self, within.shareholders(key), len(listed))
 	}
 	r.storeOthers()
 	for _, s := range *r.customers.Load() {
-		p := r.partitions[quota.PartitionOf(s.customer, count)]
+		p := r.partitions[s.partitionIndex(r.isSplit, count)]
 		p.customers = append(p.customers, s)
 		s.join(p, now)
 	}
 }
 
+// partitionIndex returns the index of the customer's partition.
+func (s *customerQuota) partitionIndex(isSplit bool, count int) int {
+	if isSplit {
+		return quota.SplitPartitionOf(s.customer, s.isSmall.Load(), count)
+	}
+	return quota.PartitionOf(s.customer, count)
+}
+
 func newPartitions(count int) []*partition {
 	partitions := make([]*partition, count)
 	for i := range partitions {
--- a/internal/run/quota/report.go
+++ b/internal/run/quota/report.go
@@ -17,9 +17,11 @@
 	// are only lent, by lendsRest.
 	customers []*customerQuota
 	reports   []quota.Report
-	// lendsRest, partition and partitions are as in shareRequest.
+	// lendsRest and the fields after it are as in shareRequest.
 	lendsRest             bool
 	partition, partitions int
+	isSplit               bool
+	configVersion         uint64
 	// leaving is true if the node is stopping and returns all tokens.
 	leaving bool
 	sentAt  time.Time
@@ -36,7 +38,7 @@
 	if len(r.partitions) == 0 {
 		return nil
 	}
-	return r.partitions[quota.PartitionOf(s.customer, len(r.partitions))]
+	return r.partitions[s.partitionIndex(r.isSplit, len(r.partitions))]
 }
 
 // report sends what there is to say about customers of p. isWhole is true if these are all
@@ -48,6 +50,7 @@
 	messages, recalled := r.recallLoans(customers, now)
 	current := r.newMessage(p.coordinator, now)
 	current.partition, current.partitions = p.index, len(r.partitions)
+	current.isSplit, current.configVersion = r.isSplit, r.limitsVersion.Load()
 	var lentOnly []*customerQuota
 	for _, s := range customers {
 		if recalled[s] {
@@ -222,6 +225,7 @@
 	request := shareRequest{
 		From: r.o.Self, To: m.to, Reports: m.reports,
 		LendsRest: m.lendsRest, Partition: m.partition, Partitions: m.partitions,
+		IsSplit: m.isSplit, ConfigVersion: m.configVersion,
 	}
 	if m.to == r.o.Self {
 		return shareReply{Granted: r.grantTokens(ctx, &request), ForgetsLapsed: true}, nil
@@ -263,11 +267,11 @@
 			granted[i] = s.handleReport(request.From, report, now)
 		}
 	}
-	if !request.LendsRest {
+	if !request.LendsRest || request.IsSplit && request.ConfigVersion != r.limitsVersion.Load() {
 		return granted
 	}
 	for name, s := range all {
-		if !reported[name] && quota.PartitionOf(name, request.Partitions) == request.Partition {
+		if !reported[name] && s.partitionIndex(request.IsSplit, request.Partitions) == request.Partition {
 			s.handleReport(request.From, quota.Report{Customer: name, Lent: true}, now)
 		}
 	}
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -44,6 +44,8 @@
 // customerQuota is the quota state of one customer on this node.
 type customerQuota struct {
 	customer string
+	// isSmall is true if the customer's burst is not divided by failure domain.
+	isSmall atomic.Bool
 
 	mu sync.Mutex
 	// account holds the tokens that this node may spend.
@@ -87,14 +89,18 @@
 	config     *fleet.Config
 	view       *membership.View
 	partitions []*partition
+	// isSplit is true if failure domains have coordinators and shareholders of their own.
+	isSplit bool
 
 	mu sync.Mutex
 	// low holds the customers for which a request found too few tokens, until the loop of Run
 	// has seen them.
 	low     map[*customerQuota]bool
 	leaving bool
-	// others holds the coordinators in other failure domains for each partition that this node coordinates.
-	others atomic.Pointer[[][]string]
+	// others holds the coordinators in other failure domains.
+	others atomic.Pointer[otherCoordinators]
+	// limitsVersion is the version of the configuration whose limits are applied.
+	limitsVersion atomic.Uint64
 }
 
 // New returns a Runner that admits no requests until Run is called.
