Callers' ports: bounds on connections, time and bytes that no crowd passes

What callers saw: a crowd that held all connections of a node kept everybody else out until its members timed out, and a crowd of large or half statements, or of answers that it never read, on the port for PostgreSQL clients ran the process out of memory (379 MiB with 180 callers). The metrics and readiness addresses took any number of connections.

- admission decides which connections a port keeps, gate carries it out.
A customer has at most 0.75 of the sessions that others leave; a connection without a session gives way to newcomers from addresses that hold fewer, or after a second; a session never does.
Both callers' ports and the HTTP addresses use it.
- Statements on the port for PostgreSQL clients are read as they arrive, within a budget; messages of COPY are dropped as they are read; a statement has to arrive within a time.
Answers have a budget from the target on.
Both are parts of node.memory or GOMEMLIMIT.
- Fewer connections if the process has too few descriptors.
- A connection that is about to close is read for a few messages only; the rest of its time it waits.
Its codec is dropped before, a message of up to 1 MiB.
- Unknown services are quoted by their first 100 bytes; a name of 0.9 MB was formatted whole.

Changed tests: two of package front set MaxConnections after New, so they now build the gate again; scriptedConn has an address. The slot of a session is taken once its key was accepted, not while it is checked, so nobody takes another customer's share by its name.

--- a/internal/filter/auth/auth.go
+++ b/internal/filter/auth/auth.go
@@ -118,7 +118,7 @@
 	}
 	s := cfg.Service(service)
 	if s == nil {
-		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %q is not known", service)
+		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %.100q is not known", service)
 	}
 	if s.OpenToAll {
 		if refusal := checkServable(s, nil); refusal != nil {
@@ -173,7 +173,7 @@
 		return Identity{}, err
 	}
 	if s == nil {
-		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %q is not known", service)
+		return Identity{}, request.Refuse(request.CodeUnknownService, step, "", "service %.100q is not known", service)
 	}
 	if !s.Open && !slices.Contains(s.Customers, customer) {
 		return Identity{}, refuseForbidden(service)
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -64,6 +64,7 @@
 	s, lines := newServer(c, nil), &strings.Builder{}
 	s.options.NewCodec = newWordCodec
 	s.options.MaxConnections = 10
+	s.gate = s.newGate()
 	s.options.Log = requestlog.New(log.NewLogfmtLogger(log.NewSyncWriter(lines)))
 	return s, lines
 }
--- a/internal/front/reading_test.go
+++ b/internal/front/reading_test.go
@@ -38,6 +38,7 @@
 		s, lines := newLoggedServer(c)
 		s.options.NewCodec = func(conn net.Conn) Codec { return &statusCodec{newWordCodec(conn).(*wordCodec)} }
 		s.options.MaxConnections = 2 * maxLargeReads
+		s.gate = s.newGate()
 		var callers []*testCaller
 		for range maxLargeReads + 2 {
 			callers = append(callers, connectTo(t, s))
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 	"crocusyoke/internal/contain"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
+	"crocusyoke/internal/run/gate"
 )
 
 // session is the session of one caller, which lives as long as its connection.
@@ -31,6 +31,8 @@
 	answer *budget.Account
 	// in is what codec reads from.
 	in *statementConn
+	// visit is the connection's place among all.
+	visit *gate.Visit
 
 	service  string
 	customer string
@@ -101,61 +103,6 @@
 	}
 }
 
-// admit reads the startup message and logs the caller in. It reports whether the session is
-// open; if not, the caller has been told why where possible.
-func (s *session) admit() bool {
-	_ = s.conn.SetReadDeadline(time.Now().Add(HandshakeTimeout))
-	startup, err := contain.Call("read startup", s.codec.Startup)
-	if err != nil {
-		if contain.Error.Has(err) {
-			s.logPanic(err)
-		}
-		if ErrProtocol.Has(err) {
-			s.reject(protocolRefusal(err.Error()))
-		}
-		if refusal := readRefusal(err); refusal != nil {
-			s.reject(refusal)
-		}
-		return false
-	}
-	_ = s.conn.SetReadDeadline(time.Time{})
-	if s.server.isDraining() {
-		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
-		return false
-	}
-	identity, err := s.server.options.Auth.LoginByKey(startup.Key, startup.Service)
-	if err != nil {
-		s.reject(request.AsRefusal(err))
-		return false
-	}
-	// The service's name is a part of the whole message, which contains the key.
-	s.service, s.customer = strings.Clone(startup.Service), identity.Customer
-	s.server.options.Auth.SetIdentity(s.id, identity)
-	if !s.open() {
-		s.reject(request.Refuse(request.CodeShutdown, step, "", "node is stopping"))
-		return false
-	}
-	s.in.endTurn()
-	s.codec.SessionOpened()
-	return s.flush() == nil
-}
-
-// open marks the session as open to its caller. It reports false if the session was told to close
-// meanwhile.
-func (s *session) open() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.admitted = !s.closing
-	s.progress.phase = phaseReading
-	return s.admitted
-}
-
-func (s *session) reject(refusal *request.Refusal) {
-	s.server.Refused.Add(refusal.Code.Name, 1)
-	s.codec.Reject(withShortDetail(refusal))
-	_ = s.flush()
-}
-
 // serveNext reads and serves one statement. It reports false when the session is over.
 func (s *session) serveNext(ctx context.Context) bool {
 	statement, err := s.readStatement()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,12 +9,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"crocusyoke/internal/admission"
 	"crocusyoke/internal/budget"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/requestlog"
+	"crocusyoke/internal/run/gate"
 )
 
 // Timeouts.
@@ -47,13 +51,21 @@
 	NewCodec func(net.Conn) Codec
 	// Rollback is the text of the statement that rolls back a transaction.
 	Rollback string
-	// MaxConnections bounds the number of callers' connections. Connections above it are closed
-	// without an answer.
+	// MaxConnections bounds the number of sessions. extraConnections more connections are let in, to be refused
+	// with an answer.
 	MaxConnections int
+	// CustomerShare is the part of the sessions that one customer may have (see admission.Limits); 0 means all.
+	CustomerShare float64
+	// Logger is told of connections that are closed at the limits; nil logs nothing.
+	Logger log.Logger
 	// Priorities orders requests by the priorities of their profiles and customers.
 	Priorities bool
 }
 
+// extraConnections is how many connections a server keeps beyond MaxConnections: those that log in, and those whose
+// sessions have ended.
+const extraConnections = 64
+
 // Server accepts callers' connections and runs their sessions. Its methods are safe for
 // concurrent use.
 type Server struct {
@@ -80,8 +92,8 @@
 
 	// drain holds nil until Drain is called.
 	drain atomic.Pointer[drainTimes]
-	// lingering counts connections of sessions that have ended (see session.linger).
-	lingering atomic.Int64
+	// gate decides which connections are kept.
+	gate *gate.Gate
 
 	mu        sync.Mutex
 	sessions  map[*session]struct{}
@@ -92,11 +104,26 @@
 // New returns a Server. It accepts no connections until Serve is called.
 func New(options Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{
+	if options.CustomerShare == 0 {
+		options.CustomerShare = 1
+	}
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
+	s := &Server{
 		options: options, ctx: ctx, cancel: cancel, sessions: make(map[*session]struct{}),
 		stateBudget: budget.New(stateLimits), servingBudget: budget.New(servingLimits),
 		answerBudget: budget.New(answerLimits), largeReads: make(chan struct{}, maxLargeReads),
 	}
+	s.gate = s.newGate()
+	return s
+}
+
+func (s *Server) newGate() *gate.Gate {
+	o := &s.options
+	return gate.New("callers", admission.Limits{
+		Connections: o.MaxConnections + extraConnections, Sessions: o.MaxConnections, CustomerShare: o.CustomerShare,
+	}, o.Clock, o.Logger)
 }
 
 // Vars returns the server's counters.
@@ -104,6 +131,7 @@
 	all := new(expvar.Map)
 	all.Set("counts", &s.Counts)
 	all.Set("refused", &s.Refused)
+	all.Set("gate", s.gate.Vars())
 	all.Set("large_reads", expvar.Func(func() any { return len(s.largeReads) }))
 	all.Set("serving_bytes", expvar.Func(func() any { return s.servingBudget.Held() }))
 	all.Set("answer_bytes", expvar.Func(func() any { return s.answerBudget.Held() }))
@@ -155,39 +183,39 @@
 // an immediate retry would only repeat.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// startSession runs a session on conn in a goroutine of its own, or closes conn if
-// MaxConnections sessions exist.
+// startSession runs a session on conn in a goroutine of its own, or closes conn if there is no room for it.
 func (s *Server) startSession(conn net.Conn) {
+	visit := s.gate.Enter(conn)
+	if visit == nil {
+		s.Counts.Add("sessions_refused", 1)
+		return
+	}
 	s.mu.Lock()
 	s.accepted++
 	sess := newSession(s, conn, s.accepted)
-	overLimit := len(s.sessions) >= s.options.MaxConnections
-	if !overLimit {
-		s.sessions[sess] = struct{}{}
-	}
+	sess.visit = visit
+	s.sessions[sess] = struct{}{}
 	s.mu.Unlock()
-	if overLimit {
-		s.Counts.Add("sessions_refused", 1)
-		_ = conn.Close()
-		return
-	}
 	s.Counts.Add("sessions", 1)
 	s.wg.Go(func() {
+		defer visit.Leave()
 		sess.runContained(s.ctx)
-		if s.remove(sess) && !sess.endedByCaller {
+		visit.End()
+		s.remove(sess)
+		// Its buffers may be as large as a message, and the connection may stay for a while.
+		sess.codec = nil
+		if !sess.endedByCaller {
 			sess.linger()
 		}
 		_ = sess.conn.Close()
 	})
 }
 
-// remove removes a session that has ended. It reports whether its connection may linger: those of sessions
-// come first.
-func (s *Server) remove(sess *session) bool {
+// remove removes a session that has ended.
+func (s *Server) remove(sess *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sessions, sess)
-	return len(s.sessions)+int(s.lingering.Load()) < s.options.MaxConnections
 }
 
 // CloseWithdrawn ends the sessions whose key has been withdrawn, each as soon as it is
--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -49,10 +49,15 @@
 		Logger:           n.logger,
 		TLS:              config,
 		Plaintext:        s.Plaintext,
-		MaxConnections:   s.MaxConnections,
+		MaxConnections:   n.connectionLimit(),
+		CustomerShare:    s.CustomerShare,
 		Priorities:       n.settings.Policy.Priorities,
 		MaxExchangeBytes: s.MaxMessage,
+		Memory:           n.limitMemory(),
 		ForwardCancel:    n.forwardCancel,
+		HandshakeTimeout: s.StartupTimeout.Std(),
+		StatementTimeout: s.StatementTimeout.Std(),
+		WriteTimeout:     s.WriteTimeout.Std(),
 	})
 	n.front, n.cancel = server, server.Cancel
 	return nil
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -296,7 +296,9 @@
 		Log:            n.requests,
 		NewCodec:       h.NewCodec,
 		Rollback:       h.Rollback,
-		MaxConnections: n.settings.Callers.MaxConnections,
+		MaxConnections: n.connectionLimit(),
+		CustomerShare:  n.settings.Callers.CustomerShare,
+		Logger:         n.logger,
 		Priorities:     n.settings.Policy.Priorities,
 	})
 }
@@ -326,7 +328,7 @@
 func (n *Node) serveReadiness(ctx context.Context, listener net.Listener, path string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, n.handleHealth)
-	return n.serveHTTP(ctx, listener, mux)
+	return n.serveHTTP(ctx, "readiness", listener, mux)
 }
 
 // watchSettings reloads the settings at each value from h.Reloads and when they have changed,
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -17,9 +16,6 @@
 	"crocusyoke/internal/status"
 )
 
-// opsTimeout limits the time for reading the headers of an HTTP request.
-const opsTimeout = 5 * time.Second
-
 // serveOps serves the counters at /debug/vars, the node's readiness at /healthz and, if
 // profiling is enabled in the settings, profiles at /debug/pprof/.
 func (n *Node) serveOps(ctx context.Context, listener net.Listener) error {
@@ -31,7 +27,7 @@
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	}
-	return n.serveHTTP(ctx, listener, mux)
+	return n.serveHTTP(ctx, "operators", listener, mux)
 }
 
 // publishVars publishes the counters of the node's components through expvar.
@@ -41,6 +37,7 @@
 	expvar.Publish("configuration", n.config.Vars())
 	expvar.Publish("owner", n.owner.Vars())
 	expvar.Publish("callers", n.front.Vars())
+	expvar.Publish("http", httpGates)
 	if n.requests != nil {
 		expvar.Publish("request_log", &n.requests.Counts)
 	}
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -67,7 +67,7 @@
 	socket, err := net.Dial("tcp", f.address)
 	must.NoError(b, err)
 	b.Cleanup(func() { socket.Close() })
-	c := &benchClient{b: b, owner: owner, socket: socket, reader: newMessageReader(socket)}
+	c := &benchClient{b: b, owner: owner, socket: socket, reader: newMessageReader(socket, nil)}
 	c.send(startupMessages(b, testKey))
 	return c
 }
@@ -180,7 +180,7 @@
 		}
 		defer socket.Close()
 		answer := localAnswer{column: "v", value: "1", tag: "SELECT 1"}.appendAnswer(nil, rollbackMessage, txIdle)
-		in, buffer := newMessageReader(socket), []byte(nil)
+		in, buffer := newMessageReader(socket, nil), []byte(nil)
 		for err == nil {
 			if buffer, _, err = in.readMessage(buffer[:0], 1<<20); err == nil {
 				_, err = socket.Write(answer)
@@ -190,7 +190,7 @@
 	socket, err := net.Dial("tcp", listener.Addr().String())
 	must.NoError(b, err)
 	defer socket.Close()
-	c := &benchClient{b: b, socket: socket, reader: newMessageReader(socket)}
+	c := &benchClient{b: b, socket: socket, reader: newMessageReader(socket, nil)}
 	c.run(b, c.encode(&pgproto3.Query{String: "select v from orders where id = 17"}))
 }
 
--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/request"
+	"crocusyoke/internal/run/gate"
 	"crocusyoke/internal/statement"
 )
 
@@ -28,7 +30,7 @@
 )
 
 // conn is one caller's connection. Its fields belong to the goroutine of serve, except for
-// hasSlot, the fields guarded by mu, and reader, which watch uses while a request runs.
+// the fields guarded by mu, and reader, which watch uses while a request runs.
 // session, pid and secret do not change once the server has registered the connection.
 type conn struct {
 	server  *Server
@@ -36,9 +38,9 @@
 	socket  net.Conn
 	reader  *messageReader
 	usesTLS bool
-	// hasSlot is true while the connection holds one of the server's connection slots.
-	// It is guarded by the server's mutex.
-	hasSlot bool
+	visit   *gate.Visit
+	// answer holds the size of the answer until it is sent.
+	answer *budget.Account
 
 	session  string
 	pid      uint32
@@ -80,12 +82,13 @@
 	// keyWithdrawn is true once the caller's key has been withdrawn.
 	keyWithdrawn bool
 	// awaitingExchange is true while the next exchange is being read. idle is true if no
-	// transaction was open when that read began.
-	awaitingExchange, idle bool
+	// transaction was open when that read began, arriving once bytes of the exchange have come.
+	awaitingExchange, idle, arriving bool
 }
 
-func newConn(s *Server, socket net.Conn) *conn {
-	ctx, cancel := context.WithCancel(s.base)
+func newConn(s *Server, socket net.Conn, visit *gate.Visit) *conn {
+	answer := s.answers.Account()
+	ctx, cancel := context.WithCancel(budget.NewContext(s.base, answer))
 	context.AfterFunc(ctx, func() {
 		if s.base.Err() != nil {
 			socket.Close()
@@ -95,7 +98,9 @@
 		server:   s,
 		options:  &s.options,
 		socket:   socket,
-		reader:   newMessageReader(socket),
+		reader:   newMessageReader(socket, s.reads.Account()),
+		visit:    visit,
+		answer:   answer,
 		txStatus: txIdle,
 		ctx:      ctx,
 		cancel:   cancel,
@@ -112,14 +117,15 @@
 		c.serveExchanges()
 	}
 	c.release()
-	c.closeWrite()
-	c.discard()
+	c.discard(c.closeWrite())
 }
 
 // release frees the connection slot and ends the session, if there is one.
 func (c *conn) release() {
 	c.statements.Release()
-	c.server.releaseSlot(c)
+	c.reader.room.Release()
+	c.answer.Release()
+	c.visit.End()
 	if c.session == "" {
 		return
 	}
@@ -127,22 +133,29 @@
 	c.options.Chain.End(c.session)
 }
 
-// closeWrite closes the sending side of the connection. The caller has lingerTimeout to read
+// closeWrite closes the sending side of the connection. The caller has lingerTimeout, until end, to read
 // the last message and close its side. If the socket cannot be half-closed, there is
 // no wait.
-func (c *conn) closeWrite() {
-	wait := lingerTimeout
+func (c *conn) closeWrite() (end time.Time) {
+	end = time.Now()
 	half, ok := c.socket.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		wait = 0
+	if ok && half.CloseWrite() == nil {
+		end = end.Add(lingerTimeout)
 	}
-	c.socket.SetReadDeadline(time.Now().Add(wait))
+	c.socket.SetReadDeadline(end)
+	return end
 }
 
-// discard reads and drops what the caller still sends. Closing a socket with unread data
-// resets the connection, and the caller could lose the last message.
-func (c *conn) discard() {
-	_, _ = io.Copy(io.Discard, c.reader.in)
+// discard reads and drops what the caller still sends until end, at most as much as lingerExchanges exchanges may have.
+// A caller that sends more has to wait, which costs the node nothing. Closing a socket with unread data resets the
+// connection, and the caller could lose the last message.
+func (c *conn) discard(end time.Time) {
+	_, err := io.CopyN(io.Discard, c.reader.in, int64(lingerExchanges*c.options.MaxExchangeBytes))
+	if err == nil {
+		ctx, cancel := context.WithDeadline(c.server.base, end)
+		defer cancel()
+		<-ctx.Done()
+	}
 }
 
 // serveExchanges reads and serves exchanges until the connection is to be closed.
@@ -154,6 +167,7 @@
 			return
 		}
 		goesOn := c.serveExchange(&e)
+		e.shrink(c.reader.room)
 		c.endExchange()
 		if !goesOn {
 			return
@@ -166,6 +180,7 @@
 func (c *conn) endExchange() {
 	c.statements.EndExchange()
 	c.request = request.Request{}
+	c.answer.Release()
 }
 
 // endOnReadError handles an error in reading an exchange, after which the connection is closed.
@@ -176,16 +191,18 @@
 	case errTooLarge.Has(err):
 		c.server.TooLarge.Add(1)
 		c.writeFatal(request.Refuse(request.CodeTooLarge, step, "", "%s", err))
+	case errNoRoom.Has(err):
+		c.writeFatal(request.Refuse(request.CodeOverloaded, step, "", "%s", err))
 	case errProtocol.Has(err):
 		c.server.BadProtocol.Add(1)
 		c.writeFatal(request.Refuse(request.CodeProtocol, step, "", "%s", err))
 	}
 }
 
-// write writes a whole answer within writeTimeout. It reports whether that
+// write writes a whole answer within WriteTimeout. It reports whether that
 // succeeded.
 func (c *conn) write(out []byte) bool {
-	c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.socket.SetWriteDeadline(time.Now().Add(c.options.WriteTimeout))
 	_, err := c.socket.Write(out)
 	return err == nil
 }
@@ -203,7 +220,7 @@
 func (c *conn) writeFatal(r *request.Refusal) {
 	c.server.Refused.Add(r.Code.Name, 1)
 	// The slot is free before the caller reads the refusal, as it may reconnect at once.
-	c.server.releaseSlot(c)
+	c.visit.End()
 	c.write(appendRefusal(nil, severityFatal, r))
 }
 
--- a/internal/pgfront/counters.go
+++ b/internal/pgfront/counters.go
@@ -28,6 +28,8 @@
 	Swept expvar.Int
 	// IdleInTransaction counts connections closed at the idle transaction timeout.
 	IdleInTransaction expvar.Int
+	// Stalled counts connections closed because an exchange did not arrive in time.
+	Stalled expvar.Int
 }
 
 // Refusals returns the refusals, counted by the name of their code.
@@ -50,6 +52,7 @@
 	all.Set("cancel_unknown", &c.CancelUnknown)
 	all.Set("swept", &c.Swept)
 	all.Set("idle_in_transaction", &c.IdleInTransaction)
+	all.Set("stalled", &c.Stalled)
 	return all
 }
 
@@ -57,5 +60,8 @@
 func (s *Server) Vars() *expvar.Map {
 	all := s.Counters.Vars()
 	all.Set("statement_bytes", expvar.Func(func() any { return s.statementBudget.Held() }))
+	all.Set("read_bytes", expvar.Func(func() any { return s.reads.Held() }))
+	all.Set("answer_bytes", expvar.Func(func() any { return s.answers.Held() }))
+	all.Set("gate", s.gate.Vars())
 	return all
 }
--- a/internal/pgfront/exchange.go
+++ b/internal/pgfront/exchange.go
@@ -1,6 +1,10 @@
 package pgfront
 
-import "errors"
+import (
+	"errors"
+
+	"crocusyoke/internal/budget"
+)
 
 // Type bytes of frontend messages.
 const (
@@ -24,7 +28,7 @@
 var errTerminated = errors.New("the caller terminated the connection")
 
 // maxKeptBuffer is the largest buffer, in bytes, that a connection keeps between exchanges.
-const maxKeptBuffer = 64 << 10
+const maxKeptBuffer = 8 << 10
 
 // exchange holds the messages of one exchange as the caller sent them: a simple query, or an
 // extended query batch up to its Sync or Flush. Its buffer is reused for the next exchange.
@@ -39,22 +43,35 @@
 	err error
 }
 
+// reset prepares e for the next exchange.
 func (e *exchange) reset() {
 	e.messages = e.messages[:0]
+	e.unsupported = ""
+	e.err = nil
+}
+
+// shrink drops a large buffer once the exchange has been served. room then holds the size of what is kept.
+func (e *exchange) shrink(room *budget.Account) {
 	if cap(e.messages) > maxKeptBuffer {
 		e.messages = nil
 	}
-	e.unsupported = ""
-	e.err = nil
+	room.Resize(cap(e.messages))
 }
 
 // read reads one exchange of at most limit bytes: a Query, or an extended query batch up to
-// its Sync or Flush. It skips a Flush without a batch and the messages of COPY.
-func (e *exchange) read(f *messageReader, limit int) {
+// its Sync or Flush. It skips a Flush without a batch and the messages of COPY. await is called before
+// each message that may be the first one of the exchange.
+func (e *exchange) read(f *messageReader, limit int, await func()) {
 	e.reset()
 	hasBindOrExecute := false
 	for {
 		before := len(e.messages)
+		if before == 0 {
+			await()
+		}
+		if f.skipsMessage(limit) {
+			continue
+		}
 		e.messages, e.last, e.err = f.readMessage(e.messages, limit)
 		if e.err != nil {
 			return
@@ -81,8 +98,6 @@
 		case typeFunctionCall:
 			e.unsupported = "FunctionCall"
 			return
-		case typeCopyData, typeCopyDone, typeCopyFail:
-			e.messages = e.messages[:before]
 		case typeTerminate:
 			e.err = errTerminated
 			return
--- a/internal/pgfront/fuzz_test.go
+++ b/internal/pgfront/fuzz_test.go
@@ -50,6 +50,7 @@
 func (s *scriptedConn) Close() error                     { return nil }
 func (s *scriptedConn) SetDeadline(time.Time) error      { return nil }
 func (s *scriptedConn) SetReadDeadline(time.Time) error  { return nil }
+func (s *scriptedConn) RemoteAddr() net.Addr             { return nil }
 func (s *scriptedConn) SetWriteDeadline(time.Time) error { return nil }
 
 // runScript serves a connection that receives input and returns what the server wrote. It
--- a/internal/pgfront/reading.go
+++ b/internal/pgfront/reading.go
@@ -18,11 +18,15 @@
 		c.writeFatal(reason)
 		return false
 	}
-	e.read(c.reader, c.options.MaxExchangeBytes)
-	reason := c.endRead()
+	e.read(c.reader, c.options.MaxExchangeBytes, c.awaitStatement)
+	wasArriving, reason := c.endRead()
 	if !errors.Is(e.err, os.ErrDeadlineExceeded) {
 		return true
 	}
+	if reason == nil && wasArriving {
+		c.server.Stalled.Add(1)
+		reason = request.Refuse(request.CodeTimeout, step, "", "the statement did not arrive within %s", c.options.StatementTimeout)
+	}
 	if reason == nil {
 		c.server.IdleInTransaction.Add(1)
 		reason = request.Refuse(request.CodeTransactionLost, step, "",
@@ -51,16 +55,45 @@
 	return nil
 }
 
-// endRead clears the idle transaction timeout. It returns why the connection is to be closed,
-// or nil.
-func (c *conn) endRead() *request.Refusal {
+// awaitStatement waits for the first byte of an exchange, from which on StatementTimeout limits the read. An error is
+// left to the read that follows.
+func (c *conn) awaitStatement() {
+	c.limitRead(false)
+	if _, err := c.reader.in.Peek(1); err == nil {
+		c.limitRead(true)
+	}
+}
+
+// limitRead sets the limit on the read of an exchange, which depends on whether bytes of it have come. It changes
+// nothing if the connection is to be closed.
+func (c *conn) limitRead(arriving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arriving == arriving || c.endReason() != nil {
+		return
+	}
+	c.arriving = arriving
+	switch {
+	case arriving:
+		c.socket.SetReadDeadline(time.Now().Add(c.options.StatementTimeout))
+	case c.idle:
+		c.socket.SetReadDeadline(time.Time{})
+	default:
+		c.socket.SetReadDeadline(time.Now().Add(c.options.IdleTransactionTimeout))
+	}
+}
+
+// endRead clears the limit on the read. It returns whether bytes of an exchange had come, and why the connection is to
+// be closed, or nil.
+func (c *conn) endRead() (wasArriving bool, reason *request.Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingExchange = false
-	if !c.idle {
+	if !c.idle || c.arriving {
 		c.socket.SetReadDeadline(time.Time{})
 	}
-	return c.endReason()
+	wasArriving, c.arriving = c.arriving, false
+	return wasArriving, c.endReason()
 }
 
 // endReason returns why the connection is to be closed, or nil. A drain closes it within a
--- a/internal/pgfront/serve.go
+++ b/internal/pgfront/serve.go
@@ -132,10 +132,13 @@
 // reply writes a target's answer. If the session token has changed, that is written first.
 func (c *conn) reply(answer []byte) bool {
 	out := c.tokenStatus(c.out[:0])
-	if len(out) == 0 {
-		return c.write(c.finishFlush(answer))
+	if len(out) > 0 && len(answer) <= maxKeptBuffer {
+		return c.send(append(out, answer...))
 	}
-	return c.send(append(out, answer...))
+	if len(out) > 0 && !c.write(out) {
+		return false
+	}
+	return c.write(c.finishFlush(answer))
 }
 
 // finishFlush removes the ReadyForQuery from the answer to an exchange that ended with a
--- a/internal/pgfront/server.go
+++ b/internal/pgfront/server.go
@@ -14,12 +14,13 @@
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
 
-	"crocusyoke/internal/budget"
+	"crocusyoke/internal/admission"
 	"crocusyoke/internal/clock"
 	"crocusyoke/internal/filter/auth"
 	"crocusyoke/internal/filter/session"
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/request"
+	"crocusyoke/internal/run/gate"
 )
 
 // step is the name of this package in refusals and errors.
@@ -43,16 +44,17 @@
 	withdrawnKeyGrace = 2 * time.Second
 	// lingerTimeout bounds the wait for the caller to read the last message and close.
 	lingerTimeout = 2 * time.Second
-	// writeTimeout bounds the write of one answer.
-	writeTimeout = 30 * time.Second
+	// lingerExchanges bounds what is read meanwhile, as a number of exchanges.
+	lingerExchanges = 4
+	// DefaultWriteTimeout bounds the write of one answer.
+	DefaultWriteTimeout = 30 * time.Second
 	// extraHandshakes is how many connections beyond MaxConnections are accepted at a time,
 	// to be refused with an error message. Further ones are closed without one.
 	extraHandshakes = 64
+	// DefaultStatementTimeout bounds the time from the first byte of an exchange to its last.
+	DefaultStatementTimeout = 30 * time.Second
 )
 
-// statementLimits bound the prepared statements of all sessions of a node.
-var statementLimits = budget.Limits{Share: 2 << 10, Common: 32 << 20}
-
 // Options configure a Server. A duration or limit of zero means the default above. Clock and
 // Logger may be nil.
 type Options struct {
@@ -68,8 +70,8 @@
 	TLS *tls.Config
 	// Plaintext permits connections without TLS.
 	Plaintext bool
-	// MaxConnections is the number of connection slots. A connection needs a slot from the
-	// check of the caller's key on, until it is closed or refused.
+	// MaxConnections is the number of connection slots. A connection needs a slot once its
+	// caller's key was accepted, until it is closed or refused.
 	MaxConnections int
 	// Priorities orders requests by the priorities of their profiles and customers.
 	Priorities bool
@@ -80,6 +82,12 @@
 	ForwardCancel          func(pid, secret uint32)
 	HandshakeTimeout       time.Duration
 	IdleTransactionTimeout time.Duration
+	StatementTimeout       time.Duration
+	WriteTimeout           time.Duration
+	// CustomerShare is the part of the sessions that one customer may have (see admission.Limits).
+	CustomerShare float64
+	// Memory is the memory in bytes that the budgets of all sessions are parts of.
+	Memory int
 }
 
 func (o *Options) setDefaults() {
@@ -89,6 +97,18 @@
 	if o.IdleTransactionTimeout == 0 {
 		o.IdleTransactionTimeout = DefaultIdleTransactionTimeout
 	}
+	if o.StatementTimeout == 0 {
+		o.StatementTimeout = DefaultStatementTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = DefaultWriteTimeout
+	}
+	if o.CustomerShare == 0 {
+		o.CustomerShare = 1
+	}
+	if o.Memory == 0 {
+		o.Memory = DefaultMemory
+	}
 	if o.MaxExchangeBytes == 0 {
 		o.MaxExchangeBytes = DefaultMaxExchangeBytes
 	}
@@ -107,8 +127,9 @@
 type Server struct {
 	Counters
 	options Options
-	// statementBudget is the budget of the sessions' prepared statements.
-	statementBudget *budget.Budget
+	budgets
+	// gate decides which connections are kept.
+	gate *gate.Gate
 	// draining is closed when a drain begins, ending when its time is almost over.
 	draining, ending chan struct{}
 	// base is the parent of all connections' contexts. stop cancels it, which cancels all
@@ -118,13 +139,7 @@
 
 	mu sync.Mutex
 	// conns holds the connections with a session, by process ID.
-	conns map[uint32]*conn
-	// openSockets is the number of all connections. Those without a connection slot also count:
-	// connections that are in their handshake, were refused or are about to close.
-	openSockets int
-	// usedSlots is the number of connections that hold a slot: those whose caller's key is being
-	// checked or was accepted.
-	usedSlots int
+	conns     map[uint32]*conn
 	listeners []net.Listener
 	wait      sync.WaitGroup
 	drainOnce sync.Once
@@ -142,8 +157,10 @@
 		base:     base,
 		stop:     stop,
 		conns:    make(map[uint32]*conn),
-
-		statementBudget: budget.New(statementLimits),
+		budgets:  newBudgets(&options),
+		gate: gate.New("callers", admission.Limits{
+			Connections: options.MaxConnections + extraHandshakes, Sessions: options.MaxConnections, CustomerShare: options.CustomerShare,
+		}, options.Clock, options.Logger),
 	}
 }
 
@@ -175,33 +192,18 @@
 const acceptRetryDelay = 20 * time.Millisecond
 
 // Handle serves one caller's connection in a goroutine of its own. It closes the connection
-// at once if more than MaxConnections + extraHandshakes are open.
+// at once if there is no room for it.
 func (s *Server) Handle(socket net.Conn) {
 	s.Accepted.Add(1)
-	s.mu.Lock()
-	s.openSockets++
-	count := s.openSockets
-	s.wait.Add(1)
-	s.mu.Unlock()
-	if count > s.options.MaxConnections+extraHandshakes {
+	visit := s.gate.Enter(socket)
+	if visit == nil {
 		s.TooMany.Add(1)
-		socket.Close()
-		s.connectionClosed()
 		return
 	}
-	go func() {
-		defer s.connectionClosed()
-		c := newConn(s, socket)
-		c.serve()
-	}()
-}
-
-// connectionClosed undoes the accounting of Handle.
-func (s *Server) connectionClosed() {
-	s.mu.Lock()
-	s.openSockets--
-	s.mu.Unlock()
-	s.wait.Done()
+	s.wait.Go(func() {
+		defer visit.Leave()
+		newConn(s, socket, visit).serve()
+	})
 }
 
 // isDraining reports whether Drain has begun.
@@ -313,29 +315,6 @@
 	return all
 }
 
-// reserveSlot takes one of the MaxConnections slots for c. It reports false if none is free.
-func (s *Server) reserveSlot(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.usedSlots >= s.options.MaxConnections {
-		s.TooMany.Add(1)
-		return false
-	}
-	s.usedSlots++
-	c.hasSlot = true
-	return true
-}
-
-// releaseSlot frees the slot of c, if it holds one.
-func (s *Server) releaseSlot(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.hasSlot {
-		c.hasSlot = false
-		s.usedSlots--
-	}
-}
-
 // register gives c its session, process ID and secret key, and adds it to s.conns.
 func (s *Server) register(c *conn) {
 	var random [20]byte
--- a/internal/pgfront/startup.go
+++ b/internal/pgfront/startup.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	c.socket = secured
-	c.reader = newMessageReader(secured)
+	c.reader = newMessageReader(secured, c.reader.room)
 	c.usesTLS = true
 	return true
 }
@@ -152,9 +152,6 @@
 	if c.server.isDraining() {
 		return shutdownRefusal()
 	}
-	if !c.server.reserveSlot(c) {
-		return request.Refuse(request.CodeOverloaded, step, "", "too many connections")
-	}
 	service := parameters["database"]
 	if service == "" {
 		service = parameters["user"]
@@ -163,6 +160,10 @@
 	if err != nil {
 		return err
 	}
+	if !c.visit.Login(id.Customer) {
+		c.server.TooMany.Add(1)
+		return request.Refuse(request.CodeOverloaded, step, "", "too many connections")
+	}
 	c.identity = id
 	c.service = service
 	c.server.register(c)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -19,6 +19,14 @@
 	DefaultMaxConnections = 10000
 	// DefaultMaxMessage is the default maximum size of a message in bytes.
 	DefaultMaxMessage = 1 << 20
+	// DefaultCustomerShare is the default part of the connections that one customer may have.
+	DefaultCustomerShare = 0.75
+	// The default timeouts of callers.
+	DefaultStartupTimeout   = fleet.Duration(10 * time.Second)
+	DefaultStatementTimeout = fleet.Duration(30 * time.Second)
+	DefaultWriteTimeout     = fleet.Duration(30 * time.Second)
+	// MinMemory is the smallest allowed value of node.memory in bytes.
+	MinMemory = 64 << 20
 	// MinMaxMessage is the smallest allowed value of max_message in bytes.
 	MinMaxMessage = 1 << 10
 )
@@ -35,7 +43,7 @@
 
 // Parse is like Load, but decodes body. The file name is used only in errors.
 func Parse(body []byte, file string) (*Settings, error) {
-	s := defaults()
+	s := Defaults()
 	doc := tomlfile.Decode(body, file, s)
 	if !doc.IsValid() {
 		return nil, doc.Err()
@@ -57,12 +65,16 @@
 	return s, nil
 }
 
-func defaults() *Settings {
+// Defaults returns settings with all defaults.
+func Defaults() *Settings {
 	return &Settings{
 		Node: Node{Drain: DefaultDrain},
 		Callers: Callers{
 			MaxConnections: DefaultMaxConnections,
 			MaxMessage:     DefaultMaxMessage,
+			CustomerShare:  DefaultCustomerShare,
+
+			StartupTimeout: DefaultStartupTimeout, StatementTimeout: DefaultStatementTimeout, WriteTimeout: DefaultWriteTimeout,
 		},
 	}
 }
@@ -71,8 +83,9 @@
 	requireName(doc, "node.name", n.Name)
 	requireName(doc, "node.domain", n.Domain)
 	requireName(doc, "node.deployment", n.Deployment)
-	if n.Drain <= 0 {
-		doc.Add("node.drain", "must be above zero")
+	requirePositive(doc, "node.drain", n.Drain)
+	if n.Memory != 0 && n.Memory < MinMemory {
+		doc.Add("node.memory", "must be at least %d bytes, or 0", MinMemory)
 	}
 }
 
@@ -91,6 +104,12 @@
 	if c.MaxMessage < MinMaxMessage {
 		doc.Add("callers.max_message", "must be at least %d bytes", MinMaxMessage)
 	}
+	if !(c.CustomerShare > 0 && c.CustomerShare <= 1) {
+		doc.Add("callers.customer_share", "must be above 0 and at most 1")
+	}
+	requirePositive(doc, "callers.startup_timeout", c.StartupTimeout)
+	requirePositive(doc, "callers.statement_timeout", c.StatementTimeout)
+	requirePositive(doc, "callers.write_timeout", c.WriteTimeout)
 }
 
 func validatePeers(doc *tomlfile.Document, p *Peers) {
@@ -137,6 +156,12 @@
 	}
 }
 
+func requirePositive(doc *tomlfile.Document, key string, d fleet.Duration) {
+	if d <= 0 {
+		doc.Add(key, "must be above zero")
+	}
+}
+
 // requireFile checks that path is given and that the process can open the file for reading.
 func requireFile(doc *tomlfile.Document, key, path string) {
 	if path == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,9 @@
 	// Capacity is the VM's processor, in thousandths of a core; 0 if all VMs are equal. Larger VMs
 	// own the groups.
 	Capacity int `toml:"capacity"`
+	// Memory is the memory in bytes that the process may take for its heap; 0 leaves it to the Go runtime's
+	// variable GOMEMLIMIT.
+	Memory int `toml:"memory"`
 }
 
 // Callers configures the endpoint that callers connect to.
@@ -47,6 +50,13 @@
 	MaxConnections int `toml:"max_connections"`
 	// MaxMessage is the maximum size of a caller's message in bytes.
 	MaxMessage int `toml:"max_message"`
+	// CustomerShare is the part of the connections that other customers leave that one customer may have.
+	CustomerShare float64 `toml:"customer_share"`
+	// StartupTimeout bounds the time until a caller has logged in, StatementTimeout the time in which a statement
+	// has to arrive, and WriteTimeout the time in which a caller has to take an answer.
+	StartupTimeout   fleet.Duration `toml:"startup_timeout"`
+	StatementTimeout fleet.Duration `toml:"statement_timeout"`
+	WriteTimeout     fleet.Duration `toml:"write_timeout"`
 }
 
 // Peers configures the endpoint that other nodes connect to.
--- a/internal/standin/deploy/files.go
+++ b/internal/standin/deploy/files.go
@@ -63,29 +63,22 @@
 }
 
 func (d *Deployment) nodeSettings(n Node) *settings.Settings {
-	return &settings.Settings{
-		Node: settings.Node{
-			Name: n.Name, Domain: n.Domain, Deployment: d.Plan.Name, Drain: settings.DefaultDrain,
-		},
-		Callers: settings.Callers{
-			Address:     n.Callers,
-			Certificate: d.certificatePath(certs.Callers), Key: d.keyPath(certs.Callers),
-			Plaintext: true, MaxConnections: maxCallerConnections, MaxMessage: maxMessageBytes,
-		},
-		Peers: settings.Peers{
-			Address:     n.Peers,
-			Certificate: d.certificatePath(n.Name), Key: d.keyPath(n.Name),
-			Authority: d.certificatePath(certs.Authority),
-		},
-		Platform: settings.Platform{URL: d.PlatformURL()},
-		Targets:  settings.Targets{User: d.User, Password: d.Password},
-		Ops:      settings.Ops{Address: n.Ops, Profiling: d.Plan.Profiling},
-		Policy:   d.Plan.Policy,
-		Delay: settings.Delay{
-			Domains: fleet.Duration(d.Plan.DomainDelay),
-			Callers: fleet.Duration(d.Plan.CallerDelay),
-		},
+	s := settings.Defaults()
+	s.Node.Name, s.Node.Domain, s.Node.Deployment = n.Name, n.Domain, d.Plan.Name
+	s.Callers.Address, s.Callers.Plaintext = n.Callers, true
+	s.Callers.Certificate, s.Callers.Key = d.certificatePath(certs.Callers), d.keyPath(certs.Callers)
+	s.Callers.MaxConnections, s.Callers.MaxMessage = maxCallerConnections, maxMessageBytes
+	s.Peers = settings.Peers{
+		Address:     n.Peers,
+		Certificate: d.certificatePath(n.Name), Key: d.keyPath(n.Name),
+		Authority: d.certificatePath(certs.Authority),
 	}
+	s.Platform = settings.Platform{URL: d.PlatformURL()}
+	s.Targets = settings.Targets{User: d.User, Password: d.Password}
+	s.Ops = settings.Ops{Address: n.Ops, Profiling: d.Plan.Profiling}
+	s.Policy = d.Plan.Policy
+	s.Delay = settings.Delay{Domains: fleet.Duration(d.Plan.DomainDelay), Callers: fleet.Duration(d.Plan.CallerDelay)}
+	return s
 }
 
 // buildConfig returns the initial configuration.
--- a/internal/target/pgtarget/conn.go
+++ b/internal/target/pgtarget/conn.go
@@ -13,7 +13,9 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/request"
 	"crocusyoke/internal/statement"
 	"crocusyoke/internal/target"
 	"crocusyoke/internal/target/idle"
@@ -101,7 +103,13 @@
 	if n, err := c.netConn.Write(messages); err != nil {
 		return target.Reply{}, n > 0, c.fail("send", withContextError(ctx, err))
 	}
-	reply, err := c.readReply()
+	account := budget.FromContext(ctx)
+	reply, err := c.readReply(account)
+	if errors.Is(err, errNoRoom) {
+		account.Release()
+		return target.Reply{}, true, request.Refuse(request.CodeOutcomeUnknown, "exchange", c.netConn.RemoteAddr().String(),
+			"the node had no room for the answer").WithCause(c.fail("receive", err))
+	}
 	if err != nil {
 		return target.Reply{}, true, c.fail("receive", withContextError(ctx, err))
 	}
@@ -125,7 +133,7 @@
 	if _, err := c.netConn.Write(discardMessage); err != nil {
 		return err
 	}
-	reply, err := c.readReply()
+	reply, err := c.readReply(nil)
 	if err != nil {
 		return err
 	}
@@ -156,9 +164,13 @@
 }
 
 // readReply reads messages up to and including ReadyForQuery. It copies them to the reply, but
-// for reports of the target's position.
-func (c *conn) readReply() (target.Reply, error) {
-	reply := target.Reply{Messages: make([]byte, 0, c.sizeHint)}
+// for reports of the target's position. account holds the reply's size; if it has no room, the error is errNoRoom.
+func (c *conn) readReply(account *budget.Account) (target.Reply, error) {
+	hint := c.sizeHint
+	if !account.Resize(hint) {
+		hint = minSizeHint
+	}
+	reply := target.Reply{Messages: make([]byte, 0, hint)}
 	for {
 		kind, size, err := c.readHeader()
 		if err != nil {
@@ -169,7 +181,7 @@
 		}
 		start := len(reply.Messages) + headerSize
 		reply.Messages = append(reply.Messages, c.header[:]...)
-		if reply.Messages, err = c.appendBody(reply.Messages, size); err != nil {
+		if reply.Messages, err = c.appendBody(reply.Messages, size, account); err != nil {
 			return target.Reply{}, err
 		}
 		body := reply.Messages[start:]
--- a/internal/target/pgtarget/message.go
+++ b/internal/target/pgtarget/message.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 
+	"crocusyoke/internal/budget"
 	"crocusyoke/internal/target/idle"
 )
 
@@ -31,6 +32,7 @@
 var (
 	errMalformed      = errors.New("malformed backend message")
 	errReplyTooLarge  = errors.New("reply too large")
+	errNoRoom         = errors.New("no room for the reply")
 	errCopy           = errors.New("target started a COPY, which is not supported")
 	errNotDiscarded   = errors.New("the target has not discarded the session's state")
 	errNotOneExchange = errors.New("request is malformed or is not a single exchange")
@@ -64,12 +66,17 @@
 }
 
 // appendBody reads size bytes and appends them to buffer. The buffer grows as bytes arrive, so
-// that a header that announces a large body does not allocate it in advance.
-func (c *conn) appendBody(buffer []byte, size int) ([]byte, error) {
+// that a header that announces a large body does not allocate it in advance. account holds its size; if it has no
+// room, the error is errNoRoom.
+func (c *conn) appendBody(buffer []byte, size int, account *budget.Account) ([]byte, error) {
 	for size > 0 {
 		chunk := min(size, maxSizeHint)
 		start := len(buffer)
-		buffer = grow(buffer, chunk)
+		grown, ok := grow(buffer, chunk, account)
+		if !ok {
+			return buffer, errNoRoom
+		}
+		buffer = grown
 		if err := c.readFull(buffer[start:]); err != nil {
 			return buffer, err
 		}
@@ -78,13 +85,18 @@
 	return buffer, nil
 }
 
-func grow(buffer []byte, n int) []byte {
+// grow returns buffer with n more bytes. It reports false if account has no room for them.
+func grow(buffer []byte, n int, account *budget.Account) ([]byte, bool) {
 	if cap(buffer)-len(buffer) >= n {
-		return buffer[:len(buffer)+n]
+		return buffer[:len(buffer)+n], true
+	}
+	size := 2 * (len(buffer) + n)
+	if !account.Resize(size) {
+		return buffer, false
 	}
-	larger := make([]byte, len(buffer)+n, 2*(len(buffer)+n))
+	larger := make([]byte, len(buffer)+n, size)
 	copy(larger, buffer)
-	return larger
+	return larger, true
 }
 
 // checkIdle fails if the target has sent bytes since the last answer or has closed the
