--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 FUZZTIME ?= 20s
 fuzz:
 	$(GO) test ./internal/peer/quicpeer -run xxx -fuzz FuzzFrame -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/pgfront -run xxx -fuzz FuzzStartup -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/pgfront -run xxx -fuzz FuzzCallers -fuzztime $(FUZZTIME)
 	$(GO) test ./internal/statement -run xxx -fuzz FuzzStatement -fuzztime $(FUZZTIME)
 	$(GO) test ./platform/line -run xxx -fuzz FuzzCallerLines -fuzztime $(FUZZTIME)
