--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -94,11 +94,12 @@
 	return nil
 }
 
-// Login makes c a session of customer. It reports false, and changes nothing, if there is no room for one.
+// Login makes c a session of customer. It reports false, and changes nothing, if there is no room for one. A share is
+// never more than what is left, so this bounds all sessions too.
 func (t *Table) Login(c *Conn, customer string) bool {
 	own := t.sessions[customer]
 	share := math.Ceil(t.limits.CustomerShare * float64(t.limits.Sessions-t.total+own))
-	if t.total >= t.limits.Sessions || float64(own) >= share {
+	if float64(own) >= share {
 		return false
 	}
 	t.stopWaiting(c)
