--- a/internal/run/quota/late_test.go
+++ b/internal/run/quota/late_test.go
@@ -23,7 +23,7 @@
 			Customer string `cbor:"1,keyasint"`
 		}
 		send := func(run uint32, number uint64) error {
-			payload, err := cbor.Marshal(map[int]any{1: "sender", 2: nodes[0].name, 3: []report{{"c"}}, 8: run, 9: number})
+			payload, err := cbor.Marshal(map[int]any{1: "sender", 2: nodes[0].name, 3: []report{{"c"}}, 10: run, 11: number})
 			must.NoError(t, err)
 			_, err = nodes[0].quota.HandleShare(t.Context(), "sender", payload)
 			return err
