quicpeer: a PostgreSQL read whose answer has no room is not reported as not run

Cause: answers of the port for PostgreSQL clients now have a budget, which also holds answers of other nodes. The client between nodes refused a read without room as overloaded, not run; that is true of hosted reads only, since a SELECT may have effects at the target. Change: Client.ReadsHaveEffects, which nodes with this port set; the outcome is then unknown, as for a local target. Result: TestReadWithEffectsIsNotRefusedAsNotRun fails without the check of the field (overloaded, not run) and passes with it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 		return err
 	}
 	n.peers = n.newPeerClient(tlsPeers, sockets.calls)
+	n.peers.ReadsHaveEffects = true
 	store := httpclient.New(s.Platform.URL, nil)
 	n.dialer = pgtarget.New(s.Targets.User, s.Targets.Password, s.Node.Name)
 	n.assembleState(store)
--- a/internal/peer/quicpeer/client.go
+++ b/internal/peer/quicpeer/client.go
@@ -52,6 +52,10 @@
 	// no. It must be set before the first call.
 	SeparateCalls func() bool
 
+	// ReadsHaveEffects is true if what targets take for a read may change something there. A read whose answer has no
+	// room is then of unknown outcome. It must be set before the first request.
+	ReadsHaveEffects bool
+
 	// Logger is told of panics. It must be set before the first call; the default logs nothing.
 	Logger log.Logger
 
--- a/internal/peer/quicpeer/large_answers_test.go
+++ b/internal/peer/quicpeer/large_answers_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// TestReadWithEffectsIsNotRefusedAsNotRun guards against a read that the target has run, with what it changes there, and
+// that is reported as not run for want of room for its answer.
+func TestReadWithEffectsIsNotRefusedAsNotRun(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &chargingOwner{})
+	c := newTestClient(t, a, "a", RoleNode)
+	c.ReadsHaveEffects = true
+	answers := budget.New(budget.Limits{Share: 1 << 10})
+	read := newRequest("s", 1, string(make([]byte, 100<<10)))
+	read.Kind = request.KindRead
+	_, err := c.Open(address).Serve(budget.NewContext(t.Context(), answers.Account()), read)
+	must.Eq(t, request.CodeOutcomeUnknown, request.AsRefusal(err).Code)
+}
+
 // TestLargeAnswersFillTheOwner guards against answers to other nodes that fill the memory of their owner.
 func TestLargeAnswersFillTheOwner(t *testing.T) {
 	a := newAuthority(t)
--- a/internal/peer/quicpeer/remote.go
+++ b/internal/peer/quicpeer/remote.go
@@ -53,7 +53,7 @@
 	}
 	answer, err := r.receive(ctx, req)
 	if errors.Is(err, errNoRoom) {
-		return nil, refuseAnswer(req.Kind, r.address)
+		return nil, r.refuseAnswer(req.Kind)
 	}
 	if err != nil {
 		r.abortStream()
@@ -67,13 +67,13 @@
 }
 
 // refuseAnswer returns the refusal of a request for whose answer there is no room. Of a read outside a transaction
-// nothing is kept.
-func refuseAnswer(kind request.Kind, address string) *request.Refusal {
-	if kind == request.KindRead {
-		return request.Refuse(request.CodeOverloaded, refusalStep, address, "the node holds too many large answers").
+// nothing is kept, unless reads have effects.
+func (r *remoteHandler) refuseAnswer(kind request.Kind) *request.Refusal {
+	if kind == request.KindRead && !r.client.ReadsHaveEffects {
+		return request.Refuse(request.CodeOverloaded, refusalStep, r.address, "the node holds too many large answers").
 			WithRetryAfter(answerRetryAfter)
 	}
-	return request.Refuse(request.CodeOutcomeUnknown, refusalStep, address, "the node had no room for the answer")
+	return request.Refuse(request.CodeOutcomeUnknown, refusalStep, r.address, "the node had no room for the answer")
 }
 
 // send sends req. It includes the session's context if that has changed since it was last
