node: an owner has as much room for answers to other nodes as for its own callers

Cause: connections to PostgreSQL targets now charge the answer's budget, and at an owner that was the hosted nodes' 16 MiB for all other nodes. An answer's buffer grows by doubling, so one of some 8 MiB and more, of the 64 MiB allowed, was of unknown outcome when it came through another node, also in calm. Result: TestLargestAnswerPassesInCalm fails while the limit stays at the default (overloaded) and passes with the change.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/peer/quicpeer"
+	"crocusyoke/internal/pgfront"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/httpclient"
 	"crocusyoke/internal/requestlog"
@@ -203,6 +204,7 @@
 		return err
 	}
 	n.server = n.newPeerServer(tlsPeers)
+	n.server.LimitAnswers(pgfront.AnswerRoom(n.limitMemory()))
 	n.registerHandlers()
 	return nil
 }
--- a/internal/peer/quicpeer/large_answers_test.go
+++ b/internal/peer/quicpeer/large_answers_test.go
@@ -82,6 +82,16 @@
 	must.NoError(t, err)
 }
 
+// TestLargestAnswerPassesInCalm guards against an owner that has less room for its answers to other nodes than the
+// settings give, so that a large one fails although no other is under way.
+func TestLargestAnswerPassesInCalm(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &chargingOwner{}, func(s *Server) { s.LimitAnswers(2 * answerLimits.Common) })
+	h := newTestClient(t, a, "a", RoleNode).Open(address)
+	_, err := h.Serve(t.Context(), newRequest("s", 1, string(make([]byte, 2*answerLimits.Common))))
+	must.NoError(t, err)
+}
+
 // heldAtEnd returns what the answers of server's sessions hold once the sessions have ended.
 func heldAtEnd(server *Server) int {
 	server.mu.Lock()
--- a/internal/peer/quicpeer/server.go
+++ b/internal/peer/quicpeer/server.go
@@ -40,7 +40,8 @@
 	connectionWindow = 64 << 20
 )
 
-// answerLimits bound the answers to the sessions of all other nodes until they are sent, in bytes.
+// answerLimits bound the answers to the sessions of all other nodes until they are sent, in bytes, unless LimitAnswers
+// says otherwise.
 var answerLimits = budget.Limits{Share: 4 << 10, Common: 16 << 20}
 
 // serverConfig returns the configuration of accepted connections. The idle timeout of a connection
@@ -117,6 +118,12 @@
 	}
 }
 
+// LimitAnswers makes size what the answers to the sessions of all other nodes may hold beyond their shares, in bytes. It
+// must be called before Serve.
+func (s *Server) LimitAnswers(size int) {
+	s.answers = budget.New(budget.Limits{Share: answerLimits.Share, Common: size})
+}
+
 // Handle sets the function that handles calls of the given kind from nodes, and from operators
 // too if allowOperators is true. It must be called before Serve.
 func (s *Server) Handle(kind peer.Kind, allowOperators bool, serve peer.ServeFunc) {
--- a/internal/pgfront/room.go
+++ b/internal/pgfront/room.go
@@ -26,6 +26,9 @@
 	statementBudget *budget.Budget
 }
 
+// AnswerRoom returns how much of memory is for answers beyond their sessions' shares, in bytes.
+func AnswerRoom(memory int) int { return memory / answerPart }
+
 func newBudgets(o *Options) budgets {
 	// A buffer may be twice as large as the exchange in it, and one exchange must fit while others come.
 	reads := max(o.Memory/readPart, 4*o.MaxExchangeBytes)
@@ -33,7 +36,7 @@
 	statements.Common = min(statements.Common, o.Memory/statementPart)
 	return budgets{
 		reads:           budget.New(budget.Limits{Share: readShare, Common: reads}),
-		answers:         budget.New(budget.Limits{Share: answerShare, Common: o.Memory / answerPart}),
+		answers:         budget.New(budget.Limits{Share: answerShare, Common: AnswerRoom(o.Memory)}),
 		statementBudget: budget.New(statements),
 	}
 }
