--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -63,6 +63,13 @@
 	return nil
 }
 
+// setAnswerTerms sets how the requests of other nodes are answered: with as much room as those of the node's own callers,
+// and a read as one that may change something at its target.
+func (n *Node) setAnswerTerms() {
+	n.server.LimitAnswers(pgfront.AnswerRoom(n.limitMemory()))
+	n.peers.ReadsHaveEffects = true
+}
+
 func runIdempotent(ctx context.Context, conn target.Conn, req *request.Request) (target.Reply, bool, bool, error) {
 	result, sent, err := idempotency.Execute(ctx, conn, req)
 	return result.Reply, result.Repeated, sent, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,6 @@
 	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/peer"
 	"crocusyoke/internal/peer/quicpeer"
-	"crocusyoke/internal/pgfront"
 	"crocusyoke/internal/platform"
 	"crocusyoke/internal/platform/httpclient"
 	"crocusyoke/internal/requestlog"
@@ -195,7 +194,6 @@
 		return err
 	}
 	n.peers = n.newPeerClient(tlsPeers, sockets.calls)
-	n.peers.ReadsHaveEffects = true
 	store := httpclient.New(s.Platform.URL, nil)
 	n.dialer = pgtarget.New(s.Targets.User, s.Targets.Password, s.Node.Name)
 	n.assembleState(store)
@@ -204,7 +202,7 @@
 		return err
 	}
 	n.server = n.newPeerServer(tlsPeers)
-	n.server.LimitAnswers(pgfront.AnswerRoom(n.limitMemory()))
+	n.setAnswerTerms()
 	n.registerHandlers()
 	return nil
 }
