pgfront: what is skipped does not keep a transaction open

Cause: the limit on the wait within a transaction was set anew before each message that may begin an exchange. A Flush without a batch or a message of COPY is skipped, so a caller that sends one now and then held a transaction and its connection to the primary for ever; before statements had a time limit, the first limit went on. Change: the end of the wait is kept from its beginning. Result: TestSkippedMessagesKeepATransactionOpen fails without the change (90 s, until the caller stopped sending, in place of 20 s) and passes with it.

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -84,6 +84,9 @@
 	// awaitingExchange is true while the next exchange is being read. idle is true if no
 	// transaction was open when that read began, arriving once bytes of the exchange have come.
 	awaitingExchange, idle, arriving bool
+	// idleEnd is when IdleTransactionTimeout ends the wait for the next exchange within a transaction. What is skipped
+	// does not put it off.
+	idleEnd time.Time
 }
 
 func newConn(s *Server, socket net.Conn, visit *gate.Visit) *conn {
--- a/internal/pgfront/reading.go
+++ b/internal/pgfront/reading.go
@@ -50,7 +50,8 @@
 	}
 	c.awaitingExchange = true
 	if !c.idle {
-		c.socket.SetReadDeadline(time.Now().Add(c.options.IdleTransactionTimeout))
+		c.idleEnd = time.Now().Add(c.options.IdleTransactionTimeout)
+		c.socket.SetReadDeadline(c.idleEnd)
 	}
 	return nil
 }
@@ -79,7 +80,7 @@
 	case c.idle:
 		c.socket.SetReadDeadline(time.Time{})
 	default:
-		c.socket.SetReadDeadline(time.Now().Add(c.options.IdleTransactionTimeout))
+		c.socket.SetReadDeadline(c.idleEnd)
 	}
 }
 
