pgfront: a statement that comes whole sets no timer

Cause: the limit on the arrival of a statement was set and cleared for each one, also for one that is read whole at once. Change: the limit is set when a read has to wait for the rest; nothing waits before that. TestStatementThatComesWholeSetsNoDeadline failed before (2 deadlines).

--- a/internal/pgfront/conn.go
+++ b/internal/pgfront/conn.go
@@ -82,7 +82,7 @@
 	// keyWithdrawn is true once the caller's key has been withdrawn.
 	keyWithdrawn bool
 	// awaitingExchange is true while the next exchange is being read. idle is true if no
-	// transaction was open when that read began, arriving once bytes of the exchange have come.
+	// transaction was open when that read began, arriving once it waits for the rest of an exchange.
 	awaitingExchange, idle, arriving bool
 	// idleEnd is when IdleTransactionTimeout ends the wait for the next exchange within a transaction. What is skipped
 	// does not put it off.
--- a/internal/pgfront/exchange.go
+++ b/internal/pgfront/exchange.go
@@ -60,15 +60,13 @@
 
 // read reads one exchange of at most limit bytes: a Query, or an extended query batch up to
 // its Sync or Flush. It skips a Flush without a batch and the messages of COPY. await is called before
-// each message that may be the first one of the exchange.
-func (e *exchange) read(f *messageReader, limit int, await func()) {
+// each message, and told whether that may be the first one of the exchange.
+func (e *exchange) read(f *messageReader, limit int, await func(isFirst bool)) {
 	e.reset()
 	hasBindOrExecute := false
 	for {
 		before := len(e.messages)
-		if before == 0 {
-			await()
-		}
+		await(before == 0)
 		if f.skipsMessage(limit) {
 			continue
 		}
--- a/internal/pgfront/frame.go
+++ b/internal/pgfront/frame.go
@@ -109,6 +109,16 @@
 	return out, true
 }
 
+// hasMessage reports whether the next message has been buffered whole.
+func (f *messageReader) hasMessage() bool {
+	buffered := f.in.Buffered()
+	if buffered < headerLength {
+		return false
+	}
+	head, err := f.in.Peek(headerLength)
+	return err == nil && int64(binary.BigEndian.Uint32(head[1:]))+1 <= int64(buffered)
+}
+
 // skipsMessage drops the next message if it is one of COPY, and reports whether it was. Errors are left to the read
 // that follows.
 func (f *messageReader) skipsMessage(limit int) bool {
--- a/internal/pgfront/idle_test.go
+++ b/internal/pgfront/idle_test.go
@@ -41,3 +41,40 @@
 		})
 	}
 }
+
+// deadlineCounter counts the read deadlines that are set on a connection.
+type deadlineCounter struct {
+	net.Conn
+	count int
+}
+
+func (d *deadlineCounter) SetReadDeadline(t time.Time) error {
+	d.count++
+	return d.Conn.SetReadDeadline(t)
+}
+
+// TestStatementThatComesWholeSetsNoDeadline guards against timers for statements that need no time to arrive, and
+// against one that comes in two pieces without a limit on the second.
+func TestStatementThatComesWholeSetsNoDeadline(t *testing.T) {
+	for pieces, deadlines := range map[int]int{1: 0, 2: 2} {
+		s := New(Options{})
+		near, far := net.Pipe()
+		socket := &deadlineCounter{Conn: near}
+		c := newConn(s, socket, nil)
+		body, err := (&pgproto3.Query{String: "SELECT 1"}).Encode(nil)
+		must.NoError(t, err)
+		var caller sync.WaitGroup
+		caller.Go(func() {
+			for i := range pieces {
+				_, _ = far.Write(body[i*len(body)/pieces : (i+1)*len(body)/pieces])
+			}
+		})
+		e := new(exchange)
+		must.True(t, c.readExchange(e))
+		must.Eq(t, body, e.messages)
+		must.Eq(t, deadlines, socket.count, must.Sprint("pieces ", pieces))
+		caller.Wait()
+		s.stop()
+		must.NoError(t, near.Close())
+	}
+}
--- a/internal/pgfront/reading.go
+++ b/internal/pgfront/reading.go
@@ -18,7 +18,7 @@
 		c.writeFatal(reason)
 		return false
 	}
-	e.read(c.reader, c.options.MaxExchangeBytes, c.awaitStatement)
+	e.read(c.reader, c.options.MaxExchangeBytes, c.awaitMessage)
 	wasArriving, reason := c.endRead()
 	if !errors.Is(e.err, os.ErrDeadlineExceeded) {
 		return true
@@ -56,16 +56,21 @@
 	return nil
 }
 
-// awaitStatement waits for the first byte of an exchange, from which on StatementTimeout limits the read. An error is
-// left to the read that follows.
-func (c *conn) awaitStatement() {
-	c.limitRead(false)
-	if _, err := c.reader.in.Peek(1); err == nil {
+// awaitMessage is called before each message of an exchange. It waits for the first byte of the first one. StatementTimeout
+// limits the read from then on, as soon as it has to wait. An error is left to the read that follows.
+func (c *conn) awaitMessage(isFirst bool) {
+	if isFirst {
+		c.limitRead(false)
+		if _, err := c.reader.in.Peek(1); err != nil {
+			return
+		}
+	}
+	if !c.reader.hasMessage() {
 		c.limitRead(true)
 	}
 }
 
-// limitRead sets the limit on the read of an exchange, which depends on whether bytes of it have come. It changes
+// limitRead sets the limit on the read of an exchange, which depends on whether it waits for the rest of it. It changes
 // nothing if the connection is to be closed.
 func (c *conn) limitRead(arriving bool) {
 	c.mu.Lock()
@@ -84,7 +89,7 @@
 	}
 }
 
-// endRead clears the limit on the read. It returns whether bytes of an exchange had come, and why the connection is to
+// endRead clears the limit on the read. It returns whether it waited for the rest of an exchange, and why the connection is to
 // be closed, or nil.
 func (c *conn) endRead() (wasArriving bool, reason *request.Refusal) {
 	c.mu.Lock()
