Evacuation: transactions whose target has left the configuration end

Cause: a group passed evacuations on to its present targets only. A transaction stays pinned to its connection when its target leaves the configuration, alone or with the whole service, and went on in a failure domain that was evacuated then. Change: the targets of open transactions hear of evacuations too. Their transactions end at once: nothing polls such a target, so the time at which this node hears is not known. Result: TestEvacuationEndsTransactionsOfFormerTargets; it failed before, and fails without each of the two parts.

--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"crocusyoke/internal/request"
@@ -25,6 +26,15 @@
 		"transactions", m.schedule.OpenTransactions())
 }
 
+// evacuateFormer applies the evacuations to the targets of open transactions that the group no longer has. g.mu is held.
+func (g *group) evacuateFormer() {
+	for _, tx := range g.transactions {
+		if m := tx.member; !g.hasMember(m) {
+			g.setEvacuated(m, slices.Contains(g.config.EvacuatedDomains, m.target.Domain))
+		}
+	}
+}
+
 // awaitNewSlot is awaitSlot for r's current placement. It returns a retryable refusal if the target is
 // evacuated before it grants the slot.
 func (g *group) awaitNewSlot(ctx context.Context, r *execution) *request.Refusal {
@@ -88,9 +98,12 @@
 	return hasSuccessor, anyEvacuated && allWithdrawn
 }
 
-// endsByEvacuation reports whether tx is at an evacuated target and its time there is over. g.mu is held.
+// endsByEvacuation reports whether tx is at an evacuated target and its time there is over. It has none at a target that
+// the group no longer has: without polls of it this node may hear of the order late. g.mu is held.
 func (g *group) endsByEvacuation(now time.Time, tx *transaction) bool {
-	if !tx.member.evacuation.EndsTransactions(now, g.options.EvacuationBound) {
+	evacuation := &tx.member.evacuation
+	isFormer := evacuation.IsEvacuated() && !g.hasMember(tx.member)
+	if !isFormer && !evacuation.EndsTransactions(now, g.options.EvacuationBound) {
 		return false
 	}
 	if !tx.aborting {
--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -256,3 +256,36 @@
 		must.NoError(t, nearby())
 	})
 }
+
+// TestEvacuationEndsTransactionsOfFormerTargets guards against a transaction that goes on in an evacuated failure domain
+// because its target has left the configuration, alone or with all others, so that nothing polls and time passes unseen.
+func TestEvacuationEndsTransactionsOfFormerTargets(t *testing.T) {
+	for _, remaining := range []int{2, 0} {
+		withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+			h.evacuate()
+			primary := h.group.targets[0]
+			begin := h.request(request.KindBegin, "BEGIN", time.Second)
+			_, err := h.serve(begin)
+			must.NoError(t, err)
+			config := *h.group.Current()
+			config.Groups = []fleet.Group{config.Groups[0]}
+			config.Groups[0].Targets = config.Groups[0].Targets[len(config.Groups[0].Targets)-remaining:]
+			h.group.config.Store(&config)
+			inside := nextRequest(begin, request.KindInTransaction, "SELECT early")
+			_, err = h.serve(inside)
+			must.NoError(t, err)
+			evacuated := config
+			evacuated.EvacuatedDomains = []string{"a"}
+			h.group.config.Store(&evacuated)
+			time.Sleep(4 * time.Second)
+			late := nextRequest(inside, request.KindInTransaction, "SELECT late")
+			late.Deadline = time.Now().Add(time.Second)
+			_, err = h.serve(late)
+			mustRefuse(t, err, request.CodeTransactionLost)
+			time.Sleep(time.Second)
+			must.Zero(t, primary.count("SELECT late")+primary.count("ROLLBACK"))
+			_, open := primary.connections()
+			must.Zero(t, open)
+		})
+	}
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -127,6 +127,7 @@
 			m.close()
 		}
 	}
+	g.evacuateFormer()
 	g.evidence.SetTargets(names)
 	g.candidates = make([]choose.Candidate, len(g.members))
 }
