Cold targets: a statement of a transaction asks for the lease again once it has its slot

Cause: a statement of a transaction was counted, and the lease asked for, before it waited for its slot, which may take until its deadline. A node that lost its lease meanwhile sent what it had queued, on top of the next holder's share; with two former holders that passes the bound. Change: a counted statement that has its slot asks again; without a share it ends the transaction, by closing its connection. Result: TestLateStatementAtAColdTarget; it failed before.

--- a/internal/owner/cold.go
+++ b/internal/owner/cold.go
@@ -241,15 +241,29 @@
 		wait := g.coldStatementWait(tx.member, now)
 		deadline, ok := ctx.Deadline()
 		if ctx.Err() != nil || wait <= 0 || ok && deadline.Sub(now) < wait {
-			g.manager.counts.coldRefused.Add(1)
-			g.abort(tx)
-			return false, request.Refuse(request.CodeTransactionLost, "transaction", tx.member.name,
-				"the target has just started and gets few requests; rolled back").WithRetryAfter(coldRetryAfter)
+			return false, g.refuseColdStatement(tx)
 		}
 		_ = g.options.Clock.Sleep(ctx, min(wait, coldRecheck))
 	}
 }
 
+// refuseLateCold returns the refusal of a counted statement of tx that has its slot, if this node no longer has a share of
+// the target, or nil. A refusal ends tx.
+func (g *group) refuseLateCold(tx *transaction) *request.Refusal {
+	if admitted, _ := g.tryAdmitCold(tx.member, tx.conn, true); admitted {
+		return nil
+	}
+	return g.refuseColdStatement(tx)
+}
+
+// refuseColdStatement ends tx and returns the refusal of its statement.
+func (g *group) refuseColdStatement(tx *transaction) *request.Refusal {
+	g.manager.counts.coldRefused.Add(1)
+	g.abort(tx)
+	return request.Refuse(request.CodeTransactionLost, "transaction", tx.member.name,
+		"the target has just started and gets few requests; rolled back").WithRetryAfter(coldRetryAfter)
+}
+
 // coldStatementWait returns how long a statement waits for room at m, 0 if this node has no share of it.
 func (g *group) coldStatementWait(m *member, now time.Time) time.Duration {
 	g.mu.Lock()
--- a/internal/owner/cold_test.go
+++ b/internal/owner/cold_test.go
@@ -320,3 +320,27 @@
 		must.Eq(t, 0, h.group.targets[0].count("INSERT late")+h.group.targets[0].count("ROLLBACK"))
 	})
 }
+
+// TestLateStatementAtAColdTarget guards against a statement of a transaction that waits for its slot until this node has
+// lost its lease and is sent all the same, on top of the share of the next holder.
+func TestLateStatementAtAColdTarget(t *testing.T) {
+	withColdFleet(t, []string{"db0"}, func(h *harness, f *coldFleet) {
+		begin := h.request(request.KindBegin, "BEGIN", time.Second)
+		_, err := h.serve(begin)
+		must.NoError(t, err)
+		primary := h.group.targets[0]
+		primary.update(func(f *fakeTarget) { f.serviceTime = 2 * time.Second })
+		for range fakeSlots {
+			go func() { _, _ = h.serve(h.request(request.KindBegin, "BEGIN", 10*time.Second)) }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		primary.update(func(f *fakeTarget) { must.Eq(t, fakeSlots, f.running) })
+		time.AfterFunc(time.Second, func() { f.holder.Store("nobody") })
+		late := nextRequest(begin, request.KindInTransaction, "INSERT late")
+		late.Deadline = time.Now().Add(10 * time.Second)
+		_, err = h.serve(late)
+		mustRefuse(t, err, request.CodeTransactionLost)
+		time.Sleep(5 * time.Second)
+		must.Zero(t, primary.count("INSERT late")+primary.count("ROLLBACK"))
+	})
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -66,7 +66,7 @@
 	}
 	var o exchangeResult
 	var kept bool
-	if contain.Step(g.options.Logger, "serve statement", func() { o, kept, refusal = g.runStatement(ctx, req, tx, slot) }) {
+	if contain.Step(g.options.Logger, "serve statement", func() { o, kept, refusal = g.runStatement(ctx, req, tx, slot, counted) }) {
 		g.abandonTransaction(tx, slot)
 		return nil, request.Refuse(request.CodeOutcomeUnknown, "exchange", tx.member.name, "the statement panicked")
 	}
@@ -81,9 +81,9 @@
 	return response, refusal
 }
 
-// runStatement waits for slot and runs a statement of tx, which it leaves idle or ended. kept reports
-// whether tx is still open. A refusal means that nothing was sent.
-func (g *group) runStatement(ctx context.Context, req *request.Request, tx *transaction, slot *slotWaiter) (o exchangeResult, kept bool, refusal *request.Refusal) {
+// runStatement waits for slot and runs a statement of tx, which it leaves idle or ended. counted is true if it is counted
+// at a cold target. kept reports whether tx is still open. A refusal means that nothing was sent.
+func (g *group) runStatement(ctx context.Context, req *request.Request, tx *transaction, slot *slotWaiter, counted bool) (o exchangeResult, kept bool, refusal *request.Refusal) {
 	m := tx.member
 	if refusal := g.awaitSlot(ctx, m, slot); refusal != nil {
 		g.endUnsentStatement(tx)
@@ -94,7 +94,11 @@
 		g.endUnsentStatement(tx)
 		return o, true, request.Refuse(request.CodeTimeout, "exchange", m.name, "time ran out before anything was sent")
 	}
-	if refusal := g.refuseEvacuated(tx); refusal != nil {
+	refusal = g.refuseEvacuated(tx)
+	if refusal == nil && counted {
+		refusal = g.refuseLateCold(tx)
+	}
+	if refusal != nil {
 		g.freeSlot(m, slot, schedule.TransactionUnchanged)
 		g.endUnsentStatement(tx)
 		return o, true, refusal
