Evacuation: a second hand-over is awaited as the first one

Cause: the time from which a hand-over is expected to end ran from the first request that found the primary evacuated, until a primary served one. If none did, as after an evacuation of all domains that was taken back, the first write of the next evacuation, however much later, found the hand-over late and was refused at once. Change: the time starts again when a target is evacuated or taken back. Result: TestSecondHandoverIsAwaited; it failed before.

--- a/internal/owner/evacuate/evacuate.go
+++ b/internal/owner/evacuate/evacuate.go
@@ -75,7 +75,7 @@
 	since time.Time
 }
 
-// End records that a primary serves requests.
+// End records that a primary serves requests, or that other targets are evacuated than before.
 func (h *Handover) End() { h.since = time.Time{} }
 
 // Wait returns how long a request that must end by deadline may wait for another primary. If wait is 0, the
--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -15,6 +15,7 @@
 		return
 	}
 	m.isEvacuated.Store(evacuated)
+	g.handover.End()
 	if evacuated {
 		m.endInUse()
 	} else {
--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -212,6 +212,23 @@
 	})
 }
 
+// TestSecondHandoverIsAwaited guards against a write that is refused at the start of a hand-over, as if that were late,
+// because of an earlier evacuation during which a write was refused and none was served since.
+func TestSecondHandoverIsAwaited(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, func(o *Options) { o.FailFastWithoutPrimary = true }, func(h *harness) {
+		h.evacuate("a", "b", "c")
+		_, err := h.serve(h.request(request.KindWrite, "INSERT 1", time.Second))
+		mustRefuse(t, err, request.CodeNoTarget)
+		h.evacuate()
+		time.Sleep(time.Minute)
+		h.evacuate("a")
+		time.AfterFunc(700*time.Millisecond, func() { h.group.promote(1, 2) })
+		response, err := h.serve(h.request(request.KindWrite, "INSERT 2", 5*time.Second))
+		must.NoError(t, err)
+		must.Eq(t, "db1", response.Target)
+	})
+}
+
 // TestTakenBackTargetsServeAgain checks that a target that was taken back gets no work while others are free, gets
 // some under a load that needs it, and its share again after the ramp.
 func TestTakenBackTargetsServeAgain(t *testing.T) {
