--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -64,6 +64,14 @@
 	// RecallsLoan is true if the report recalls an earlier loan. Once it has been answered, the
 	// coordinator no longer counts the share.
 	RecallsLoan bool `cbor:"6,keyasint,omitempty"`
+	// Lapses is true if the node has no share of its own, so that it holds nothing more once GrantTTL has
+	// passed since it sent its last report.
+	Lapses bool `cbor:"7,keyasint,omitempty"`
+	// Urgent is how many of the node's most urgent requests wait for a token, Priority their priority, and
+	// Least the least urgent priority in use at the node. A lower number is more urgent.
+	Urgent   float64 `cbor:"8,keyasint,omitempty"`
+	Priority int     `cbor:"9,keyasint,omitempty"`
+	Least    int     `cbor:"10,keyasint,omitempty"`
 }
 
 // Account holds one customer's tokens on one node.
@@ -83,6 +91,8 @@
 	share        Share
 	usesOwnShare bool
 	filledAt     time.Time
+	// unused is how long nobody had used the share when the Account was created.
+	unused time.Duration
 
 	coordinator string
 	// knownHeld is the number of tokens that the coordinator believes this node to hold.
@@ -92,6 +102,8 @@
 	lentUntil time.Time
 	// unanswered counts the consecutive reports without an answer.
 	unanswered int
+	// forgetsLapsed is true if the coordinator stops counting what lapses by itself (see Report.Lapses).
+	forgetsLapsed bool
 
 	// demand is in requests per second, as of demandAt.
 	demand   float64
@@ -107,6 +119,7 @@
 	// the node asks for them again at nextAskAt at the earliest, askBackoff after an answer that
 	// granted too few.
 	waiting    int
+	line       line
 	nextAskAt  time.Time
 	askBackoff time.Duration
 }
@@ -116,6 +129,15 @@
 	return &Account{demandAt: now, filledAt: now}
 }
 
+// NewUnusedAccount is NewAccount for a node whose process has run since startedAt, and has neither used nor lent
+// its share. What an earlier process of the node lent has ended LoanTTL and LoanSafetyMargin after
+// startedAt. From then on nobody has used the share, and it has earned tokens.
+func NewUnusedAccount(startedAt, now time.Time) *Account {
+	a := NewAccount(now)
+	a.unused = max(0, now.Sub(startedAt.Add(LoanTTL+LoanSafetyMargin)))
+	return a
+}
+
 // Configure changes the limit. A lower burst reduces the tokens in proportion.
 func (a *Account) Configure(limit Limit, now time.Time) {
 	a.fill(now)
@@ -129,6 +151,11 @@
 func (a *Account) SetShare(share Share, now time.Time) {
 	a.fill(now)
 	a.share = share
+	if share.Own > 0 && a.unused > 0 {
+		a.usesOwnShare = !now.Before(a.lentUntil)
+		a.tokens = max(a.tokens, min(a.burstShare(), a.unused.Seconds()*a.limit.Rate*share.Own))
+		a.unused = 0
+	}
 }
 
 // AssumeLent makes the account treat its share as lent to the current coordinator: for a customer
@@ -142,6 +169,7 @@
 	if name != a.coordinator {
 		a.coordinator = name
 		a.knownHeld = 0
+		a.forgetsLapsed = false
 		a.nextAskAt = time.Time{}
 		a.unanswered = maxUnanswered
 	}
@@ -163,10 +191,15 @@
 }
 
 // enforceHoldLimit discards the tokens above the hold limit. Without an answer from the
-// coordinator within GrantTTL, the limit is the node's own share of the burst.
+// coordinator within GrantTTL, the limit is the node's own share of the burst. It doesn't rise to that
+// while the share is lent, since the coordinator counts no more than what the node stated.
 func (a *Account) enforceHoldLimit(now time.Time) {
 	if now.Sub(a.holdLimitAt) > GrantTTL {
-		a.holdLimit = a.burstShare()
+		limit := a.burstShare()
+		if !a.usesOwnShare {
+			limit = min(limit, a.holdLimit)
+		}
+		a.holdLimit = limit
 	}
 	a.tokens = max(0, min(a.tokens, a.holdLimit-a.pending))
 }
@@ -249,7 +282,7 @@
 	if leaving {
 		wanted = 0
 	}
-	r := Report{Customer: customer}
+	r := Report{Customer: customer, Lapses: !a.IsShareholder()}
 	if keep := wanted * returnThreshold; a.tokens > keep && a.unanswered < maxUnanswered {
 		r.Returned = returnable(a.tokens, wanted)
 		a.tokens -= r.Returned
@@ -257,6 +290,7 @@
 	a.requested = wanted - a.tokens
 	r.Held = a.held()
 	r.Wanted = wanted + a.pending
+	r.Priority, r.Urgent, r.Least = a.urgent(now)
 	if a.canLend(borrower, now) {
 		r.Lent = true
 		a.lentUntil = now.Add(LoanTTL + LoanSafetyMargin)
@@ -273,41 +307,6 @@
 	return math.Floor(tokens - wanted)
 }
 
-// IsLentElsewhere reports whether the share is still lent to borrower, a former coordinator.
-func (a *Account) IsLentElsewhere(borrower string, now time.Time) bool {
-	return borrower != "" && borrower != a.coordinator && now.Before(a.lentUntil)
-}
-
-// RecallReport returns the report that recalls the loan from a former coordinator.
-func (a *Account) RecallReport(customer string, now time.Time) Report {
-	a.advance(now)
-	a.requested = 0
-	return Report{Customer: customer, Held: a.held(), RecallsLoan: true}
-}
-
-// ConfirmRecall records that the former coordinator has answered the report that RecallReport
-// returned. The node may use or lend its share again after GrantTTL, or when the loan ends for
-// the lender if that is earlier. By then no node holds tokens that were granted while the
-// share was lent.
-func (a *Account) ConfirmRecall(now time.Time) {
-	a.lentUntil = earlier(a.lentUntil, now.Add(GrantTTL))
-	a.unanswered = 0
-	a.advance(now)
-}
-
-// IsShareholder reports whether the node is entitled to a share of the customer's limit.
-func (a *Account) IsShareholder() bool { return a.share.Own > 0 }
-
-// canLend reports whether the share may be lent to the current coordinator. This node must be
-// a shareholder, the coordinator must have answered the last report, and either the share was
-// last lent to this coordinator or the last loan has ended.
-func (a *Account) canLend(borrower string, now time.Time) bool {
-	if a.share.Own <= 0 || a.unanswered >= maxUnanswered {
-		return false
-	}
-	return borrower == a.coordinator || !now.Before(a.lentUntil)
-}
-
 // ApplyGrant applies the coordinator's answer to a report that was sent at sentAt. held is the
 // report's Held. tokens is negative if the node must give up tokens.
 func (a *Account) ApplyGrant(tokens, held float64, sentAt, now time.Time) {
@@ -329,6 +328,9 @@
 	}
 	a.askBackoff = min(maxAskBackoff, max(minAskBackoff, 2*a.askBackoff))
 	a.nextAskAt = now.Add(a.askBackoff)
+	if priority, waiting := a.line.first(); waiting > 0 && a.IsPreferred(priority, now) {
+		a.nextAskAt = now.Add(minAskBackoff)
+	}
 }
 
 // minAskBackoff and maxAskBackoff bound the time after which a node asks again for tokens that
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -47,7 +48,9 @@
 type HostedOptions struct {
 	Settings *settings.Settings
 	Store    HostedStore
-	Decoder  catalog.Decoder
+	// StoreCalls holds the calls to Store, counted by kind; it may be nil.
+	StoreCalls expvar.Var
+	Decoder    catalog.Decoder
 	// ConfigurationKey is the key of the row that holds the configuration.
 	ConfigurationKey string
 	// EvacuationPrefix is what the keys of the rows start with that evacuate a failure domain each.
@@ -123,6 +126,7 @@
 		return nil, err
 	}
 	n.fingerprint = quicpeer.Fingerprint(tls)
+	n.storeCalls = h.StoreCalls
 	n.peers = n.newPeerClient(tls, sockets.calls)
 	n.peers.Accept = n.canAnswerAt
 	n.peers.SeparateCalls = func() bool { return len(n.membership.View().Members) > reader.MaxAllReaders }
@@ -182,6 +186,7 @@
 		Random:         mathrand.New(mathrand.NewPCG(seed(), seed())),
 		RemovableNodes: n.nodesToRemove,
 		KnownRow:       config.NodeRow,
+		OnAnswer:       config.ObserveStoreAnswer,
 		FirstStart:     h.FirstStart,
 	})
 }
@@ -292,6 +297,7 @@
 		NewCodec:       h.NewCodec,
 		Rollback:       h.Rollback,
 		MaxConnections: n.settings.Callers.MaxConnections,
+		Priorities:     n.settings.Policy.Priorities,
 	})
 }
 
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -106,7 +106,9 @@
 	// Split is 0 where groups have owners. In the baseline without owners it is the number
 	// of nodes among which each target's slots and connections are divided evenly.
 	Split int
-	Times Times
+	// Priorities orders requests by their Priority wherever they wait for a slot or a connection or are refused.
+	Priorities bool
+	Times      Times
 	// EvacuationBound is how long after an evacuation was ordered requests may still reach the targets; 0 means
 	// evacuate.DefaultBound.
 	EvacuationBound time.Duration
@@ -178,7 +180,7 @@
 	options.IdempotentBegin = options.IdempotentBegin.contained()
 	return &Manager{
 		options:   options,
-		counts:    newCounters(),
+		counts:    newCounters(options.Priorities),
 		groups:    make(map[string]*group),
 		owned:     make(map[string]bool),
 		reads:     make(map[string]bool),
@@ -200,7 +202,7 @@
 			return response, nil
 		}
 	}
-	m.counts.countRefusal(refusal)
+	m.recordRefusal(req, refusal)
 	return nil, refusal
 }
 
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -78,6 +78,7 @@
 	m.schedule = schedule.New(schedule.Options{
 		Policy:              g.options.Scheduling,
 		Slots:               slots,
+		Priorities:          g.options.Priorities,
 		MaxOpenTransactions: maxOpenTransactions(limit, slots),
 	})
 	m.perCustomer = commands.PerCustomer
@@ -175,7 +176,7 @@
 		Last:         m.readablePosition,
 		Age:          now.Sub(m.coveredAt),
 		AgeKnown:     m.coveredKnown,
-		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight) + m.evacuation.Surcharge(now),
+		ExpectedWait: m.schedule.ExpectedWait(now, req.Customer, req.Weight, req.Priority) + m.evacuation.Surcharge(now),
 		ErrorShare:   m.errorShare,
 	}
 	m.markCold(now, &c)
@@ -203,6 +204,7 @@
 	w.item = schedule.Item{
 		Customer: req.Customer,
 		Weight:   req.Weight,
+		Priority: req.Priority,
 		Class:    class,
 		Deadline: deadline,
 		Value:    w,
@@ -226,6 +228,8 @@
 		return withPeer(refusal, m)
 	default:
 	}
+	u := &g.manager.counts.urgency
+	u.count(&u.waited, w.item.Priority)
 	select {
 	case refusal := <-w.decided:
 		return withPeer(refusal, m)
@@ -261,20 +265,3 @@
 	}
 	return refusal
 }
-
-// connectTimeout is how long a request waits for a connection to one target before it is
-// placed again, possibly on another target.
-const connectTimeout = 300 * time.Millisecond
-
-// connection gets a connection that may serve customer from m's pool, within connectTimeout.
-func (m *member) connection(ctx context.Context, customer string) (*pool.Conn, error) {
-	if !m.perCustomer {
-		customer = ""
-	}
-	if conn := m.pool.TryGet(customer); conn != nil {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	return m.pool.Get(ctx, customer)
-}
--- a/internal/pgfront/bench_test.go
+++ b/internal/pgfront/bench_test.go
@@ -34,10 +34,10 @@
 
 func (i *instantOwner) Allows(string, region.Set) bool { return true }
 
-func (i *instantOwner) Doubt(string)                                        {}
-func (i *instantOwner) Open(string) request.Handler                         { return i }
-func (i *instantOwner) Admit(context.Context, string) (bool, time.Duration) { return true, 0 }
-func (i *instantOwner) Settle(string, bool)                                 {}
+func (i *instantOwner) Doubt(string)                                             {}
+func (i *instantOwner) Open(string) request.Handler                              { return i }
+func (i *instantOwner) Admit(context.Context, string, int) (bool, time.Duration) { return true, 0 }
+func (i *instantOwner) Settle(string, bool)                                      {}
 
 // benchClient is a caller connected to a Server with the whole filter chain.
 type benchClient struct {
