--- a/internal/peer/quicpeer/fields_test.go
+++ b/internal/peer/quicpeer/fields_test.go
@@ -44,15 +44,15 @@
 	}
 }
 
-// recordingOwner keeps the last request and answers with response.
+// recordingOwner passes on the requests that it gets and answers with response.
 type recordingOwner struct {
 	stubOwner
-	got      *request.Request
+	requests chan *request.Request
 	response request.Response
 }
 
 func (o *recordingOwner) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
-	o.got = req
+	o.requests <- req
 	response := o.response
 	response.ID = req.ID
 	return &response, nil
@@ -63,7 +63,7 @@
 // filled, also those that are added later. The deadline is the owner's: that of the remaining time.
 func TestEveryFieldCrossesTheLink(t *testing.T) {
 	a := newAuthority(t)
-	o := &recordingOwner{}
+	o := &recordingOwner{requests: make(chan *request.Request, 1)}
 	number := 0
 	fill(t, reflect.ValueOf(&o.response).Elem(), &number)
 	address, _ := startServer(t, a, o)
@@ -77,10 +77,10 @@
 	for _, sent := range []*request.Request{&first, &second, &third} {
 		response, err := h.Serve(t.Context(), sent)
 		must.NoError(t, err)
-		must.Between(t, 0, sent.Deadline.Sub(o.got.Deadline).Abs(), 5*time.Second)
-		want, got := *sent, *o.got
-		got.Deadline = want.Deadline
-		must.Eq(t, want, got)
+		got := <-o.requests
+		must.Between(t, 0, sent.Deadline.Sub(got.Deadline).Abs(), 5*time.Second)
+		got.Deadline = sent.Deadline
+		must.Eq(t, sent, got)
 		answer := o.response
 		answer.ID = sent.ID
 		must.Eq(t, &answer, response)
