Readers: limits of connections count all readers also right after a new configuration

Cause: the limits of a target's connections were applied while the group's members were still being listed, and so left out the connections that are reserved for the readers of the domains that come later. Change: the limits are applied once all members are listed.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -122,19 +122,19 @@
 			m.close()
 		}
 	}
+	g.resizeAll()
 	g.evacuateFormer()
 	g.evidence.SetTargets(names)
 	g.candidates = make([]choose.Candidate, len(g.members))
 }
 
-// memberFor returns the member for t: the one in old with the same name and address, or else
+// memberFor returns the member for t, whose limits are still to be applied: the one in old with the same name and address, or else
 // a new one. g.mu is held.
 func (g *group) memberFor(old []*member, t *fleet.Target) *member {
 	for _, m := range old {
 		if m.name == t.Name && m.target.Address == t.Address {
 			m.target = *t
 			g.setEvacuated(m, t.Evacuated)
-			g.resize(m)
 			return m
 		}
 	}
--- a/internal/owner/reader_test.go
+++ b/internal/owner/reader_test.go
@@ -75,3 +75,24 @@
 		}
 	}
 }
+
+// TestLimitsKeepWithANewConfiguration guards against limits that count only a part of the readers each time that a
+// configuration comes, so that the nodes together hold more connections than a target allows.
+func TestLimitsKeepWithANewConfiguration(t *testing.T) {
+	change := func(o *Options) { o.HasReader = func(_, domain string) bool { return domain != "a" } }
+	withHarness(t, time.Millisecond, change, func(h *harness) {
+		h.evacuate()
+		time.Sleep(time.Second)
+		g := h.manager.groups["ledger"]
+		h.evacuate()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		before := g.members[0].pool.Stats().Limit
+		g.refresh()
+		for _, m := range g.members {
+			_, want := g.limits(&m.target)
+			must.Eq(t, before, want)
+			must.Eq(t, want, m.pool.Stats().Limit)
+		}
+	})
+}
