Tests of readers, homes and cold targets: guards that no test would have missed

Cause: fourteen guards of owner, choose, route and home, broken one at a time, were seen by no test of their packages: among them that a read is marked nearby for its reader alone, that the link ends whose transaction's beginning was not answered, that a waiting request is checked again against its homes, that a reader's connections are an owner's only in its own domain, and that without a configuration nothing goes on. Change: tests of these; existing tests only gain checks. Result: each of the fourteen, broken again, is seen. Not covered: link.homes in route (saves a look-up only) and the check for a stopping node in isReopened (groupOf checks again).

--- a/internal/filter/home/home_test.go
+++ b/internal/filter/home/home_test.go
@@ -14,7 +14,7 @@
 // last is a handler that keeps the last request, and the source of its configuration.
 type last struct {
 	req    *request.Request
-	config fleet.Config
+	config *fleet.Config
 }
 
 func (l *last) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
@@ -24,12 +24,12 @@
 
 func (l *last) End(string) {}
 
-func (l *last) Current() *fleet.Config { return &l.config }
+func (l *last) Current() *fleet.Config { return l.config }
 
 // TestRequestHasTheHomesOfBoth guards against a request that is bound to the homes of its service or its customer
 // alone, and against one that goes on though they have no home in common.
 func TestRequestHasTheHomesOfBoth(t *testing.T) {
-	next := &last{config: fleet.Config{
+	next := &last{config: &fleet.Config{
 		Services: []fleet.Service{{Name: "free"}, {Name: "ledger", HomeRegions: []string{"east", "west"}}},
 		Customers: []fleet.Customer{
 			{Name: "any"},
@@ -64,4 +64,7 @@
 	homes, err := serve("ledger", "north", request.KindCommit)
 	must.NoError(t, err)
 	must.Eq(t, region.None, homes)
+	next.config = nil
+	_, err = serve("free", "any", request.KindRead)
+	must.Eq(t, request.CodeOutsideHome, request.AsRefusal(err).Code)
 }
--- a/internal/filter/route/reader_test.go
+++ b/internal/filter/route/reader_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/logpos"
 	"crocusyoke/internal/request"
 )
 
@@ -39,6 +40,7 @@
 	f, fleetNodes, _ := newFleetWithReader()
 	must.NoError(t, sendTo(f, request.KindRead, fleet.ReadsAge))
 	must.Eq(t, 1, fleetNodes.nodes["b"].served)
+	must.True(t, fleetNodes.nodes["b"].nearby)
 	must.NoError(t, sendTo(f, request.KindWrite, fleet.ReadsAge))
 	must.NoError(t, sendTo(f, request.KindRead, fleet.ReadsPrimary))
 	must.NoError(t, send(f, request.KindRead))
@@ -67,6 +69,8 @@
 			must.NoError(t, sendTo(f, kind, fleet.ReadsAge), must.Sprint(c.code.Name))
 		}
 		must.Eq(t, 2, fleetNodes.nodes["a"].served)
+		must.False(t, fleetNodes.nodes["a"].nearby)
+		must.Eq(t, c.code == request.CodeNoOwner, len(fleetNodes.doubted) > 0)
 		must.Eq(t, c.declined, min(readers.declined, 1), must.Sprint(c.code.Name))
 	}
 	f, fleetNodes, _ := newFleetWithReader()
@@ -111,3 +115,40 @@
 	must.Eq(t, 1, fleetNodes.nodes["a"].ended)
 	must.Eq(t, 0, fleetNodes.nodes["b"].served)
 }
+
+// TestBeginningWithoutAnAnswerEndsTheLink guards against a read-only transaction that stays open at the reader, and gets
+// the session's later reads, because its beginning was not answered and the owner has begun another one.
+func TestBeginningWithoutAnAnswerEndsTheLink(t *testing.T) {
+	f, fleetNodes, _ := newFleetWithReader()
+	fleetNodes.nodes["b"].err = request.Refuse(request.CodeOutcomeUnknown, "peer", "b", "stream lost")
+	fleetNodes.nodes["a"].opens = true
+	must.NoError(t, sendTo(f, request.KindBeginRead, fleet.ReadsAge))
+	must.Eq(t, 1, fleetNodes.nodes["b"].ended)
+	must.NoError(t, sendTo(f, request.KindInTransaction, fleet.ReadsAge))
+	must.Eq(t, 2, fleetNodes.nodes["a"].served)
+	must.Eq(t, 1, fleetNodes.nodes["b"].served)
+}
+
+// TestReadsFollowTheReader checks that a session's reads go to the present reader, and what they tell of it.
+func TestReadsFollowTheReader(t *testing.T) {
+	f, fleetNodes, readers := newFleetWithReader()
+	must.NoError(t, sendTo(f, request.KindRead, fleet.ReadsAge))
+	readers.address = "a"
+	must.NoError(t, sendTo(f, request.KindRead, fleet.ReadsAge))
+	must.Eq(t, 1, fleetNodes.nodes["b"].served)
+	must.Eq(t, 1, fleetNodes.nodes["b"].ended)
+	must.True(t, fleetNodes.nodes["a"].nearby)
+	readers.address = "b"
+	fleetNodes.nodes["b"].err = request.Refuse(request.CodeNoTarget, "choose", "b", "behind the session's position")
+	behind := &request.Request{
+		ID: request.ID{Session: "s"}, Kind: request.KindRead, Profile: fleet.Profile{Reads: fleet.ReadsAge},
+		MinPosition: logpos.Position{Term: 1, Index: 7}, MinPositionKnown: true,
+	}
+	_, err := f.Serve(t.Context(), behind)
+	must.NoError(t, err)
+	must.Eq(t, 0, readers.declined)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = f.Serve(ended, behind)
+	must.Eq(t, request.CodeNoTarget, codeOf(err))
+}
--- a/internal/filter/route/route_test.go
+++ b/internal/filter/route/route_test.go
@@ -16,10 +16,13 @@
 	err           error
 	// opens is true if a read-only transaction is opened here too.
 	opens bool
+	// nearby is Nearby of the last request.
+	nearby bool
 }
 
 func (n *fakeNode) Serve(_ context.Context, req *request.Request) (*request.Response, error) {
 	n.served++
+	n.nearby = req.Nearby
 	if n.err != nil {
 		return nil, n.err
 	}
--- a/internal/owner/choose/nearby_test.go
+++ b/internal/owner/choose/nearby_test.go
@@ -32,3 +32,17 @@
 	c[primary].ExpectedWait = time.Second
 	must.Eq(t, freshReplica, Choose(q, c).Target)
 }
+
+// TestPrimaryWithoutAShareIsPassedOver guards against a read that goes to a primary that has just started and of which this
+// node has no share, while a replica may serve it.
+func TestPrimaryWithoutAShareIsPassedOver(t *testing.T) {
+	q := criteria("session")
+	q.Primary = primary
+	c := candidates()
+	c[freshReplica].ExpectedWait = time.Second
+	must.Eq(t, primary, Choose(q, c).Target)
+	c[primary].NoShare = true
+	must.Eq(t, freshReplica, Choose(q, c).Target)
+	q.Read = false
+	must.Eq(t, noTarget, Choose(q, c))
+}
--- a/internal/owner/homes_test.go
+++ b/internal/owner/homes_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"crocusyoke/internal/fleet"
+	"crocusyoke/internal/owner/schedule"
 	"crocusyoke/internal/region"
 	"crocusyoke/internal/request"
 )
@@ -90,3 +91,23 @@
 		must.GreaterEq(t, fakeSlots, owners)
 	})
 }
+
+// TestPlacementEndsWithAMove checks that a request that has its slot is placed again if its target is no longer in one of
+// its homes.
+func TestPlacementEndsWithAMove(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, spread, func(h *harness) {
+		g := h.manager.groups["ledger"]
+		r := &execution{req: h.request(request.KindRead, "SELECT", time.Second), startedAt: time.Now()}
+		r.req.HomeRegions = region.NewSet([]string{"B"})
+		must.Nil(t, g.place(context.Background(), r))
+		must.Nil(t, g.awaitNewSlot(context.Background(), r))
+		must.True(t, g.isPlacementValid(r))
+		config := *h.group.Current()
+		config.Groups = []fleet.Group{config.Groups[0]}
+		config.Groups[0].Targets = append([]fleet.Target(nil), config.Groups[0].Targets...)
+		config.Groups[0].Targets[1].Domain = "c"
+		h.group.config.Store(&config)
+		must.False(t, g.isPlacementValid(r))
+		g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
+	})
+}
--- a/internal/owner/reader_test.go
+++ b/internal/owner/reader_test.go
@@ -96,3 +96,38 @@
 		}
 	})
 }
+
+// TestReaderHoldsConnectionsInItsDomain checks that a reader that does not own its group may hold as many connections as an
+// owner only to the targets of its own failure domain, and only while it is the reader. A release that waits ends when it
+// becomes the reader.
+func TestReaderHoldsConnectionsInItsDomain(t *testing.T) {
+	withHarness(t, time.Millisecond, func(o *Options) { o.HasReader = func(string, string) bool { return false } }, func(h *harness) {
+		h.evacuate()
+		reader := New(Options{Self: "n2", Domain: "b", Dialer: pollableGroup{h.group}, Config: h.group, HasReader: h.manager.options.HasReader})
+		limits := func() []int {
+			time.Sleep(time.Second)
+			var all []int
+			for _, m := range reader.groups["ledger"].members {
+				all = append(all, m.pool.Stats().Limit)
+			}
+			return all
+		}
+		half := dataConnectionLimit(fakeConnections, false)
+		reader.SetReads("ledger", true)
+		begin := h.request(request.KindBegin, "BEGIN", time.Minute)
+		_, err := reader.Serve(context.Background(), begin)
+		must.NoError(t, err)
+		must.Eq(t, []int{fakeSlots, half, fakeSlots}, limits())
+		reader.SetReads("ledger", false)
+		must.Eq(t, []int{fakeSlots, fakeSlots, fakeSlots}, limits())
+		released := make(chan error)
+		go func() { released <- reader.Release(context.Background(), "ledger") }()
+		time.Sleep(time.Second)
+		reader.SetReads("ledger", true)
+		must.NoError(t, <-released)
+		must.Eq(t, []int{fakeSlots, half, fakeSlots}, limits())
+		_, err = reader.Serve(context.Background(), nextRequest(begin, request.KindCommit, "COMMIT"))
+		must.NoError(t, err)
+		must.NoError(t, reader.Drain(context.Background()))
+	})
+}
