Home regions: an address that several nodes have had is allowed only if all of them were

Cause: whether a statement of a transaction, or a read, may go to an address was looked up by the first member with that address. A node that is gone, and still listed, hid a new one with its address in another region. Change: all members with the address must be in a home.

--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -83,12 +83,23 @@
 
 // Allows implements route.Owners.
 func (o *ownerTracker) Allows(address string, homes region.Set) bool {
-	for _, m := range o.node.membership.View().Members {
-		if m.Address == address {
-			return o.regions().Allows(homes, m.Domain)
+	return isAllowedAt(o.node.membership.View(), o.regions(), address, homes)
+}
+
+// isAllowedAt reports whether requests with the given homes may be sent to the node at address, also if several nodes
+// have had that address.
+func isAllowedAt(view *membership.View, regions region.Map, address string, homes region.Set) bool {
+	known := false
+	for _, m := range view.Members {
+		if m.Address != address {
+			continue
+		}
+		known = true
+		if !regions.Allows(homes, m.Domain) {
+			return false
 		}
 	}
-	return homes == region.Any
+	return known || homes == region.Any
 }
 
 func (o *ownerTracker) regions() region.Map { return o.node.settings.Places.Regions }
