--- a/internal/node/homes_test.go
+++ b/internal/node/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -37,6 +38,10 @@
 			must.Eq(t, chosen, other.choose(fmt.Sprint(g), set))
 		}
 	}
+	west := region.NewSet([]string{"west"})
+	first := own.choose("unfit", west)
+	other.unfit.mark(first.name, "unfit", time.Now().Add(time.Hour))
+	must.NotEq(t, first.name, other.choose("unfit", west).name)
 	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.NewSet([]string{"north"})))
 	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.None))
 }
