Cold targets: a longer cold time that a target's entries state outweighs a connection that has stood for cold_start

Cause: a connection that had stood for the configuration's cold_start counted as one to a warm target, also while the target's own entries said that it is cold for longer, as after a version that lowers cold_start while targets are cold. Change: the time that a connection has stood counts only once the entries state no more cold time. Result: TestLongerColdTimeOfAnEntryCounts; it failed before.

--- a/internal/owner/coldstart/life.go
+++ b/internal/owner/coldstart/life.go
@@ -70,3 +70,6 @@
 	}
 	return l.endsAt
 }
+
+// statesCold reports whether the newest process states that it is cold at now.
+func (l Life) statesCold(now time.Time) bool { return l.stated && now.Before(l.endsAt) }
--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -47,12 +47,12 @@
 }
 
 // IsWarm reports whether the process at the other end of the link is proven to be warm: it has been there for
-// coldStart, or the target's entries are of that process and say so.
+// coldStart and the target's entries state no longer cold time, or they are of that process and say so.
 func (l *Link) IsWarm(now time.Time, life Life, coldStart time.Duration) bool {
 	if l.connectedAt.IsZero() || l.answeredAt.IsZero() {
 		return false
 	}
-	l.warm = l.warm || now.Sub(l.connectedAt) >= coldStart || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+	l.warm = l.warm || hasStood(now, l.connectedAt, life, coldStart) || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
 	return l.warm
 }
 
@@ -71,6 +71,11 @@
 // LeadsToWarm reports whether a data connection that was opened before openedAt is proven to lead to a warm process: to
 // that of the link or of another data connection, which has answered since, or to one that has been there for coldStart.
 func (l *Link) LeadsToWarm(now, openedAt time.Time, life Life, coldStart time.Duration) bool {
-	return now.Sub(openedAt) >= coldStart || !openedAt.After(l.warmAt) ||
+	return hasStood(now, openedAt, life, coldStart) || !openedAt.After(l.warmAt) ||
 		!openedAt.After(l.answeredAt) && l.IsWarm(now, life, coldStart)
 }
+
+// hasStood reports whether a connection that was opened at openedAt stands for so long that its process is warm.
+func hasStood(now, openedAt time.Time, life Life, coldStart time.Duration) bool {
+	return now.Sub(openedAt) >= coldStart && !life.statesCold(now)
+}
--- a/internal/owner/coldstart/proof_test.go
+++ b/internal/owner/coldstart/proof_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// TestLongerColdTimeOfAnEntryCounts guards against a target that states a longer cold time than the configuration and is
+// believed warm because its connections have stood for the shorter one.
+func TestLongerColdTimeOfAnEntryCounts(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	opened := now
+	var link Link
+	link.Connect(now)
+	link.Answer(now)
+	life := Life{}.Observe(now, Entry{StartedAt: now, Sequence: 1, Left: 2 * testColdStart, Stated: true})
+	now = now.Add(testColdStart)
+	must.False(t, link.IsWarm(now, life, testColdStart))
+	must.False(t, link.LeadsToWarm(now, opened, life, testColdStart))
+	must.True(t, link.LeadsToWarm(now, opened, Life{}, testColdStart))
+	link = Link{connectedAt: opened, answeredAt: opened}
+	now = now.Add(testColdStart)
+	must.True(t, link.IsWarm(now, life, testColdStart))
+	must.True(t, link.LeadsToWarm(now, opened, life, testColdStart))
+}
+
 func TestColdTimeOfAnEntry(t *testing.T) {
 	now := time.Unix(100_000, 0)
 	until := func(e Entry) time.Duration { return Life{}.Observe(now, e).coldUntil(testColdStart).Sub(now) }
