Test of an evacuated replica that alone has caught up; two comments at their places

Cause: that an evacuated replica does not end the wait for the fenced primary's log, broken on purpose, was seen by no test. Change: a test of it.

--- a/internal/controller/promotion/evacuated_test.go
+++ b/internal/controller/promotion/evacuated_test.go
@@ -114,3 +114,18 @@
 	h.advance(3 * time.Second)
 	must.Len(t, 1, h.promoted)
 }
+
+// TestEvacuatedReplicaDoesNotCountAsCaughtUp guards against a hand-over that ends at once in another evacuated domain, because
+// only a replica there has the fenced primary's whole log yet.
+func TestEvacuatedReplicaDoesNotCountAsCaughtUp(t *testing.T) {
+	h := startHeld(t)
+	h.evacuate("a", "b")
+	h.setLast("p", 80)
+	h.setLast("r1", 80)
+	h.advance(700 * time.Millisecond)
+	must.Eq(t, []string{"p"}, h.adopted)
+	must.SliceEmpty(t, h.promoted)
+	h.setLast("r2", 80)
+	h.advance(time.Second)
+	must.Eq(t, []string{"r2"}, h.promoted)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,9 +87,9 @@
 	polls pollObserver
 	// targetLife returns what a target's entries tell of its process; nil if targets have no entries of their own.
 	targetLife func(targetName string) coldstart.Life
-	// drainStarted is closed when the graceful stop begins.
 	// pulse tells whether the process did not run right before a stop; nil before serve.
-	pulse        *pulse
+	pulse *pulse
+	// drainStarted is closed when the graceful stop begins.
 	drainStarted chan struct{}
 }
 
--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -44,7 +44,7 @@
 	return f.dials, f.open
 }
 
-// load sends a read each millisecond for d, and returns how many were refused.
+// loadEvacuated sends a read each millisecond for d, and returns how many were refused.
 func (h *harness) loadEvacuated(d time.Duration) int {
 	refused := make(chan bool)
 	count := int(d / time.Millisecond)
