--- a/internal/node/homes_test.go
+++ b/internal/node/homes_test.go
@@ -95,8 +95,10 @@
 // also if a node that is gone, inside of them, had the same address.
 func TestAddressOutsideOfTheHomes(t *testing.T) {
 	view := &membership.View{Members: []membership.Member{
-		{Name: "a", Address: "at a", Domain: "e1"}, {Name: "b", Address: "at b", Domain: "w1"},
-		{Name: "c", Address: "at c", Domain: "e1", State: membership.Gone}, {Name: "d", Address: "at c", Domain: "w1"},
+		{Name: "a", Address: "at a", Domain: "e1"},
+		{Name: "b", Address: "at b", Domain: "w1"},
+		{Name: "c", Address: "at c", Domain: "e1", State: membership.Gone},
+		{Name: "d", Address: "at c", Domain: "w1"},
 	}}
 	east := region.NewSet([]string{"east"})
 	for address, want := range map[string]bool{"at a": true, "at b": false, "at c": false, "elsewhere": false} {
