Even load: reads drawn over replicas that several nodes use; waits beside a free slot counted

Cause: each node knew of its own statements only and took the same best replica as all others. Change: package balance counts own placements since the last report and what the report's busy count shows of other nodes, less the older it is, and draws among those with the most room. Result: setting policy.even_load, off by default; two counters and a histogram at each node.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -309,6 +309,7 @@
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 		Regions:                s.Places.Regions,
+		EvenLoad:               s.Policy.EvenLoad,
 		Cold:                   coldstart.Bound{Over: s.Cold.Over, Slack: s.Cold.Slack},
 		ColdHolder:             n.coldHolder(),
 		TargetLife:             n.targetLife,
--- a/internal/owner/choose/choose.go
+++ b/internal/owner/choose/choose.go
@@ -20,6 +20,7 @@
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/logpos"
+	"crocusyoke/internal/owner/balance"
 	"crocusyoke/internal/request"
 	"crocusyoke/internal/target"
 )
@@ -77,6 +78,8 @@
 	ExpectedWait time.Duration
 	// ErrorShare is the share of recent exchanges that failed, from 0 to 1.
 	ErrorShare float64
+	// Load is how full the target is expected to be. It is used if Criteria.EvenLoad.
+	Load balance.Load
 }
 
 // Criteria describes one request that needs a target, and the state of its group.
@@ -100,6 +103,10 @@
 	HeldTerms bool
 	// ReplicaWaitLeft is the time that is left of the profile's ReplicaWait.
 	ReplicaWaitLeft time.Duration
+	// EvenLoad draws one of several replicas that are about as good by Random (package balance), and counts the
+	// statements of other nodes.
+	EvenLoad bool
+	Random   uint64
 }
 
 // Choice is the decision where a request goes.
@@ -171,11 +178,14 @@
 }
 
 func chooseReplica(q *Criteria, candidates []Candidate) Choice {
+	if q.EvenLoad {
+		return drawReplica(q, candidates)
+	}
 	best := noTarget
 	var bestCost time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		if q.Nearby && c.Domain != q.Domain || !isEligible(q, c) || !Accepts(q, c.Last, c.Age, c.AgeKnown) {
+		if !mayServe(q, c) {
 			continue
 		}
 		cost := expectedCost(q, c)
@@ -229,7 +239,7 @@
 
 // expectedCost returns the expected wait for a slot of c plus the costs for distance and errors.
 func expectedCost(q *Criteria, c *Candidate) time.Duration {
-	cost := c.ExpectedWait + time.Duration(c.ErrorShare*float64(errorPenalty))
+	cost := c.ExpectedWait + extraWait(q, c) + time.Duration(c.ErrorShare*float64(errorPenalty))
 	if c.Domain != q.Domain {
 		cost += crossDomainCost
 	}
--- a/internal/owner/limits.go
+++ b/internal/owner/limits.go
@@ -6,7 +6,8 @@
 func (g *group) resize(m *member) {
 	slots, limit := g.limits(&m.target)
 	m.pool.SetLimit(limit)
-	deliver(m.schedule.Resize(g.now(), slots, maxOpenTransactions(limit, slots)))
+	now := g.now()
+	m.deliver(now, m.schedule.Resize(now, slots, maxOpenTransactions(limit, slots)))
 }
 
 // limits returns how many of t's slots and data connections this node may use. A former owner gets a connection
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -136,6 +137,10 @@
 	Cold       coldstart.Bound
 	ColdHolder func(group string) (fence uint64, held bool)
 	TargetLife func(targetName string) coldstart.Life
+	// EvenLoad spreads reads evenly over replicas that several nodes use (package balance). Random is the source of its
+	// draws; nil means math/rand.
+	EvenLoad bool
+	Random   func() uint64
 }
 
 // Manager serves the requests of every group. It is safe for concurrent use.
@@ -170,6 +175,9 @@
 	if options.Suspended == nil {
 		options.Suspended = func() time.Duration { return 0 }
 	}
+	if options.Random == nil {
+		options.Random = rand.Uint64
+	}
 	options.Times = options.Times.withDefaults()
 	if options.EvacuationBound == 0 {
 		options.EvacuationBound = evacuate.DefaultBound
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -49,6 +49,7 @@
 	coveredAt        time.Time
 	coveredKnown     bool
 	errorShare       float64
+	load             memberLoad
 	// link is the control connection as package coldstart sees it. cold is what was last logged, coldWaiting how many
 	// requests wait for room at the target while it is cold.
 	link        coldstart.Link
@@ -122,6 +123,7 @@
 	m.pollDeclines = 0
 	m.readablePosition = status.ReadablePosition()
 	m.errorShare *= pollErrorDecay
+	m.recordLoad(m.group.now(), sentAt)
 }
 
 // isUnreachable reports whether the newest poll failed. Nothing new is sent to an unreachable
@@ -177,6 +179,7 @@
 		AgeKnown:     m.coveredKnown,
 		ExpectedWait: m.schedule.ExpectedWait(req.Customer, req.Weight) + m.evacuation.Surcharge(now),
 		ErrorShare:   m.errorShare,
+		Load:         m.expectedLoad(now),
 	}
 	m.markCold(now, &c)
 	return c
@@ -245,7 +248,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(m.schedule.Done(now, &w.item, change))
+	m.deliver(now, m.schedule.Done(now, &w.item, change))
 }
 
 // withdraw withdraws w from m's schedule. It returns false if w was not waiting.
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -31,6 +31,7 @@
 	requestsMoved         *expvar.Int
 	refusedEvacuated      *expvar.Int
 	transactionsEvacuated *expvar.Int
+	slotWaits             slotWaits
 }
 
 func newCounters() *counters {
@@ -57,6 +58,7 @@
 	c.requestsMoved = c.add("requests_moved")
 	c.refusedEvacuated = c.add("refused_evacuated")
 	c.transactionsEvacuated = c.add("transactions_evacuated")
+	c.slotWaits = newSlotWaits(c)
 	return c
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -113,6 +113,10 @@
 		HeldTerms:        g.options.HeldTerms,
 		Term:             g.evidence.HighestTerm(),
 		ReplicaWaitLeft:  r.req.Profile.ReplicaWait.Std() - now.Sub(r.startedAt),
+		EvenLoad:         g.options.EvenLoad,
+	}
+	if g.options.EvenLoad {
+		r.criteria.Random = g.options.Random()
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
@@ -128,7 +132,8 @@
 func (g *group) submit(ctx context.Context, now time.Time, r *execution) {
 	deadline, _ := ctx.Deadline()
 	r.slot = g.newSlotWaiter(r.req, classOf(r.req.Kind), deadline)
-	deliver(r.member.schedule.Submit(now, &r.slot.item))
+	r.member.deliver(now, r.member.schedule.Submit(now, &r.slot.item))
+	g.beginSlotWait(now, r)
 }
 
 func classOf(kind request.Kind) schedule.Class {
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -151,6 +151,7 @@
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	m.lastPollAt = sentAt
+	m.load.ownAtPoll = m.schedule.InFlight()
 }
 
 func (m *member) recordPollFailure(sentAt time.Time) {
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -103,6 +103,8 @@
 	replica  bool
 	term     uint64
 	placedAt time.Time
+	// alternatives are other targets that could serve the request while it waits for a slot.
+	alternatives []alternative
 	// coldAt is the cold target at which the request is counted, coldWaitsAt the one at which it waits for room.
 	coldAt, coldWaitsAt *member
 
@@ -159,7 +161,9 @@
 		return nil, refusal
 	}
 	defer g.endCold(r, false)
-	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
+	refusal := g.awaitNewSlot(ctx, r)
+	g.endSlotWait(r)
+	if refusal != nil {
 		return nil, refusal
 	}
 	conn, err := r.member.connection(ctx, r.req.Customer)
@@ -249,7 +253,7 @@
 	r.member.recordExchange(failed, o.reply.Position)
 	r.member.recordWarm(o)
 	if !pinned {
-		deliver(r.member.schedule.Done(now, &r.slot.item, schedule.TransactionUnchanged))
+		r.member.deliver(now, r.member.schedule.Done(now, &r.slot.item, schedule.TransactionUnchanged))
 		return nil
 	}
 	tx := &transaction{
@@ -266,7 +270,7 @@
 		tainted:  o.cancelled,
 	}
 	g.transactions[tx.session] = tx
-	deliver(r.member.schedule.Done(now, &r.slot.item, schedule.TransactionOpened))
+	r.member.deliver(now, r.member.schedule.Done(now, &r.slot.item, schedule.TransactionOpened))
 	return tx
 }
 
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -116,7 +116,7 @@
 	if tx.busy {
 		return request.Refuse(request.CodeProtocol, "transaction", g.options.Self, "a statement of this session still runs")
 	}
-	deliver(tx.member.schedule.Submit(now, &slot.item))
+	tx.member.deliver(now, tx.member.schedule.Submit(now, &slot.item))
 	tx.busy = true
 	return nil
 }
@@ -156,7 +156,7 @@
 		tx.closed = true
 		change = schedule.TransactionClosed
 	}
-	deliver(tx.member.schedule.Done(now, &slot.item, change))
+	tx.member.deliver(now, tx.member.schedule.Done(now, &slot.item, change))
 	tx.busy = false
 	if over {
 		g.forget(tx)
@@ -266,7 +266,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(tx.member.schedule.Submit(now, &slot.item))
+	tx.member.deliver(now, tx.member.schedule.Submit(now, &slot.item))
 }
 
 // abandonTransaction ends tx without an answer to its current statement, wherever that was left: it
@@ -281,11 +281,11 @@
 	defer g.mu.Unlock()
 	scheduler := tx.member.schedule
 	if !scheduler.Cancel(&slot.item) {
-		deliver(scheduler.Done(now, &slot.item, schedule.TransactionUnchanged))
+		tx.member.deliver(now, scheduler.Done(now, &slot.item, schedule.TransactionUnchanged))
 	}
 	if !tx.closed {
 		tx.closed = true
-		deliver(scheduler.CloseTransaction(now))
+		tx.member.deliver(now, scheduler.CloseTransaction(now))
 	}
 	g.forget(tx)
 	g.signalIdle()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,6 +114,8 @@
 	// NearbyReads serves reads from the replicas in the failure domain of the node that the caller is connected
 	// to, where that has any.
 	NearbyReads bool `toml:"nearby_reads"`
+	// EvenLoad spreads reads evenly over the replicas that several nodes use.
+	EvenLoad bool `toml:"even_load"`
 	// Split, if not 0, is the number of nodes that each use every target with an equal part
 	// of its slots and connections. With 0 (default), one owner per group uses its targets.
 	Split int `toml:"split"`
