--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	config     configSource
 	exchange   configExchange
 	quota      *quota.Runner
+	// storeCalls holds a hosted node's calls to the store, counted by kind.
+	storeCalls expvar.Var
 	promotion  *promotion.Runner
 	owner      *owner.Manager
 	owners     *ownerTracker
@@ -299,6 +301,7 @@
 		Scheduling:             schedule.Policy(s.Policy.Scheduling),
 		Reads:                  choose.Policy(s.Policy.Reads),
 		Split:                  s.Policy.Split,
+		Priorities:             s.Policy.Priorities,
 		EvacuationBound:        s.Places.EvacuationBound.Std(),
 		HeldTerms:              n.heldTerms,
 		FailFastWithoutPrimary: n.heldTerms,
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -47,6 +47,11 @@
 	expvar.Publish("membership", membership.Counters)
 	expvar.Publish("quota", quota.Counters)
 	expvar.Publish("filters", n.chain.Vars())
+	if n.storeCalls != nil {
+		store := new(expvar.Map)
+		store.Set("calls_by_kind", n.storeCalls)
+		expvar.Publish("store", store)
+	}
 }
 
 // handleHealth answers with status 200 while the platform's load balancer may send callers to
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -7,6 +7,7 @@
 
 	"crocusyoke/internal/fleet"
 	"crocusyoke/internal/owner/choose"
+	"crocusyoke/internal/owner/comeback"
 	"crocusyoke/internal/owner/evacuate"
 	"crocusyoke/internal/owner/evidence"
 	"crocusyoke/internal/owner/gap"
@@ -29,6 +30,7 @@
 	candidates []choose.Candidate
 	evidence   *evidence.Group
 	gap        *gap.Tracker
+	comeback   comeback.Plan
 	handover   evacuate.Handover
 	// lastSuspended is the reading of Options.Suspended when the group was created or when
 	// its evidence was last invalidated by a suspension.
@@ -92,13 +94,6 @@
 	return g
 }
 
-// primaryContext returns a context that ends when the current primary is replaced.
-func (g *group) primaryContext() context.Context {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.primaryCtx
-}
-
 func (g *group) now() time.Time { return g.options.Clock.Now() }
 
 // refresh applies the current configuration if it has changed. g.mu is held.
--- a/internal/run/catalog/runner.go
+++ b/internal/run/catalog/runner.go
@@ -129,6 +129,8 @@
 	offer     *offer
 	fetching  bool
 	wakeFetch context.CancelFunc
+	// wakeUnread ends the delays after failed first reads of tables.
+	wakeUnread []context.CancelFunc
 	// announcing is true while announceVersions runs.
 	announcing bool
 	// knowsNodes is set once the first rows of nodes have been passed to OnNodesChanged, from
--- a/internal/run/quota/runner.go
+++ b/internal/run/quota/runner.go
@@ -58,6 +58,14 @@
 	// coordinator is the customer's coordinator.
 	coordinator  string
 	usesOwnShare bool
+	// inFlight is true while a message that is only about customers that are low on tokens, with this one
+	// among them, is in flight.
+	inFlight bool
+	// exchange is the exchange of tokens with other coordinators that is under way, if any.
+	exchange *exchange
+	// nextExchangeAt is the earliest time for the next one, exchangeBackoff after one that brought nothing.
+	nextExchangeAt  time.Time
+	exchangeBackoff time.Duration
 	// granted is closed and replaced when tokens are granted while requests wait for them.
 	granted chan struct{}
 }
@@ -66,7 +74,9 @@
 
 // Runner manages the quota of one node. Its methods are safe for concurrent use.
 type Runner struct {
-	o         Options
+	o Options
+	// startedAt is when the process started, or later.
+	startedAt time.Time
 	customers atomic.Pointer[customerQuotas]
 	// wake makes Run check for due reports at once.
 	wake chan struct{}
@@ -83,6 +93,8 @@
 	// has seen them.
 	low     map[*customerQuota]bool
 	leaving bool
+	// others holds the coordinators in other failure domains for each partition that this node coordinates.
+	others atomic.Pointer[[][]string]
 }
 
 // New returns a Runner that admits no requests until Run is called.
@@ -96,6 +108,7 @@
 		low:  make(map[*customerQuota]bool),
 	}
 	r.customers.Store(&customerQuotas{})
+	r.startedAt = r.now()
 	return r
 }
 
@@ -172,43 +185,48 @@
 )
 
 // Admit is Take for callers that can wait: it waits for a token for at most admitTimeout
-// and not beyond the end of ctx.
-func (r *Runner) Admit(ctx context.Context, customer string) (ok bool, retryAfter time.Duration) {
+// and not beyond the end of ctx. Of the customer's requests that wait, those with the lowest priority get tokens
+// first.
+func (r *Runner) Admit(ctx context.Context, customer string, priority int) (ok bool, retryAfter time.Duration) {
 	s := (*r.customers.Load())[customer]
 	if s == nil {
 		return false, unknownCustomerRetryAfter
 	}
-	ok, retryAfter = r.take(s, (*quota.Account).Take)
-	if ok || !s.beginWait(r.now()) {
+	takeInTurn := func(a *quota.Account, now time.Time) (bool, time.Duration) { return a.TakeInTurn(priority, now) }
+	ok, retryAfter = r.take(s, func(a *quota.Account, now time.Time) (bool, time.Duration) {
+		a.NoteRequest(priority, now)
+		return takeInTurn(a, now)
+	})
+	if ok || !s.beginWait(priority, r.now()) {
 		return ok, retryAfter
 	}
-	defer s.endWait()
+	defer s.endWait(priority)
 	increment("waits")
 	r.markLow(s)
 	for until := r.o.Clock.Now().Add(admitTimeout); !ok && r.o.Clock.Now().Before(until); {
 		if !s.awaitGrant(ctx) {
 			break
 		}
-		ok, retryAfter = r.take(s, (*quota.Account).RetryTake)
+		ok, retryAfter = r.take(s, takeInTurn)
 	}
 	return ok, retryAfter
 }
 
-// beginWait reports whether one more request may wait for a token, and counts it if so.
-func (s *customerQuota) beginWait(now time.Time) bool {
+// beginWait reports whether one more request of the given priority may wait for a token, and counts it if so.
+func (s *customerQuota) beginWait(priority int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if float64(s.account.Waiting()) >= s.maxWaiters(now) {
+	if !s.account.MayWait(priority, s.maxWaiters(priority, now)) {
 		return false
 	}
-	s.account.BeginWait()
+	s.account.BeginWait(priority, now)
 	return true
 }
 
-func (s *customerQuota) endWait() {
+func (s *customerQuota) endWait(priority int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.account.EndWait()
+	s.account.EndWait(priority)
 }
 
 // awaitGrant waits until tokens are granted, but at most for retakeInterval, since the node's own
@@ -244,18 +262,27 @@
 	if s == nil {
 		return
 	}
+	now := r.now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.account.Settle(ran, r.now())
+	s.account.Settle(ran, now)
+	hasSpent := s.account.HasSpent(now)
+	s.mu.Unlock()
+	if hasSpent {
+		r.markLow(s)
+	}
 	if !ran {
 		increment("returned")
 	}
 }
 
-// maxWaiters returns how many requests may wait for tokens: as many as are likely to get
-// one within admitTimeout, or none if the customer asks for much more than its rate. s.mu is held.
-func (s *customerQuota) maxWaiters(now time.Time) float64 {
+// maxWaiters returns how many requests of a priority and of more urgent ones may wait for tokens: as many
+// as are likely to get one within admitTimeout. If the customer asks for much more than its rate, that is none, or
+// a few of those that go before others. s.mu is held.
+func (s *customerQuota) maxWaiters(priority int, now time.Time) float64 {
 	if s.account.IsOverRate(now) {
+		if s.account.IsPreferred(priority, now) {
+			return minWaiters
+		}
 		return 0
 	}
 	return max(minWaiters, s.account.TokenRate(now)*admitTimeout.Seconds())
