--- a/internal/owner/balance/replay_test.go
+++ b/internal/owner/balance/replay_test.go
@@ -128,7 +128,7 @@
 	candidates := make([]choose.Candidate, replicas)
 	for i, s := range d.schedules {
 		candidates[i] = choose.Candidate{
-			StatusKnown: r.load.isAway == nil || !r.load.isAway(at, i), Role: target.RoleReplica, ExpectedWait: s.ExpectedWait("c", 1),
+			StatusKnown: r.load.isAway == nil || !r.load.isAway(at, i), Role: target.RoleReplica, ExpectedWait: s.ExpectedWait(now, "c", 1, 0),
 			Load: balance.Load{Slots: slots, Own: s.InFlight() + s.Waiting(), Others: d.reports[i].Others(now), SlotTime: s.MeanSlotTime()},
 		}
 	}
--- a/internal/owner/choose/even.go
+++ b/internal/owner/choose/even.go
@@ -38,14 +38,18 @@
 	if q.Nearby && c.Domain != q.Domain {
 		return false
 	}
+	return isFreshReplica(q, c)
+}
+
+func isFreshReplica(q *Criteria, c *Candidate) bool {
 	return isEligible(q, c) && Accepts(q, c.Last, c.Age, c.AgeKnown)
 }
 
 // CanServe reports whether the candidate with index i may serve the request, now or after a wait for a slot: as a
-// replica, or as the primary. A nearby request is served only where its node is the reader.
+// replica, or as the primary. Another node may have to place it there.
 func CanServe(q *Criteria, candidates []Candidate, i int) bool {
-	if i == q.Primary && !q.Nearby {
+	if i == q.Primary {
 		return hasUsablePrimary(q, candidates)
 	}
-	return CanUseReplica(q) && mayServe(q, &candidates[i])
+	return CanUseReplica(q) && isFreshReplica(q, &candidates[i])
 }
--- a/internal/owner/connect.go
+++ b/internal/owner/connect.go
@@ -49,7 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	decisions, ok := r.member.schedule.GiveBack(now, &r.slot.item)
-	deliver(decisions)
+	r.member.deliver(now, decisions)
 	return ok
 }
 
@@ -63,7 +63,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(r.member.schedule.Submit(now, &r.slot.item))
+	r.member.deliver(now, r.member.schedule.Submit(now, &r.slot.item))
 }
 
 // useFor returns what a connection of m is wanted for by req.
--- a/internal/owner/even_test.go
+++ b/internal/owner/even_test.go
@@ -64,11 +64,13 @@
 	cases := []struct {
 		kind       request.Kind
 		reads      fleet.Reads
+		nearby     bool
 		besideFree bool
 	}{
-		{request.KindRead, fleet.ReadsSession, true},
-		{request.KindWrite, fleet.ReadsSession, false},
-		{request.KindRead, fleet.ReadsPrimary, false},
+		{request.KindRead, fleet.ReadsSession, false, true},
+		{request.KindRead, fleet.ReadsSession, true, true},
+		{request.KindWrite, fleet.ReadsSession, false, false},
+		{request.KindRead, fleet.ReadsPrimary, false, false},
 	}
 	for _, c := range cases {
 		withHarness(t, time.Millisecond, nil, func(h *harness) {
@@ -81,7 +83,7 @@
 			done := make(chan error, 2*slots+1)
 			for range 2*slots + 1 {
 				req := h.request(c.kind, "select 1", time.Second)
-				req.Profile.Reads = c.reads
+				req.Profile.Reads, req.Nearby = c.reads, c.nearby
 				go func() {
 					_, err := h.serve(req)
 					done <- err
