--- a/internal/owner/even.go
+++ b/internal/owner/even.go
@@ -55,7 +55,8 @@
 // beginSlotWait notes the alternatives of r if r has to wait for a slot. g.mu is held.
 func (g *group) beginSlotWait(now time.Time, r *execution) {
 	r.alternatives = r.alternatives[:0]
-	if r.slot.item.Running() {
+	r.waitsForSlot = !r.slot.item.Running()
+	if !r.waitsForSlot {
 		return
 	}
 	for i, m := range g.members {
@@ -68,11 +69,11 @@
 // endSlotWait counts how long r has waited for a slot, and for how much of it another target had a free one: the
 // alternative that had one for longest.
 func (g *group) endSlotWait(r *execution) {
-	now := g.now()
-	waited := now.Sub(r.placedAt)
-	if waited <= 0 {
+	if !r.waitsForSlot {
 		return
 	}
+	now := g.now()
+	waited := now.Sub(r.placedAt)
 	free := time.Duration(0)
 	g.mu.Lock()
 	for _, a := range r.alternatives {
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -102,7 +102,9 @@
 	replica  bool
 	term     uint64
 	placedAt time.Time
-	// alternatives are other targets that could serve the request while it waits for a slot.
+	// waitsForSlot is true if the request got no slot at once. alternatives are other targets that could serve it
+	// meanwhile.
+	waitsForSlot bool
 	alternatives []alternative
 	// coldAt is the cold target at which the request is counted, coldWaitsAt the one at which it waits for room.
 	coldAt, coldWaitsAt *member
