Even load: a read that waits for a slot moves to another target that has one

Change: a target with a free slot is offered to the most urgent request that waits elsewhere and could use it; the request is placed there if it would be now.

--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -33,6 +33,9 @@
 		return withPeer(refusal, r.member)
 	default:
 	}
+	if g.options.EvenLoad && r.waitsForSlot {
+		g.awaitOffers(ctx, r)
+	}
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.inUse, cancel)()
--- a/internal/owner/even.go
+++ b/internal/owner/even.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"slices"
 	"time"
 
 	"crocusyoke/internal/owner/balance"
@@ -26,14 +27,22 @@
 
 // noteSlots records whether the target has a free slot, as far as this node knows. The group's mu is held.
 func (m *member) noteSlots(now time.Time) {
+	m.load.freeTime.Set(now, m.hasFreeSlot(now))
+}
+
+// hasFreeSlot reports whether the target has a free slot, as far as this node knows. The group's mu is held.
+func (m *member) hasFreeSlot(now time.Time) bool {
 	busy := float64(m.schedule.InFlight()) + m.load.report.Others(now)
-	m.load.freeTime.Set(now, busy+1 <= float64(m.schedule.Slots()))
+	return busy+1 <= float64(m.schedule.Slots())
 }
 
 // deliver sends decisions of m's schedule to those who wait, and records what they change. The group's mu is held.
 func (m *member) deliver(now time.Time, decisions []schedule.Decision) {
 	deliver(decisions)
 	m.noteSlots(now)
+	if len(m.group.waiting) > 0 && m.hasFreeSlot(now) {
+		m.group.offerSlot(now, m)
+	}
 }
 
 // expectedLoad describes the target's load to package choose. The group's mu is held.
@@ -64,6 +73,12 @@
 			r.alternatives = append(r.alternatives, alternative{member: m, began: m.load.freeTime.Total(now)})
 		}
 	}
+	if g.options.EvenLoad && len(r.alternatives) > 0 && !r.req.Nearby {
+		if r.offered == nil {
+			r.offered = make(chan struct{}, 1)
+		}
+		g.waiting = append(g.waiting, r)
+	}
 }
 
 // endSlotWait counts how long r has waited for a slot, and for how much of it another target had a free one: the
@@ -73,13 +88,22 @@
 		return
 	}
 	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endSlotWaitLocked(now, r)
+}
+
+// endSlotWaitLocked is endSlotWait with g.mu held.
+func (g *group) endSlotWaitLocked(now time.Time, r *execution) {
+	if i := slices.Index(g.waiting, r); i >= 0 {
+		g.waiting = slices.Delete(g.waiting, i, i+1)
+	}
+	r.waitsForSlot = false
 	waited := now.Sub(r.placedAt)
 	free := time.Duration(0)
-	g.mu.Lock()
 	for _, a := range r.alternatives {
 		free = max(free, a.member.load.freeTime.Total(now)-a.began)
 	}
-	g.mu.Unlock()
 	g.manager.counts.slotWaits.add(waited, min(free, waited))
 }
 
@@ -87,6 +111,7 @@
 type slotWaits struct {
 	waited     *expvar.Int
 	besideFree *expvar.Int
+	moved      *expvar.Int
 	histogram  *expvar.Map
 }
 
@@ -108,6 +133,7 @@
 	w := slotWaits{
 		waited:     c.add("slot_wait_us"),
 		besideFree: c.add("slot_wait_beside_free_us"),
+		moved:      c.add("slot_waits_moved"),
 		histogram:  new(expvar.Map),
 	}
 	c.vars.Set("slot_waits_beside_free", w.histogram)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -38,11 +38,13 @@
 	claims        []*claimWaiter
 	// waitingForTarget counts the requests that wait for a usable target.
 	waitingForTarget int
-	changed          chan struct{}
-	transactions     map[string]*transaction
-	activeRequests   int
-	lastUsed         time.Time
-	sweptAt          time.Time
+	// waiting holds the requests that wait for a slot and could be moved to another target, in the order of placement.
+	waiting        []*execution
+	changed        chan struct{}
+	transactions   map[string]*transaction
+	activeRequests int
+	lastUsed       time.Time
+	sweptAt        time.Time
 	// exclusive is true while no other owner can exist (see Manager.SetExclusive), owned while this node
 	// owns the group. lostAt is when it last stopped to own or to read the group, zero if never.
 	exclusive bool
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -37,14 +37,7 @@
 		if wait, refusal := g.placeCold(ctx, now, r, g.members[choice.Target]); wait > 0 || refusal != nil {
 			return nil, wait, refusal
 		}
-		r.member = g.members[choice.Target]
-		r.replica = choice.Replica
-		r.placedAt = now
-		r.inUse = r.member.inUse
-		if !choice.Replica {
-			g.handover.End()
-		}
-		g.submit(ctx, now, r)
+		g.placeAt(ctx, now, r, choice)
 		return nil, 0, nil
 	}
 	if r.req.Nearby {
@@ -128,6 +121,18 @@
 	return choose.Choose(&r.criteria, g.candidates)
 }
 
+// placeAt submits r to the schedule of the chosen target. g.mu is held.
+func (g *group) placeAt(ctx context.Context, now time.Time, r *execution, choice choose.Choice) {
+	r.member = g.members[choice.Target]
+	r.replica = choice.Replica
+	r.placedAt = now
+	r.inUse = r.member.inUse
+	if !choice.Replica {
+		g.handover.End()
+	}
+	g.submit(ctx, now, r)
+}
+
 // submit requests a slot of r.member. g.mu is held.
 func (g *group) submit(ctx context.Context, now time.Time, r *execution) {
 	deadline, _ := ctx.Deadline()
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -106,6 +106,9 @@
 	// meanwhile.
 	waitsForSlot bool
 	alternatives []alternative
+	// offered is signalled when one of them has a free slot, and offeredAt is when it was last.
+	offered   chan struct{}
+	offeredAt time.Time
 	// coldAt is the cold target at which the request is counted, coldWaitsAt the one at which it waits for room.
 	coldAt, coldWaitsAt *member
 
