Even load: a read leaves a target that hangs

Change: a waiting read is compared with the other targets every 20 ms too, and counts at least as long a wait ahead as it has behind it.

--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -33,7 +33,7 @@
 		return withPeer(refusal, r.member)
 	default:
 	}
-	if g.options.EvenLoad && r.waitsForSlot {
+	if g.options.EvenLoad && r.waitsForSlot && len(r.alternatives) > 0 {
 		g.awaitOffers(ctx, r)
 	}
 	waiting, cancel := context.WithCancel(ctx)
--- a/internal/owner/moving.go
+++ b/internal/owner/moving.go
@@ -12,6 +12,10 @@
 // does not keep others from being offered a slot.
 const offerInterval = 5 * time.Millisecond
 
+// reconsiderInterval is how often a request that waits for a slot is compared with targets that have had free slots all
+// along.
+const reconsiderInterval = 20 * time.Millisecond
+
 // offerSlot tells the most urgent request that waits at another target, and of those the first, that m, which has a free
 // slot, could serve it. g.mu is held.
 func (g *group) offerSlot(now time.Time, m *member) {
@@ -42,10 +46,14 @@
 // awaitOffers waits until r's placement is decided or can't wait any longer, and moves r to targets that have a free slot
 // for it meanwhile.
 func (g *group) awaitOffers(ctx context.Context, r *execution) {
+	ticker := time.NewTicker(reconsiderInterval)
+	defer ticker.Stop()
 	for len(r.slot.decided) == 0 {
 		select {
 		case <-r.offered:
 			g.tryMove(ctx, r)
+		case <-ticker.C:
+			g.tryMove(ctx, r)
 		case refusal := <-r.slot.decided:
 			r.slot.decided <- refusal
 			return
@@ -79,6 +87,15 @@
 	g.placeAt(ctx, now, r, choice)
 }
 
+// expectedWait returns the expected wait of r at m, which is estimated if r is new there. Where r waits already, it is at
+// least as long as r has waited, since a target that hangs shows no long slot times.
+func (r *execution) expectedWait(now time.Time, m *member, estimated time.Duration) time.Duration {
+	if !r.waitsForSlot || m != r.member {
+		return estimated
+	}
+	return max(estimated, now.Sub(r.placedAt))
+}
+
 // isMove reports whether choice is another target than r's, with a free slot. g.mu is held.
 func (g *group) isMove(now time.Time, r *execution, choice choose.Choice) bool {
 	if choice.Target < 0 {
--- a/internal/owner/moving_test.go
+++ b/internal/owner/moving_test.go
@@ -109,14 +109,14 @@
 		waiting := h.placedRead(g, "db1")
 		waiting.term = 0
 		// Both replicas are full, and the primary is worth a wait only.
-		g.tryMove(t.Context(), waiting)
+		g.tryMove(context.Background(), waiting)
 		must.Eq(t, "db1", waiting.member.name)
 		must.Eq(t, 0, waiting.term)
 		end(running[1])
 		must.Eq(t, 1, len(waiting.offered))
-		g.tryMove(t.Context(), running[0])
+		g.tryMove(context.Background(), running[0])
 		must.Eq(t, "db1", running[0].member.name)
-		g.tryMove(t.Context(), waiting)
+		g.tryMove(context.Background(), waiting)
 		must.Eq(t, "db2", waiting.member.name)
 		must.True(t, waiting.slot.item.Running())
 		kept := h.placedRead(g, "db1")
@@ -153,3 +153,27 @@
 		must.Eq(t, []int{0, 1, 1}, []int{len(urgent.offered), len(early.offered), len(late.offered)})
 	})
 }
+
+// TestReadLeavesAHangingTarget checks a read that waits at a replica that hangs, while the primary, which counts as 20 ms
+// slower, is idle: it leaves once it has waited for longer.
+func TestReadLeavesAHangingTarget(t *testing.T) {
+	withHarness(t, time.Millisecond, func(o *Options) { o.EvenLoad = true }, func(h *harness) {
+		g := h.manager.groups["ledger"]
+		var running []*execution
+		for range fakeSlots {
+			running = append(running, h.placedRead(g, "db1"))
+		}
+		waiting := h.placedRead(g, "db1")
+		g.mu.Lock()
+		g.members[2].errorShare = 1
+		g.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		must.Nil(t, g.awaitNewSlot(ctx, waiting))
+		must.Eq(t, g.primary, waiting.member.name)
+		must.LessEq(t, 50*time.Millisecond, time.Since(waiting.startedAt))
+		for _, r := range append(running, waiting) {
+			g.freeSlot(r.member, r.slot, schedule.TransactionUnchanged)
+		}
+	})
+}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -114,6 +114,7 @@
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
 		g.candidates[i].HasReader = g.hasReader(m.target.Domain)
+		g.candidates[i].ExpectedWait = r.expectedWait(now, m, g.candidates[i].ExpectedWait)
 		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
