--- a/internal/owner/even.go
+++ b/internal/owner/even.go
@@ -30,8 +30,11 @@
 	m.load.freeTime.Set(now, m.hasFreeSlot(now))
 }
 
-// hasFreeSlot reports whether the target has a free slot, as far as this node knows. The group's mu is held.
+// hasFreeSlot reports whether the target answers and has a free slot, as far as this node knows. The group's mu is held.
 func (m *member) hasFreeSlot(now time.Time) bool {
+	if m.isUnreachable() || m.target.IsWithdrawn() {
+		return false
+	}
 	busy := float64(m.schedule.InFlight()) + m.load.report.Others(now)
 	return busy+1 <= float64(m.schedule.Slots())
 }
--- a/internal/owner/even_test.go
+++ b/internal/owner/even_test.go
@@ -99,3 +99,26 @@
 		})
 	}
 }
+
+// TestLostTargetHasNoFreeSlots checks that a target that does not answer counts as no alternative.
+func TestLostTargetHasNoFreeSlots(t *testing.T) {
+	withHarness(t, time.Millisecond, nil, func(h *harness) {
+		g := h.manager.groups["ledger"]
+		freeTime := func() time.Duration {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.members[1].load.freeTime.Total(time.Now())
+		}
+		before := freeTime()
+		time.Sleep(time.Second)
+		must.Eq(h, time.Second, freeTime()-before)
+		lost := h.group.targets[1]
+		lost.mu.Lock()
+		lost.unresponsive = true
+		lost.mu.Unlock()
+		time.Sleep(time.Second)
+		before = freeTime()
+		time.Sleep(time.Second)
+		must.Eq(h, 0, freeTime()-before)
+	})
+}
--- a/internal/owner/poll.go
+++ b/internal/owner/poll.go
@@ -165,6 +165,7 @@
 	if !m.pollFailedAt.After(sentAt) {
 		m.pollFailedAt = sentAt.Add(1)
 	}
+	m.noteSlots(m.pollFailedAt)
 	g.mu.Unlock()
 	if g.options.Unreachable != nil {
 		g.options.Unreachable(g.name, m.name, sentAt)
