--- a/internal/owner/evacuated_test.go
+++ b/internal/owner/evacuated_test.go
@@ -44,7 +44,7 @@
 	return f.dials, f.open
 }
 
-// load sends a read each millisecond for d, and returns how many were refused.
+// loadEvacuated sends a read each millisecond for d, and returns how many were refused.
 func (h *harness) loadEvacuated(d time.Duration) int {
 	refused := make(chan bool)
 	count := int(d / time.Millisecond)
@@ -212,6 +212,23 @@
 	})
 }
 
+// TestSecondHandoverIsAwaited guards against a write that is refused at the start of a hand-over, as if that were late,
+// because of an earlier evacuation during which a write was refused and none was served since.
+func TestSecondHandoverIsAwaited(t *testing.T) {
+	withHarness(t, 5*time.Millisecond, func(o *Options) { o.FailFastWithoutPrimary = true }, func(h *harness) {
+		h.evacuate("a", "b", "c")
+		_, err := h.serve(h.request(request.KindWrite, "INSERT 1", time.Second))
+		mustRefuse(t, err, request.CodeNoTarget)
+		h.evacuate()
+		time.Sleep(time.Minute)
+		h.evacuate("a")
+		time.AfterFunc(700*time.Millisecond, func() { h.group.promote(1, 2) })
+		response, err := h.serve(h.request(request.KindWrite, "INSERT 2", 5*time.Second))
+		must.NoError(t, err)
+		must.Eq(t, "db1", response.Target)
+	})
+}
+
 // TestTakenBackTargetsServeAgain checks that a target that was taken back gets no work while others are free, gets
 // some under a load that needs it, and its share again after the ramp.
 func TestTakenBackTargetsServeAgain(t *testing.T) {
@@ -256,3 +273,36 @@
 		must.NoError(t, nearby())
 	})
 }
+
+// TestEvacuationEndsTransactionsOfFormerTargets guards against a transaction that goes on in an evacuated failure domain
+// because its target has left the configuration, alone or with all others, so that nothing polls and time passes unseen.
+func TestEvacuationEndsTransactionsOfFormerTargets(t *testing.T) {
+	for _, remaining := range []int{2, 0} {
+		withHarness(t, 5*time.Millisecond, nil, func(h *harness) {
+			h.evacuate()
+			primary := h.group.targets[0]
+			begin := h.request(request.KindBegin, "BEGIN", time.Second)
+			_, err := h.serve(begin)
+			must.NoError(t, err)
+			config := *h.group.Current()
+			config.Groups = []fleet.Group{config.Groups[0]}
+			config.Groups[0].Targets = config.Groups[0].Targets[len(config.Groups[0].Targets)-remaining:]
+			h.group.config.Store(&config)
+			inside := nextRequest(begin, request.KindInTransaction, "SELECT early")
+			_, err = h.serve(inside)
+			must.NoError(t, err)
+			evacuated := config
+			evacuated.EvacuatedDomains = []string{"a"}
+			h.group.config.Store(&evacuated)
+			time.Sleep(4 * time.Second)
+			late := nextRequest(inside, request.KindInTransaction, "SELECT late")
+			late.Deadline = time.Now().Add(time.Second)
+			_, err = h.serve(late)
+			mustRefuse(t, err, request.CodeTransactionLost)
+			time.Sleep(time.Second)
+			must.Zero(t, primary.count("SELECT late")+primary.count("ROLLBACK"))
+			_, open := primary.connections()
+			must.Zero(t, open)
+		})
+	}
+}
