--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -49,6 +49,7 @@
 	coveredAt        time.Time
 	coveredKnown     bool
 	errorShare       float64
+	load             memberLoad
 	// link is the control connection as package coldstart sees it. cold is what was last logged, coldWaiting how many
 	// requests wait for room at the target while it is cold.
 	link        coldstart.Link
@@ -123,6 +124,7 @@
 	m.pollDeclines = 0
 	m.readablePosition = status.ReadablePosition()
 	m.errorShare *= pollErrorDecay
+	m.recordLoad(m.group.now(), sentAt)
 }
 
 // isUnreachable reports whether the newest poll failed. Nothing new is sent to an unreachable
@@ -178,6 +180,7 @@
 		AgeKnown:     m.coveredKnown,
 		ExpectedWait: m.schedule.ExpectedWait(now, req.Customer, req.Weight, req.Priority) + m.evacuation.Surcharge(now),
 		ErrorShare:   m.errorShare,
+		Load:         m.expectedLoad(now),
 	}
 	m.markCold(now, &c)
 	return c
@@ -249,7 +252,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(m.schedule.Done(now, &w.item, change))
+	m.deliver(now, m.schedule.Done(now, &w.item, change))
 }
 
 // withdraw withdraws w from m's schedule. It returns false if w was not waiting.
--- a/internal/owner/reader_test.go
+++ b/internal/owner/reader_test.go
@@ -75,3 +75,59 @@
 		}
 	}
 }
+
+// TestLimitsKeepWithANewConfiguration guards against limits that count only a part of the readers each time that a
+// configuration comes, so that the nodes together hold more connections than a target allows.
+func TestLimitsKeepWithANewConfiguration(t *testing.T) {
+	change := func(o *Options) { o.HasReader = func(_, domain string) bool { return domain != "a" } }
+	withHarness(t, time.Millisecond, change, func(h *harness) {
+		h.evacuate()
+		time.Sleep(time.Second)
+		g := h.manager.groups["ledger"]
+		h.evacuate()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		before := g.members[0].pool.Stats().Limit
+		g.refresh()
+		for _, m := range g.members {
+			_, want := g.limits(&m.target)
+			must.Eq(t, before, want)
+			must.Eq(t, want, m.pool.Stats().Limit)
+		}
+	})
+}
+
+// TestReaderHoldsConnectionsInItsDomain checks that a reader that does not own its group may hold as many connections as an
+// owner only to the targets of its own failure domain, and only while it is the reader. A release that waits ends when it
+// becomes the reader.
+func TestReaderHoldsConnectionsInItsDomain(t *testing.T) {
+	withHarness(t, time.Millisecond, func(o *Options) { o.HasReader = func(string, string) bool { return false } }, func(h *harness) {
+		h.evacuate()
+		reader := New(Options{Self: "n2", Domain: "b", Dialer: pollableGroup{h.group}, Config: h.group, HasReader: h.manager.options.HasReader})
+		limits := func() []int {
+			time.Sleep(time.Second)
+			var all []int
+			for _, m := range reader.groups["ledger"].members {
+				all = append(all, m.pool.Stats().Limit)
+			}
+			return all
+		}
+		half := dataConnectionLimit(fakeConnections, false)
+		reader.SetReads("ledger", true)
+		begin := h.request(request.KindBegin, "BEGIN", time.Minute)
+		_, err := reader.Serve(context.Background(), begin)
+		must.NoError(t, err)
+		must.Eq(t, []int{fakeSlots, half, fakeSlots}, limits())
+		reader.SetReads("ledger", false)
+		must.Eq(t, []int{fakeSlots, fakeSlots, fakeSlots}, limits())
+		released := make(chan error)
+		go func() { released <- reader.Release(context.Background(), "ledger") }()
+		time.Sleep(time.Second)
+		reader.SetReads("ledger", true)
+		must.NoError(t, <-released)
+		must.Eq(t, []int{fakeSlots, half, fakeSlots}, limits())
+		_, err = reader.Serve(context.Background(), nextRequest(begin, request.KindCommit, "COMMIT"))
+		must.NoError(t, err)
+		must.NoError(t, reader.Drain(context.Background()))
+	})
+}
