--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -63,9 +63,10 @@
 	return nil
 }
 
-// setAnswerTerms sets how the requests of other nodes are answered: with as much room as those of the node's own callers,
-// and a read as one that may change something at its target.
-func (n *Node) setAnswerTerms() {
+// assemblePeers builds the server of the other nodes. Their requests have as much room for answers as those of the node's
+// own callers, and a read may change something at its target.
+func (n *Node) assemblePeers(config *tls.Config) {
+	n.server = n.newPeerServer(config)
 	n.server.LimitAnswers(pgfront.AnswerRoom(n.limitMemory()))
 	n.peers.ReadsHaveEffects = true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,8 +201,7 @@
 	if err := n.assembleFront(); err != nil {
 		return err
 	}
-	n.server = n.newPeerServer(tlsPeers)
-	n.setAnswerTerms()
+	n.assemblePeers(tlsPeers)
 	n.registerHandlers()
 	return nil
 }
