--- a/internal/peer/quicpeer/large_answers_test.go
+++ b/internal/peer/quicpeer/large_answers_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// TestReadWithEffectsIsNotRefusedAsNotRun guards against a read that the target has run, with what it changes there, and
+// that is reported as not run for want of room for its answer.
+func TestReadWithEffectsIsNotRefusedAsNotRun(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &chargingOwner{})
+	c := newTestClient(t, a, "a", RoleNode)
+	c.ReadsHaveEffects = true
+	answers := budget.New(budget.Limits{Share: 1 << 10})
+	read := newRequest("s", 1, string(make([]byte, 100<<10)))
+	read.Kind = request.KindRead
+	_, err := c.Open(address).Serve(budget.NewContext(t.Context(), answers.Account()), read)
+	must.Eq(t, request.CodeOutcomeUnknown, request.AsRefusal(err).Code)
+}
+
 // TestLargeAnswersFillTheOwner guards against answers to other nodes that fill the memory of their owner.
 func TestLargeAnswersFillTheOwner(t *testing.T) {
 	a := newAuthority(t)
@@ -68,6 +82,16 @@
 	must.NoError(t, err)
 }
 
+// TestLargestAnswerPassesInCalm guards against an owner that has less room for its answers to other nodes than the
+// settings give, so that a large one fails although no other is under way.
+func TestLargestAnswerPassesInCalm(t *testing.T) {
+	a := newAuthority(t)
+	address, _ := startServer(t, a, &chargingOwner{}, func(s *Server) { s.LimitAnswers(2 * answerLimits.Common) })
+	h := newTestClient(t, a, "a", RoleNode).Open(address)
+	_, err := h.Serve(t.Context(), newRequest("s", 1, string(make([]byte, 2*answerLimits.Common))))
+	must.NoError(t, err)
+}
+
 // heldAtEnd returns what the answers of server's sessions hold once the sessions have ended.
 func heldAtEnd(server *Server) int {
 	server.mu.Lock()
