--- a/internal/node/chain.go
+++ b/internal/node/chain.go
@@ -63,6 +63,14 @@
 	return nil
 }
 
+// assemblePeers builds the server of the other nodes. Their requests have as much room for answers as those of the node's
+// own callers, and a read may change something at its target.
+func (n *Node) assemblePeers(config *tls.Config) {
+	n.server = n.newPeerServer(config)
+	n.server.LimitAnswers(pgfront.AnswerRoom(n.limitMemory()))
+	n.peers.ReadsHaveEffects = true
+}
+
 func runIdempotent(ctx context.Context, conn target.Conn, req *request.Request) (target.Reply, bool, bool, error) {
 	result, sent, err := idempotency.Execute(ctx, conn, req)
 	return result.Reply, result.Repeated, sent, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,9 +87,9 @@
 	polls pollObserver
 	// targetLife returns what a target's entries tell of its process; nil if targets have no entries of their own.
 	targetLife func(targetName string) coldstart.Life
-	// drainStarted is closed when the graceful stop begins.
 	// pulse tells whether the process did not run right before a stop; nil before serve.
-	pulse        *pulse
+	pulse *pulse
+	// drainStarted is closed when the graceful stop begins.
 	drainStarted chan struct{}
 }
 
@@ -201,7 +201,7 @@
 	if err := n.assembleFront(); err != nil {
 		return err
 	}
-	n.server = n.newPeerServer(tlsPeers)
+	n.assemblePeers(tlsPeers)
 	n.registerHandlers()
 	return nil
 }
@@ -312,6 +312,7 @@
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 		Regions:                s.Places.Regions,
+		EvenLoad:               s.Policy.EvenLoad,
 		Cold:                   coldstart.Bound{Over: s.Cold.Over, Slack: s.Cold.Slack},
 		ColdHolder:             n.coldHolder(),
 		TargetLife:             n.targetLife,
--- a/internal/owner/connect.go
+++ b/internal/owner/connect.go
@@ -48,7 +48,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(r.member.schedule.GiveBack(now, &r.slot.item))
+	r.member.deliver(now, r.member.schedule.GiveBack(now, &r.slot.item))
 }
 
 // endOpening ends giveBackSlot's effect, and reports whether r still has its slot.
@@ -68,7 +68,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	deliver(r.member.schedule.Submit(now, &r.slot.item))
+	r.member.deliver(now, r.member.schedule.Submit(now, &r.slot.item))
 }
 
 // useFor returns what a connection of m is wanted for by req.
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -38,11 +38,13 @@
 	claims        []*claimWaiter
 	// waitingForTarget counts the requests that wait for a usable target.
 	waitingForTarget int
-	changed          chan struct{}
-	transactions     map[string]*transaction
-	activeRequests   int
-	lastUsed         time.Time
-	sweptAt          time.Time
+	// waiting holds the requests that wait for a slot and could be moved to another target, in the order of placement.
+	waiting        []*execution
+	changed        chan struct{}
+	transactions   map[string]*transaction
+	activeRequests int
+	lastUsed       time.Time
+	sweptAt        time.Time
 	// exclusive is true while no other owner can exist (see Manager.SetExclusive), owned while this node
 	// owns the group. lostAt is when it last stopped to own or to read the group, zero if never.
 	exclusive bool
@@ -122,18 +124,19 @@
 			m.close()
 		}
 	}
+	g.resizeAll()
+	g.evacuateFormer()
 	g.evidence.SetTargets(names)
 	g.candidates = make([]choose.Candidate, len(g.members))
 }
 
-// memberFor returns the member for t: the one in old with the same name and address, or else
+// memberFor returns the member for t, whose limits are still to be applied: the one in old with the same name and address, or else
 // a new one. g.mu is held.
 func (g *group) memberFor(old []*member, t *fleet.Target) *member {
 	for _, m := range old {
 		if m.name == t.Name && m.target.Address == t.Address {
 			m.target = *t
 			g.setEvacuated(m, t.Evacuated)
-			g.resize(m)
 			return m
 		}
 	}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -32,6 +32,7 @@
 	requestsMoved         *expvar.Int
 	refusedEvacuated      *expvar.Int
 	transactionsEvacuated *expvar.Int
+	slotWaits             slotWaits
 }
 
 // newCounters returns counters. priorities says whether requests are counted by priority.
@@ -64,6 +65,7 @@
 	c.requestsMoved = c.add("requests_moved")
 	c.refusedEvacuated = c.add("refused_evacuated")
 	c.transactionsEvacuated = c.add("transactions_evacuated")
+	c.slotWaits = newSlotWaits(c)
 	return c
 }
 
