--- a/internal/controller/quota/account.go
+++ b/internal/controller/quota/account.go
@@ -72,6 +72,10 @@
 	Urgent   float64 `cbor:"8,keyasint,omitempty"`
 	Priority int     `cbor:"9,keyasint,omitempty"`
 	Least    int     `cbor:"10,keyasint,omitempty"`
+	// Run identifies the node's process, and Number orders its reports about a customer. They are those of the
+	// message that contains the report; 0 is a report without a number.
+	Run    uint32 `cbor:"-"`
+	Number uint64 `cbor:"-"`
 }
 
 // Account holds one customer's tokens on one node.
@@ -131,10 +135,11 @@
 
 // NewUnusedAccount is NewAccount for a node whose process has run since startedAt, and has neither used nor lent
 // its share. What an earlier process of the node lent has ended LoanTTL and LoanSafetyMargin after
-// startedAt. From then on nobody has used the share, and it has earned tokens.
+// startedAt; until then the share counts as lent. From then on nobody has used it, and it has earned tokens.
 func NewUnusedAccount(startedAt, now time.Time) *Account {
 	a := NewAccount(now)
-	a.unused = max(0, now.Sub(startedAt.Add(LoanTTL+LoanSafetyMargin)))
+	a.lentUntil = startedAt.Add(LoanTTL + LoanSafetyMargin)
+	a.unused = max(0, now.Sub(a.lentUntil))
 	return a
 }
 
@@ -147,12 +152,13 @@
 	a.limit = limit
 }
 
-// SetShare sets what this node is entitled to.
+// SetShare sets what this node is entitled to. What an unused share has earned counts when the shareholders are known
+// for the first time; later, another node had the share before.
 func (a *Account) SetShare(share Share, now time.Time) {
 	a.fill(now)
 	a.share = share
-	if share.Own > 0 && a.unused > 0 {
-		a.usesOwnShare = !now.Before(a.lentUntil)
+	if share.Each > 0 && a.unused > 0 {
+		a.usesOwnShare = !now.Before(a.lentUntil) && share.Own > 0
 		a.tokens = max(a.tokens, min(a.burstShare(), a.unused.Seconds()*a.limit.Rate*share.Own))
 		a.unused = 0
 	}
--- a/internal/owner/evacuated.go
+++ b/internal/owner/evacuated.go
@@ -47,11 +47,8 @@
 	if g.options.EvenLoad && r.waitsForSlot && len(r.alternatives) > 0 {
 		g.awaitOffers(ctx, r)
 	}
-	waiting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(r.inUse, cancel)()
-	refusal := g.awaitSlot(waiting, r.member, r.slot)
-	if refusal == nil || ctx.Err() != nil || waiting.Err() == nil {
+	refusal := g.awaitSlotUntil(ctx, r.inUse.Done(), r.member, r.slot)
+	if refusal == nil || ctx.Err() != nil || r.inUse.Err() == nil {
 		return refusal
 	}
 	g.manager.counts.requestsMoved.Add(1)
--- a/internal/run/quota/messages.go
+++ b/internal/run/quota/messages.go
@@ -22,6 +22,9 @@
 	// depends on their limits, which are those of ConfigVersion.
 	IsSplit       bool   `cbor:"8,keyasint,omitempty"`
 	ConfigVersion uint64 `cbor:"9,keyasint,omitempty"`
+	// Run identifies the sender's process, and Number orders its requests (see quota.Report).
+	Run    uint32 `cbor:"10,keyasint,omitempty"`
+	Number uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // shareReply contains the tokens granted, one number for each report. A negative number means
