Soak: cold targets, home regions and priorities in the schedule of domains

Cause: the soak judged evacuations only; hosted targets wrote entries without a start, once, and never cold. Change: entries state born, seq and cold_left_ms, targets write them each 1.2 s in the schedule domains; a crash there also restarts a replica of another group. Two rules from what targets read: few requests to a cold target in any second, none outside the homes of route and customer. Settings have regions, cold bounds and the contract of priorities. Draws of all schedules are as before.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -36,7 +36,7 @@
 	flags := cmd.Flags()
 	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the schedule and of the callers")
 	flags.DurationVar(&o.Length, "duration", o.Length, "length of the schedule")
-	flags.StringVar(&o.Schedule, "schedule", o.Schedule, "all (planned work and faults), wide (also nodes that come and go for good, settings files, a restored store, late replicas), planned (planned work of wide, and a rate that is lowered), domains (planned, and evacuated zones, at times beside faults), mixed (all, less SIGHUP, replaced primaries and record) or record (planned work, mostly two nodes of a zone at once)")
+	flags.StringVar(&o.Schedule, "schedule", o.Schedule, "all (planned work and faults), wide (also nodes that come and go for good, settings files, a restored store, late replicas), planned (planned work of wide, and a rate that is lowered), domains (planned, evacuated zones, at times beside faults, targets that are cold after their start, home regions, priorities), mixed (all, less SIGHUP, replaced primaries and record) or record (planned work, mostly two nodes of a zone at once)")
 	flags.IntVar(&o.Nodes, "nodes", o.Nodes, "nodes")
 	flags.IntVar(&o.Groups, "groups", o.Groups, "groups of three targets each, at most 3")
 	flags.IntVar(&o.Sessions, "sessions", o.Sessions, "callers' sessions at the same time")
--- a/internal/standin/hosted/group.go
+++ b/internal/standin/hosted/group.go
@@ -34,6 +34,11 @@
 	// refused itself, in place of keeping it for Ran. It must be set before the first call, and must not
 	// call the group.
 	Observe func(Statement)
+	// Arrived, if it is not nil, is called with each statement when a target reads it, also with those of the proxy
+	// itself and those that are then refused. It must be set before the first call.
+	Arrived func(Statement)
+	// ColdStart is how long a target is cold after its start. It must be set before the first call.
+	ColdStart time.Duration
 
 	promotions     *Promotions
 	mu             sync.Mutex
@@ -127,16 +132,19 @@
 	return append([]Promotion(nil), g.promotionCalls...)
 }
 
-// Entry returns the JSON value that a target registers in the platform's list of servers.
+// Entry returns the JSON value that a target registers in the platform's list of servers. The targets that a group
+// began with have not just started.
 func (g *Group) Entry(id, zone, state string) []byte {
 	t := g.Target(id)
+	startedAt, sequence := t.nextEntry()
 	address := t.RegisteredAddress
 	if address == "" {
 		address = t.Address
 	}
 	value, _ := json.Marshal(map[string]any{
 		"service": g.Name, "addr": address, "zone": zone, "version": "v1",
-		"slots": 5, "state": state, "cold_left_ms": 0, "seq": 1,
+		"slots": 5, "state": state, "cold_left_ms": max(0, time.Until(startedAt.Add(g.ColdStart))).Milliseconds(),
+		"born": startedAt.UnixMilli(), "seq": sequence,
 	})
 	return value
 }
--- a/internal/standin/hosted/lifecycle.go
+++ b/internal/standin/hosted/lifecycle.go
@@ -56,6 +56,7 @@
 		}
 	}
 	t.down, t.pausedForTerm = false, 0
+	t.startedAt, t.sequence = time.Now(), 0
 	address := t.Address
 	g.mu.Unlock()
 	t.listen(address)
--- a/internal/standin/hosted/session.go
+++ b/internal/standin/hosted/session.go
@@ -45,8 +45,9 @@
 	// transaction identifies the transaction, writes holds its writes until the commit.
 	transaction uint64
 	writes      map[string]string
-	// generation is the target's when the session began.
+	// generation and startedAt are the target's when the session began.
 	generation int
+	startedAt  time.Time
 	// committed is the position of what the statement in hand has committed, zero if nothing.
 	committed logPosition
 	// fault is what the target does wrong with the statement in hand.
@@ -100,7 +101,7 @@
 	}
 	s.customer = login.customer
 	t.group.mu.Lock()
-	s.generation = t.generation
+	s.generation, s.startedAt = t.generation, t.startedAt
 	t.group.mu.Unlock()
 	if atLimit {
 		s.send("ERROR " + tooManyLogins)
@@ -140,6 +141,9 @@
 		return false
 	}
 	st := s.statement(id, text)
+	if arrived := s.target.group.Arrived; arrived != nil {
+		arrived(st)
+	}
 	if respond := s.target.responder(); respond != nil {
 		if raw, closeConn, ok := respond(st); ok {
 			_, _ = s.out.Write([]byte(raw))
@@ -185,7 +189,7 @@
 func (s *session) statement(id, text string) Statement {
 	st := Statement{
 		ID: id, Text: text, Customer: s.customer, Settings: maps.Clone(s.settings),
-		Connection: s.connection, Target: s.target.ID, ReceivedAt: time.Now(),
+		Connection: s.connection, Target: s.target.ID, ReceivedAt: time.Now(), StartedAt: s.startedAt,
 	}
 	if rest, ok := strings.CutPrefix(st.CallerText(), "EXEC "); ok {
 		name, arguments, _ := strings.Cut(rest, " ")
--- a/internal/standin/hosted/statement.go
+++ b/internal/standin/hosted/statement.go
@@ -36,6 +36,8 @@
 	Transaction uint64
 	// ReceivedAt is when the target read the statement.
 	ReceivedAt time.Time
+	// StartedAt is when the target's process had started.
+	StartedAt time.Time
 	// Target is the ID of the target. Result is the code of its error, empty if the statement succeeded.
 	Target, Result string
 	// Rows are those of its answer.
@@ -128,9 +130,19 @@
 	"STEPDOWN": {min: 1, max: 1},
 }
 
+// controls are the statements that ask for a target's status or give it an order.
+var controls = []string{"STATUS", "PAUSE", "RESUME", "STEPDOWN"}
+
 // mayFollowPosition are the statements that a position may precede.
 var mayFollowPosition = []string{"BEGIN", "READ", "EXEC"}
 
+// IsRequest reports whether the statement is one that a session runs: no setting up of the session, no question for the
+// target's status and no order to it.
+func (st *Statement) IsRequest() bool {
+	word, _, _ := strings.Cut(st.CallerText(), " ")
+	return !command{word: word}.isSetup() && !slices.Contains(controls, word)
+}
+
 // parseCommand reports false if the text is no statement.
 func parseCommand(text string) (command, bool) {
 	position, text := cutPosition(text)
--- a/internal/standin/hosted/target.go
+++ b/internal/standin/hosted/target.go
@@ -4,8 +4,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// firstAge is the age of the targets that a group begins with.
+const firstAge = time.Hour
+
 // RespondFunc may respond to a statement in place of the target. If ok is true, the target
 // sends raw and then closes the connection if closeConn is true. If ok is false, the target
 // carries out the statement itself.
@@ -28,10 +32,12 @@
 	// The fields below up to executed are guarded by group.mu. pausedForTerm is the term for
 	// which PAUSE stopped replication, or 0; appliedEntries is the number of log entries that
 	// reads see; executed holds the callers' statements; generation counts
-	// how often the target was killed.
+	// how often the target was killed; startedAt is when it last started, sequence the number of its last entry.
 	primary        bool
 	down           bool
 	generation     int
+	startedAt      time.Time
+	sequence       uint64
 	term           uint64
 	pausedForTerm  uint64
 	log            []logEntry
@@ -46,7 +52,7 @@
 
 func newTarget(g *Group, id string, primary bool) *Target {
 	t := makeTarget(g, id)
-	t.primary = primary
+	t.primary, t.startedAt = primary, time.Now().Add(-firstAge)
 	t.listen("")
 	return t
 }
@@ -158,6 +164,24 @@
 	return c.isIn(t.log)
 }
 
+// Runs reports whether the target runs.
+func (t *Target) Runs() bool {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	return !t.down
+}
+
+// nextEntry returns when the target started and the number of its next entry. A target that does not run writes none,
+// and keeps the number of the last one.
+func (t *Target) nextEntry() (startedAt time.Time, sequence uint64) {
+	t.group.mu.Lock()
+	defer t.group.mu.Unlock()
+	if !t.down {
+		t.sequence++
+	}
+	return t.startedAt, t.sequence
+}
+
 // Leads reports whether the target is the primary and runs.
 func (t *Target) Leads() bool {
 	t.group.mu.Lock()
--- a/internal/standin/soak/configuration.go
+++ b/internal/standin/soak/configuration.go
@@ -22,6 +22,9 @@
 // timeouts are the time-outs of a statement by the kind of its route.
 var timeouts = map[string]time.Duration{kindOrders: time.Second, kindProofs: 3 * time.Second, kindJobs: time.Second}
 
+// priorities are the priorities of routes by their kind, where they have any; 0 is the most urgent.
+var priorities = map[string]int{kindOrders: 0, kindJobs: 1, kindProofs: 2}
+
 // maxStalenessMS is the highest age of what is read on routes that bound it.
 const maxStalenessMS = 1500
 
@@ -62,6 +65,7 @@
 // configure writes the next version of the configuration.
 func (r *run) configure(c configuration) {
 	c.loweredRate = r.lowering > 0
+	hasPlaces := r.options.hasPlaces()
 	tenants := []any{map[string]any{
 		"name": pressingCustomer.name, "api_keys": []string{pressingCustomer.key}, "rate_per_s": c.rate(), "burst": pressingBurst,
 	}}
@@ -70,17 +74,29 @@
 		if customer.name == changingCustomer.name && !c.withoutKey {
 			keys = append(keys, changingCustomer.key)
 		}
-		tenants = append(tenants, map[string]any{"name": customer.name, "api_keys": keys, "rate_per_s": 10000, "burst": 10000})
+		tenant := map[string]any{"name": customer.name, "api_keys": keys, "rate_per_s": 10000, "burst": 10000}
+		if hasPlaces {
+			tenant["allowed_regions"] = customerHomes[customer.name]
+		}
+		tenants = append(tenants, tenant)
 	}
 	var routes, services []any
 	add := func(name, kind string, d *database) {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": name, "database": name, "type": routeTypes[kind], "timeout_ms": timeouts[kind].Milliseconds(),
 			"service": d.group.Name, "max_staleness_ms": maxStalenessMS,
-		})
+		}
+		if hasPlaces {
+			route["allowed_regions"], route["prio"] = routeHomes[name], priorities[kind]
+		}
+		routes = append(routes, route)
 	}
 	for _, d := range r.databases {
-		services = append(services, map[string]any{"name": d.group.Name, "max_conns": 50, "sync_replicas": d.group.SyncReplicas})
+		service := map[string]any{"name": d.group.Name, "max_conns": 50, "sync_replicas": d.group.SyncReplicas}
+		if hasPlaces {
+			service["cold_start_s"], service["cold_per_s"] = coldStart.Seconds(), coldRate
+		}
+		services = append(services, service)
 		for _, kind := range kinds {
 			if kind != kindJobs || !c.withoutJobs {
 				add(d.group.Name+"-"+kind, kind, d)
--- a/internal/standin/soak/doc.go
+++ b/internal/standin/soak/doc.go
@@ -26,6 +26,8 @@
 //     route allows, and its session's own writes;
 //   - a customer that presses runs no more than its rate and burst allow;
 //   - nothing reaches the targets of an evacuated zone once that has to be in force;
+//   - a target that has just started gets few requests in any second, counted as they arrive from all nodes;
+//   - a request reaches targets only in the home regions of its route and its customer;
 //   - a node's memory and descriptors stay within its class;
 //   - each node serves every group soon after the last event.
 //
--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -58,6 +58,7 @@
 		r.pause(e)
 	case KindCrash:
 		r.crash(e)
+		r.restartReplica(e)
 	case KindOddEntry:
 		r.writeOddEntry(e)
 	case KindStore:
@@ -225,7 +226,7 @@
 		time.Sleep(upTo(randomOf(e), maxOddDelay))
 		d.writeOddEntries(others, oddEntries[e.Index%len(oddEntries)])
 	}
-	time.Sleep(time.Second + upTo(randomOf(e), maxCrash))
+	time.Sleep(r.minOutage() + upTo(randomOf(e), maxCrash))
 	t.Restart()
 }
 
--- a/internal/standin/soak/judge.go
+++ b/internal/standin/soak/judge.go
@@ -27,6 +27,8 @@
 	ruleResources  = "a node's memory and descriptors stay within its class"
 	ruleInForce    = "a configuration is in force in time"
 	ruleEvacuated  = "nothing reaches an evacuated failure domain"
+	ruleCold       = "a target that has just started gets few requests"
+	ruleHome       = "a request stays in its home regions"
 	ruleNoReturn   = "a node does not return to an older configuration"
 )
 
@@ -61,7 +63,7 @@
 
 func newJudge() *judge {
 	j := &judge{rules: make(map[string]*Rule), counts: make(map[string]int)}
-	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleEvacuated, ruleFresh, ruleResources} {
+	for _, name := range []string{ruleCut, ruleGrace, ruleOwnEnd, ruleKept, ruleOnce, ruleWithdrawn, ruleSetup, ruleSent, ruleNotRun, ruleWellFormed, ruleRate, ruleRecovery, ruleAnswer, ruleInForce, ruleNoReturn, ruleEvacuated, ruleCold, ruleHome, ruleFresh, ruleResources} {
 		j.rules[name] = &Rule{Violations: []string{}}
 	}
 	return j
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -80,6 +80,10 @@
 	return 0
 }
 
+// hasPlaces reports whether zones are in regions, some routes and customers have homes, targets that have just started
+// are cold, and routes have priorities.
+func (o *Options) hasPlaces() bool { return o.Schedule == ScheduleDomains }
+
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
@@ -121,13 +125,15 @@
 	inForce    *inForce
 	// evacuations judges what reaches evacuated zones.
 	evacuations *evacuations
-	lateness    lateness
-	ended       chan struct{}
-	wait        sync.WaitGroup
-	statements  *statements
-	items       atomic.Uint64
-	version     atomic.Uint64
-	copies      copies
+	// cold judges what targets get that have just started.
+	cold       *coldTargets
+	lateness   lateness
+	ended      chan struct{}
+	wait       sync.WaitGroup
+	statements *statements
+	items      atomic.Uint64
+	version    atomic.Uint64
+	copies     copies
 	// document is the newest configuration. writing is held while it, or the store as a whole, is replaced.
 	document []byte
 	writing  sync.Mutex
@@ -168,6 +174,7 @@
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
 	r.inForce = newInForce(r.judge)
 	r.evacuations = &evacuations{judge: r.judge}
+	r.cold = newColdTargets(r.judge)
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.statements.rate.maxRate = r.inForce.maxRate
 	r.store = hosted.NewStore()
@@ -209,6 +216,9 @@
 		if err != nil {
 			return err
 		}
+		if r.options.hasPlaces() {
+			r.watchArrivals(d)
+		}
 		r.databases = append(r.databases, d)
 		groups = append(groups, d.group)
 		for _, kind := range []string{kindOrders, kindOrders, kindProofs, kindJobs} {
@@ -235,6 +245,11 @@
 		if err != nil {
 			return err
 		}
+		if r.options.hasPlaces() {
+			if err := n.addPlaces(); err != nil {
+				return err
+			}
+		}
 		if r.options.CallerDelay > 0 {
 			options := link.Symmetric(r.options.CallerDelay)
 			options.ResetOvertakes = r.options.ResetOvertakes
@@ -280,6 +295,9 @@
 	if r.options.Schedule == ScheduleWide {
 		rest.Go(r.keepCopies)
 	}
+	if r.options.hasPlaces() {
+		rest.Go(r.keepEntries)
+	}
 	for i, n := range r.nodes {
 		rest.Go(func() { r.probe(n, i) })
 	}
--- a/internal/standin/soak/schedule.go
+++ b/internal/standin/soak/schedule.go
@@ -104,7 +104,8 @@
 	ScheduleWide = "wide"
 	// SchedulePlanned has the planned work of ScheduleWide, and a customer's rate that is lowered.
 	SchedulePlanned = "planned"
-	// ScheduleDomains has the planned work of SchedulePlanned and zones that are evacuated, at times beside faults.
+	// ScheduleDomains has the planned work of SchedulePlanned and zones that are evacuated, at times beside faults. Zones
+	// are in regions, some routes and customers have homes, targets are cold after their start, requests have priorities.
 	ScheduleDomains = "domains"
 	// ScheduleRecord has planned work only, mostly KindRecord.
 	ScheduleRecord = "record"
