--- a/internal/standin/soak/events.go
+++ b/internal/standin/soak/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"os/exec"
 	"slices"
@@ -36,6 +37,15 @@
 	rejoinTime = 3 * time.Second
 )
 
+// nodeOf returns the node that an event concerns.
+func (r *run) nodeOf(e Event) *node { return r.nodes[e.Index%len(r.nodes)] }
+
+// databaseOf returns the database that an event concerns.
+func (r *run) databaseOf(e Event) *database { return r.databases[e.Variant%len(r.databases)] }
+
+// randomOf returns the source of an event's further choices.
+func randomOf(e Event) *rand.Rand { return rand.New(rand.NewPCG(uint64(e.Index), uint64(e.Variant))) }
+
 // carryOut carries out one event and returns when it is over.
 func (r *run) carryOut(e Event) {
 	began := time.Now()
--- a/internal/standin/soak/places.go
+++ b/internal/standin/soak/places.go
@@ -25,9 +25,16 @@
 // heartbeat is how often a target writes its entry.
 const heartbeat = 1200 * time.Millisecond
 
+// hasPlaces reports whether zones are in regions, some routes and customers have homes, targets that have just started
+// are cold, and routes have priorities.
+func (o *Options) hasPlaces() bool { return o.Schedule == ScheduleDomains }
+
 // addPlaces adds to the node's settings file the regions of zones, what cold targets may get, and that requests have
 // priorities.
-func (n *node) addPlaces() error {
+func (n *node) addPlaces(o *Options) error {
+	if !o.hasPlaces() {
+		return nil
+	}
 	body, err := os.ReadFile(n.settingsPath)
 	if err != nil {
 		return err
@@ -45,6 +52,9 @@
 
 // watchArrivals judges what the targets of d read. It must be called before anything is sent to them.
 func (r *run) watchArrivals(d *database) {
+	if !r.options.hasPlaces() {
+		return
+	}
 	d.group.ColdStart = coldStart
 	d.group.Arrived = func(st hosted.Statement) {
 		r.cold.observe(st)
@@ -74,7 +84,7 @@
 
 // keepEntries has the targets that run write their entries until the run ends.
 func (r *run) keepEntries() {
-	for !r.hasEnded() {
+	for r.options.hasPlaces() && !r.hasEnded() {
 		time.Sleep(heartbeat)
 		for _, d := range r.databases {
 			d.beat()
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -80,10 +79,6 @@
 	return 0
 }
 
-// hasPlaces reports whether zones are in regions, some routes and customers have homes, targets that have just started
-// are cold, and routes have priorities.
-func (o *Options) hasPlaces() bool { return o.Schedule == ScheduleDomains }
-
 // check reports options that can't be played.
 func (o *Options) check() error {
 	switch {
@@ -216,9 +211,7 @@
 		if err != nil {
 			return err
 		}
-		if r.options.hasPlaces() {
-			r.watchArrivals(d)
-		}
+		r.watchArrivals(d)
 		r.databases = append(r.databases, d)
 		groups = append(groups, d.group)
 		for _, kind := range []string{kindOrders, kindOrders, kindProofs, kindJobs} {
@@ -245,10 +238,8 @@
 		if err != nil {
 			return err
 		}
-		if r.options.hasPlaces() {
-			if err := n.addPlaces(); err != nil {
-				return err
-			}
+		if err := n.addPlaces(&r.options); err != nil {
+			return err
 		}
 		if r.options.CallerDelay > 0 {
 			options := link.Symmetric(r.options.CallerDelay)
@@ -295,9 +286,7 @@
 	if r.options.Schedule == ScheduleWide {
 		rest.Go(r.keepCopies)
 	}
-	if r.options.hasPlaces() {
-		rest.Go(r.keepEntries)
-	}
+	rest.Go(r.keepEntries)
 	for i, n := range r.nodes {
 		rest.Go(func() { r.probe(n, i) })
 	}
@@ -393,9 +382,6 @@
 	}
 }
 
-// nodeOf returns the node that an event concerns.
-func (r *run) nodeOf(e Event) *node { return r.nodes[e.Index%len(r.nodes)] }
-
 // nodeCalled returns the node with the given name, or nil.
 func (r *run) nodeCalled(name string) *node {
 	for _, n := range r.nodes {
@@ -405,9 +391,3 @@
 	}
 	return nil
 }
-
-// databaseOf returns the database that an event concerns.
-func (r *run) databaseOf(e Event) *database { return r.databases[e.Variant%len(r.databases)] }
-
-// randomOf returns the source of an event's further choices.
-func randomOf(e Event) *rand.Rand { return rand.New(rand.NewPCG(uint64(e.Index), uint64(e.Variant))) }
