Cold targets: a proven data connection proves the control connection's process too

Cause: a target that closes idle connections closes the control connection too. Change: a link is that of a warm process if a proven data connection has answered a request sent since the link stood. Result: property test of proofs with 2,000 checks and owner's tests with -race; with the order left out of the guard both tests of proofs fail.

--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -47,12 +47,13 @@
 }
 
 // IsWarm reports whether the process at the other end of the link is proven to be warm: it has been there for
-// coldStart, or the target's entries are of that process and say so.
+// coldStart, the target's entries are of that process and say so, or a process that was proven to be warm has answered
+// since the link was connected.
 func (l *Link) IsWarm(now time.Time, life Life, coldStart time.Duration) bool {
 	if l.connectedAt.IsZero() || l.answeredAt.IsZero() {
 		return false
 	}
-	l.warm = l.warm || now.Sub(l.connectedAt) >= coldStart || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+	l.warm = l.warm || now.Sub(l.connectedAt) >= coldStart || !l.connectedAt.After(l.warmAt) || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
 	return l.warm
 }
 
--- a/internal/owner/coldstart/proof_test.go
+++ b/internal/owner/coldstart/proof_test.go
@@ -204,6 +204,24 @@
 	}
 }
 
+// TestWarmProcessProvesANewLink checks that a target that closes the control connection only is known to be warm again once
+// a data connection that was proven before has answered a request sent since the next control connection.
+func TestWarmProcessProvesANewLink(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	var link Link
+	link.Connect(now.Add(-testColdStart))
+	link.Answer(now)
+	must.True(t, link.IsWarm(now, Life{}, testColdStart))
+	link.AnswerWarm(now)
+	link.Break()
+	link.Connect(now.Add(2))
+	link.Answer(now.Add(2))
+	link.AnswerWarm(now.Add(1))
+	must.False(t, link.IsWarm(now.Add(3), Life{}, testColdStart))
+	link.AnswerWarm(now.Add(3))
+	must.True(t, link.IsWarm(now.Add(4), Life{}, testColdStart))
+}
+
 func TestColdTimeOfAnEntry(t *testing.T) {
 	now := time.Unix(100_000, 0)
 	until := func(e Entry) time.Duration { return Life{}.Observe(now, e).coldUntil(testColdStart).Sub(now) }
