--- a/internal/standin/hosted/target_test.go
+++ b/internal/standin/hosted/target_test.go
@@ -18,7 +18,8 @@
 		Born     int64 `json:"born"`
 		ColdLeft int64 `json:"cold_left_ms"`
 		Sequence int   `json:"seq"`
-	}) {
+	},
+	) {
 		must.NoError(t, json.Unmarshal(g.Entry("t1", "a", "ready"), &e))
 		return e
 	}
