--- a/internal/node/homes_test.go
+++ b/internal/node/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -37,6 +38,10 @@
 			must.Eq(t, chosen, other.choose(fmt.Sprint(g), set))
 		}
 	}
+	west := region.NewSet([]string{"west"})
+	first := own.choose("unfit", west)
+	other.unfit.mark(first.name, "unfit", time.Now().Add(time.Hour))
+	must.NotEq(t, first.name, other.choose("unfit", west).name)
 	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.NewSet([]string{"north"})))
 	must.Eq(t, ownerLocation{name: "own"}, own.choose("g", region.None))
 }
@@ -85,3 +90,19 @@
 		must.True(t, self)
 	}
 }
+
+// TestAddressOutsideOfTheHomes guards against statements of a transaction that are sent on to a node outside of their homes,
+// also if a node that is gone, inside of them, had the same address.
+func TestAddressOutsideOfTheHomes(t *testing.T) {
+	view := &membership.View{Members: []membership.Member{
+		{Name: "a", Address: "at a", Domain: "e1"},
+		{Name: "b", Address: "at b", Domain: "w1"},
+		{Name: "c", Address: "at c", Domain: "e1", State: membership.Gone},
+		{Name: "d", Address: "at c", Domain: "w1"},
+	}}
+	east := region.NewSet([]string{"east"})
+	for address, want := range map[string]bool{"at a": true, "at b": false, "at c": false, "elsewhere": false} {
+		must.Eq(t, want, isAllowedAt(view, testRegions, address, east), must.Sprint(address))
+		must.True(t, isAllowedAt(view, testRegions, address, region.Any))
+	}
+}
