--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,7 +201,7 @@
 	if err := n.assembleFront(); err != nil {
 		return err
 	}
-	n.server = n.newPeerServer(tlsPeers)
+	n.assemblePeers(tlsPeers)
 	n.registerHandlers()
 	return nil
 }
@@ -312,6 +312,7 @@
 		Unreachable:            n.observeFailedPoll,
 		SoleOrderer:            n.promotion.IsSoleOrderer,
 		Regions:                s.Places.Regions,
+		EvenLoad:               s.Policy.EvenLoad,
 		Cold:                   coldstart.Bound{Over: s.Cold.Over, Slack: s.Cold.Slack},
 		ColdHolder:             n.coldHolder(),
 		TargetLife:             n.targetLife,
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -37,14 +37,7 @@
 		if wait, refusal := g.placeCold(ctx, now, r, g.members[choice.Target]); wait > 0 || refusal != nil {
 			return nil, wait, refusal
 		}
-		r.member = g.members[choice.Target]
-		r.replica = choice.Replica
-		r.placedAt = now
-		r.inUse = r.member.inUse
-		if !choice.Replica {
-			g.handover.End()
-		}
-		g.submit(ctx, now, r)
+		g.placeAt(ctx, now, r, choice)
 		return nil, 0, nil
 	}
 	if r.req.Nearby {
@@ -113,10 +106,15 @@
 		HeldTerms:        g.options.HeldTerms,
 		Term:             g.evidence.HighestTerm(),
 		ReplicaWaitLeft:  r.req.Profile.ReplicaWait.Std() - now.Sub(r.startedAt),
+		EvenLoad:         g.options.EvenLoad,
+	}
+	if g.options.EvenLoad {
+		r.criteria.Random = g.options.Random()
 	}
 	for i, m := range g.members {
 		g.candidates[i] = m.candidate(now, r.req)
 		g.candidates[i].HasReader = g.hasReader(m.target.Domain)
+		g.candidates[i].ExpectedWait = r.expectedWait(now, m, g.candidates[i].ExpectedWait)
 		if ok && m.name == primary && !m.isUnreachable() {
 			r.criteria.Primary = i
 		}
@@ -124,11 +122,24 @@
 	return choose.Choose(&r.criteria, g.candidates)
 }
 
+// placeAt submits r to the schedule of the chosen target. g.mu is held.
+func (g *group) placeAt(ctx context.Context, now time.Time, r *execution, choice choose.Choice) {
+	r.member = g.members[choice.Target]
+	r.replica = choice.Replica
+	r.placedAt = now
+	r.inUse = r.member.inUse
+	if !choice.Replica {
+		g.handover.End()
+	}
+	g.submit(ctx, now, r)
+}
+
 // submit requests a slot of r.member. g.mu is held.
 func (g *group) submit(ctx context.Context, now time.Time, r *execution) {
 	deadline, _ := ctx.Deadline()
 	r.slot = g.newSlotWaiter(r.req, classOf(r.req.Kind), deadline)
-	deliver(r.member.schedule.Submit(now, &r.slot.item))
+	r.member.deliver(now, r.member.schedule.Submit(now, &r.slot.item))
+	g.beginSlotWait(now, r)
 }
 
 func classOf(kind request.Kind) schedule.Class {
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -102,6 +102,13 @@
 	replica  bool
 	term     uint64
 	placedAt time.Time
+	// waitsForSlot is true if the request got no slot at once. alternatives are other targets that could serve it
+	// meanwhile.
+	waitsForSlot bool
+	alternatives []alternative
+	// offered is signalled when one of them has a free slot, and offeredAt is when it was last.
+	offered   chan struct{}
+	offeredAt time.Time
 	// coldAt is the cold target at which the request is counted, coldWaitsAt the one at which it waits for room.
 	coldAt, coldWaitsAt *member
 
@@ -158,7 +165,9 @@
 		return nil, refusal
 	}
 	defer g.endCold(r, false)
-	if refusal := g.awaitNewSlot(ctx, r); refusal != nil {
+	refusal := g.awaitNewSlot(ctx, r)
+	g.endSlotWait(r)
+	if refusal != nil {
 		return nil, refusal
 	}
 	conn, refusal := g.connect(ctx, r)
@@ -231,7 +240,7 @@
 	r.member.recordExchange(failed, o.reply.Position)
 	r.member.recordWarm(o)
 	if !pinned {
-		deliver(r.member.schedule.Done(now, &r.slot.item, schedule.TransactionUnchanged))
+		r.member.deliver(now, r.member.schedule.Done(now, &r.slot.item, schedule.TransactionUnchanged))
 		return nil
 	}
 	tx := &transaction{
@@ -248,7 +257,7 @@
 		tainted:  o.cancelled,
 	}
 	g.transactions[tx.session] = tx
-	deliver(r.member.schedule.Done(now, &r.slot.item, schedule.TransactionOpened))
+	r.member.deliver(now, r.member.schedule.Done(now, &r.slot.item, schedule.TransactionOpened))
 	return tx
 }
 
