--- a/internal/owner/coldstart/link.go
+++ b/internal/owner/coldstart/link.go
@@ -47,12 +47,14 @@
 }
 
 // IsWarm reports whether the process at the other end of the link is proven to be warm: it has been there for
-// coldStart and the target's entries state no longer cold time, or they are of that process and say so.
+// coldStart and the target's entries state no longer cold time, they are of that process and say so, or a process that
+// was proven to be warm has answered since the link was connected.
 func (l *Link) IsWarm(now time.Time, life Life, coldStart time.Duration) bool {
 	if l.connectedAt.IsZero() || l.answeredAt.IsZero() {
 		return false
 	}
-	l.warm = l.warm || hasStood(now, l.connectedAt, life, coldStart) || l.isOf(life) && !now.Before(life.coldUntil(coldStart))
+	l.warm = l.warm || hasStood(now, l.connectedAt, life, coldStart) || !l.connectedAt.After(l.warmAt) ||
+		l.isOf(life) && !now.Before(life.coldUntil(coldStart))
 	return l.warm
 }
 
--- a/internal/standin/soak/run.go
+++ b/internal/standin/soak/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -121,13 +120,15 @@
 	inForce    *inForce
 	// evacuations judges what reaches evacuated zones.
 	evacuations *evacuations
-	lateness    lateness
-	ended       chan struct{}
-	wait        sync.WaitGroup
-	statements  *statements
-	items       atomic.Uint64
-	version     atomic.Uint64
-	copies      copies
+	// cold judges what targets get that have just started.
+	cold       *coldTargets
+	lateness   lateness
+	ended      chan struct{}
+	wait       sync.WaitGroup
+	statements *statements
+	items      atomic.Uint64
+	version    atomic.Uint64
+	copies     copies
 	// document is the newest configuration. writing is held while it, or the store as a whole, is replaced.
 	document []byte
 	writing  sync.Mutex
@@ -168,6 +169,7 @@
 	r := &run{options: o, judge: newJudge(), ended: make(chan struct{}), written: make(map[string]written), super: supervise.New()}
 	r.inForce = newInForce(r.judge)
 	r.evacuations = &evacuations{judge: r.judge}
+	r.cold = newColdTargets(r.judge)
 	r.statements = newStatements(r.judge, r.forgetRun)
 	r.statements.rate.maxRate = r.inForce.maxRate
 	r.store = hosted.NewStore()
@@ -209,6 +211,7 @@
 		if err != nil {
 			return err
 		}
+		r.watchArrivals(d)
 		r.databases = append(r.databases, d)
 		groups = append(groups, d.group)
 		for _, kind := range []string{kindOrders, kindOrders, kindProofs, kindJobs} {
@@ -235,6 +238,9 @@
 		if err != nil {
 			return err
 		}
+		if err := n.addPlaces(&r.options); err != nil {
+			return err
+		}
 		if r.options.CallerDelay > 0 {
 			options := link.Symmetric(r.options.CallerDelay)
 			options.ResetOvertakes = r.options.ResetOvertakes
@@ -280,6 +286,7 @@
 	if r.options.Schedule == ScheduleWide {
 		rest.Go(r.keepCopies)
 	}
+	rest.Go(r.keepEntries)
 	for i, n := range r.nodes {
 		rest.Go(func() { r.probe(n, i) })
 	}
@@ -375,9 +382,6 @@
 	}
 }
 
-// nodeOf returns the node that an event concerns.
-func (r *run) nodeOf(e Event) *node { return r.nodes[e.Index%len(r.nodes)] }
-
 // nodeCalled returns the node with the given name, or nil.
 func (r *run) nodeCalled(name string) *node {
 	for _, n := range r.nodes {
@@ -387,9 +391,3 @@
 	}
 	return nil
 }
-
-// databaseOf returns the database that an event concerns.
-func (r *run) databaseOf(e Event) *database { return r.databases[e.Variant%len(r.databases)] }
-
-// randomOf returns the source of an event's further choices.
-func randomOf(e Event) *rand.Rand { return rand.New(rand.NewPCG(uint64(e.Index), uint64(e.Variant))) }
