--- a/internal/run/catalog/unread.go
+++ b/internal/run/catalog/unread.go
@@ -5,19 +5,20 @@
 	"time"
 )
 
-// awayRetry is the delay after a failed first read of a table if the store has answered nothing since.
+// awayRetry is the delay after a failed first read of a table if the store has answered nothing since, nor before.
 const awayRetry = 2 * time.Second
 
 // backOff waits for d after a call about t has failed that began at calledAt. As long as a table was never read, this
 // ends as soon as the store has answered any call: without the lists of nodes and targets a node can do nothing. While
-// the store answers nothing, only the calls about the configuration find out when it does again.
+// the store answers nothing, only the calls about the configuration find out when it does again. Once these were
+// answered, they are held and find out nothing.
 func (r *Runner) backOff(ctx context.Context, t *table, calledAt time.Time, d time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
 	if t != r.configuration && !t.isKnown() {
 		r.wakeUnread[t] = cancel
-		if !r.answeredAt.After(calledAt) {
+		if !r.configuration.isKnown() && !r.answeredAt.After(calledAt) {
 			d = max(d, awayRetry)
 		}
 	}
--- a/internal/run/catalog/unread_test.go
+++ b/internal/run/catalog/unread_test.go
@@ -34,17 +34,29 @@
 	})
 }
 
-// countingFeed counts the reads of whole tables.
+// countingFeed counts the reads of whole tables, and fails those of one.
 type countingFeed struct {
 	*fakeFeed
 	mu    sync.Mutex
 	reads map[string]int
+	// failing is the table whose reads fail.
+	failing string
+}
+
+func (f *countingFeed) setFailing(table string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failing = table
 }
 
 func (f *countingFeed) Read(ctx context.Context, table string) ([]platform.Row, platform.Revision, error) {
 	f.mu.Lock()
 	f.reads[table]++
+	fails := f.failing == table
 	f.mu.Unlock()
+	if fails {
+		return nil, platform.Revision{}, platform.ErrOutage.New("reads of %s fail", table)
+	}
 	return f.fakeFeed.Read(ctx, table)
 }
 
@@ -78,6 +90,25 @@
 	})
 }
 
+// TestNodesAreReadLateInAPartialOutage guards against a node without a list of nodes for seconds after an outage in which
+// the store answered calls about the configuration, which it then holds, and no others.
+func TestNodesAreReadLateInAPartialOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &countingFeed{fakeFeed: newFakeFeed(), reads: map[string]int{}, failing: platform.TableNodes}
+		setInitialRows(f.fakeFeed)
+		f.set(platform.TableNodes, "node/n2", "row", false)
+		r := startRunner(t, f.fakeFeed, nil, func(o *Options) { o.Feed = f })
+		time.Sleep(300 * time.Millisecond)
+		must.NotNil(t, r.Current())
+		_, known := r.NodeRow("node/n2")
+		must.False(t, known)
+		f.setFailing("")
+		time.Sleep(600 * time.Millisecond)
+		_, known = r.NodeRow("node/n2")
+		must.True(t, known)
+	})
+}
+
 // TestLongOutageKeepsNothing checks that what ends the delays of first reads does not add up over an outage.
 func TestLongOutageKeepsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
